Serve a request end to end: router, sidecar, stand-ins, demo and tests

Change: filter chain, attempts table, frames on the internal hop with resume and digest, fleet compiler, object API client, stand-ins, demo of two example fleets. Conclusion: the path works under one drain and one kill; claims, load bound by mean, membership and revision spread are next.

--- /dev/null
+++ b/src/hickorylever/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from .cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/src/hickorylever/events.py
@@ -0,0 +1,82 @@
+"""Numbered log events and the two log formats."""
+
+import enum
+import logging
+import sys
+import time
+
+import msgspec
+
+logger = logging.getLogger("hickorylever")
+
+
+class Event(enum.IntEnum):
+    """Every event that the program logs. docs/EVENTS.md is the catalogue."""
+
+    STARTED = 100
+    READY = 101
+    DRAINING = 102
+    STOPPED = 103
+    TIMER_FAILED = 110
+    INTERNAL_ERROR = 111
+    REQUEST_DONE = 200
+    REQUEST_REFUSED = 201
+    ATTEMPT_LOST = 210
+    ATTEMPT_RESUMED = 211
+    ATTEMPT_FAILED = 212
+    CONFIGURATION_ADOPTED = 300
+    CONFIGURATION_REJECTED = 301
+    PLATFORM_FAILED = 310
+
+
+def log(event: Event, message: str, level: int = logging.INFO, **fields: object) -> None:
+    """Log one numbered event with named fields."""
+    logger.log(level, message, extra={"event": event, "fields": fields})
+
+
+class JSONFormatter(logging.Formatter):
+    """One JSON object a line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as a JSON line."""
+        event = getattr(record, "event", None)
+        line = {
+            "time": time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+            + f".{int(record.msecs):03d}Z",
+            "level": record.levelname.lower(),
+            "event": int(event) if event else 0,
+            "name": event.name.lower() if event else "",
+            "message": record.getMessage(),
+            **getattr(record, "fields", {}),
+        }
+        if record.exc_info:
+            line["traceback"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+class TextFormatter(logging.Formatter):
+    """A readable line: time, level, event number, message and fields."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the record as a line of text."""
+        event = getattr(record, "event", None)
+        fields = getattr(record, "fields", {})
+        tail = "".join(f" {key}={value}" for key, value in fields.items())
+        clock = time.strftime("%H:%M:%S", time.localtime(record.created))
+        number = int(event) if event else 0
+        text = f"{clock} {record.levelname:<7} {number:03d} {record.getMessage()}{tail}"
+        if record.exc_info:
+            text += "\n" + self.formatException(record.exc_info)
+        return text
+
+
+FORMATTERS = {"json": JSONFormatter, "text": TextFormatter}
+
+
+def configure(form: str, level: str) -> None:
+    """Send log events to standard error in the given format."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(FORMATTERS[form]())
+    logger.handlers[:] = [handler]
+    logger.setLevel(level.upper())
+    logger.propagate = False
--- /dev/null
+++ b/src/hickorylever/exceptions.py
@@ -0,0 +1,143 @@
+"""The exception tree, the closed list of error kinds and the table from kind to answer."""
+
+import enum
+from dataclasses import dataclass
+
+
+class Ran(enum.StrEnum):
+    """Whether a request was executed by an endpoint."""
+
+    NO = "no"
+    UNKNOWN = "unknown"
+    YES = "yes"
+
+
+class Kind(enum.StrEnum):
+    """Every kind of error that a caller can be told."""
+
+    BAD_REQUEST = "bad_request"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    KEY_REQUIRED = "key_required"
+    KEY_REUSED = "key_reused"
+    ALREADY_RAN = "already_ran"
+    STILL_RUNNING = "still_running"
+    CLAIMS_UNAVAILABLE = "claims_unavailable"
+    CRASHING = "crashing"
+    OVERLOADED = "overloaded"
+    DRAINING = "draining"
+    WRONG_INCARNATION = "wrong_incarnation"
+    CANCELLED = "cancelled"
+    NO_ENDPOINT = "no_endpoint"
+    NOT_READY = "not_ready"
+    DEADLINE = "deadline"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ANSWER_LOST = "answer_lost"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    INTERNAL = "internal"
+
+
+class Advice(enum.StrEnum):
+    """What a caller should do after an error."""
+
+    NEVER = "never"
+    SAFE = "safe"
+    AFTER = "after"
+    WITH_KEY = "with_key"
+    ASK = "ask"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How a kind is told to a caller: HTTP status, title, retry advice and pause in seconds."""
+
+    status: int
+    title: str
+    advice: Advice
+    retry_after: int | None = None
+
+
+ANSWERS: dict[Kind, Answer] = {
+    Kind.BAD_REQUEST: Answer(400, "The request is malformed", Advice.NEVER),
+    Kind.HEADERS_TOO_LARGE: Answer(431, "The request head is too large", Advice.NEVER),
+    Kind.BODY_TOO_LARGE: Answer(413, "The request body is too large", Advice.NEVER),
+    Kind.REQUEST_TIMEOUT: Answer(408, "The request arrived too slowly", Advice.SAFE),
+    Kind.UNAUTHENTICATED: Answer(401, "The client account is not known", Advice.NEVER),
+    Kind.FORBIDDEN: Answer(403, "The client account may not do this", Advice.NEVER),
+    Kind.NOT_FOUND: Answer(404, "No such model or application", Advice.NEVER),
+    Kind.KEY_REQUIRED: Answer(428, "An Idempotency-Key is required", Advice.NEVER),
+    Kind.KEY_REUSED: Answer(422, "The Idempotency-Key was used for another request", Advice.NEVER),
+    Kind.ALREADY_RAN: Answer(409, "The request already ran", Advice.NEVER),
+    Kind.STILL_RUNNING: Answer(409, "The request is still running", Advice.WITH_KEY, 1),
+    Kind.CLAIMS_UNAVAILABLE: Answer(503, "Claims cannot be recorded now", Advice.AFTER, 5),
+    Kind.CRASHING: Answer(422, "The request crashed endpoints and is refused", Advice.AFTER, 600),
+    Kind.OVERLOADED: Answer(503, "No endpoint has room", Advice.AFTER, 1),
+    Kind.DRAINING: Answer(503, "The node is shutting down", Advice.SAFE),
+    Kind.WRONG_INCARNATION: Answer(503, "The sidecar was restarted", Advice.SAFE),
+    Kind.CANCELLED: Answer(503, "The request was cancelled", Advice.SAFE),
+    Kind.NO_ENDPOINT: Answer(503, "No endpoint is available", Advice.AFTER, 2),
+    Kind.NOT_READY: Answer(503, "No configuration is in force yet", Advice.AFTER, 2),
+    Kind.DEADLINE: Answer(504, "The deadline passed", Advice.ASK),
+    Kind.ENDPOINT_FAILED: Answer(502, "The endpoint failed", Advice.ASK),
+    Kind.ANSWER_LOST: Answer(502, "The answer was lost", Advice.ASK),
+    Kind.ANSWER_TOO_LARGE: Answer(502, "The answer is too large", Advice.NEVER),
+    Kind.INTERNAL: Answer(500, "Internal error", Advice.ASK),
+}
+
+
+class HickoryleverError(Exception):
+    """Base of every error that this package raises."""
+
+
+class SettingsError(HickoryleverError):
+    """One or more settings are not valid.
+
+    :param faults: one line per fault, each with file, key and what is allowed.
+    """
+
+    def __init__(self, faults: list[str]):
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+class FleetError(SettingsError):
+    """The fleet directory is not valid. Faults carry file, line and column."""
+
+
+class PlatformError(HickoryleverError):
+    """The object API did not answer, or answered with a failure."""
+
+
+class Conflict(PlatformError):  # noqa: N818
+    """A conditional write lost: the object has another version by now."""
+
+
+class LostReply(PlatformError):  # noqa: N818
+    """A write was sent and no reply came: it may have taken effect."""
+
+
+class ConnectionLost(HickoryleverError):  # noqa: N818
+    """A peer closed, reset or silently dropped a connection."""
+
+
+class RequestError(HickoryleverError):
+    """A request ends with an answer from the table of kinds.
+
+    :param kind: the kind of error.
+    :param ran: whether the request was executed.
+    :param detail: one sentence for the caller.
+    :param retry_after: pause in seconds before a retry, or None for the table's value.
+    """
+
+    def __init__(
+        self, kind: Kind, detail: str = "", ran: Ran = Ran.NO, retry_after: float | None = None
+    ):
+        super().__init__(detail or ANSWERS[kind].title)
+        self.kind = kind
+        self.ran = ran
+        self.detail = str(self)
+        self.retry_after = ANSWERS[kind].retry_after if retry_after is None else retry_after
--- /dev/null
+++ b/src/hickorylever/filters/forward.py
@@ -0,0 +1,48 @@
+"""Hands the call to sidecars until one answers."""
+
+from .. import defaults
+from ..dispatch import Dispatch
+from ..exceptions import Kind, Ran, RequestError
+from ..frames import Failed
+from ..relay import Relay
+from . import filters
+
+REPEATABLE_METHODS = ("GET", "HEAD", "OPTIONS")
+FINAL_KINDS = (Kind.DEADLINE, Kind.ANSWER_TOO_LARGE, Kind.CRASHING)
+
+
+def repeatable(call) -> bool:
+    """Tell whether running a call twice does no harm."""
+    if call.guarded:
+        return False
+    return bool(call.model) or call.exchange.method in REPEATABLE_METHODS
+
+
+def may_retry(call, relay: Relay, failed: Failed) -> bool:
+    """Tell whether another endpoint may be tried after a failure."""
+    if relay.begun or Kind(failed.kind) in FINAL_KINDS:
+        return False
+    return Ran(failed.ran) is Ran.NO or repeatable(call)
+
+
+@filters.register("forward")
+async def forward(env, call, proceed) -> None:
+    """Try the candidates in order; raise the last failure when none answers."""
+    relay = Relay(call)
+    failed = None
+    for endpoint in call.candidates[: defaults.MAX_HANDOVERS]:
+        if env.clock() >= call.deadline:
+            raise RequestError(Kind.DEADLINE, "no time is left", call.ran)
+        call.endpoint = endpoint.name
+        failed = await Dispatch(env, call, endpoint, relay).run()
+        if failed is None:
+            call.note(Ran.YES)
+            return
+        call.note(Ran(failed.ran))
+        if not may_retry(call, relay, failed):
+            break
+    if failed is None:
+        raise RequestError(Kind.NO_ENDPOINT, "no endpoint could be reached", call.ran)
+    error = RequestError(Kind(failed.kind), failed.detail, call.ran)
+    await relay.fail(error)
+    raise error
--- /dev/null
+++ b/src/hickorylever/filters/identify.py
@@ -0,0 +1,28 @@
+"""Finds the client account by its bearer key."""
+
+import hashlib
+import hmac
+
+from ..exceptions import Kind, RequestError
+from ..http import header
+from . import filters
+
+
+def bearer(headers) -> bytes:
+    """Return the bearer key of a request, empty when there is none."""
+    scheme, _, key = header(headers, b"authorization").partition(b" ")
+    return key.strip() if scheme.lower() == b"bearer" else b""
+
+
+@filters.register("identify")
+async def identify(env, call, proceed) -> None:
+    """Set the call's client account from the digest of its key."""
+    if env.fleet is None:
+        raise RequestError(Kind.NOT_READY)
+    digest = hashlib.sha256(bearer(call.exchange.headers)).hexdigest()
+    account = env.accounts.get(digest)
+    known = account.key_digests if account else ("",)
+    if not any(hmac.compare_digest(digest, entry) for entry in known):
+        raise RequestError(Kind.UNAUTHENTICATED, "send a known key as a bearer token")
+    call.account = account
+    await proceed()
--- /dev/null
+++ b/src/hickorylever/node.py
@@ -0,0 +1,103 @@
+"""What a router and a sidecar have in common: listeners, health, metrics and shutdown."""
+
+import signal
+import socket as stdsocket
+
+import curio
+import msgspec
+
+from . import problems
+from .environment import Environment
+from .events import Event, log
+from .exceptions import RequestError
+from .http import Exchange, Server, listen
+
+
+async def refuse(exchange: Exchange, error: RequestError) -> None:
+    """Answer an exchange with a problem document."""
+    answer = problems.ANSWERS[error.kind]
+    await exchange.respond(answer.status, problems.headers(error), problems.document(error))
+
+
+async def respond_json(exchange: Exchange, value: object, status: int = 200) -> None:
+    """Answer an exchange with JSON."""
+    body = msgspec.json.encode(value)
+    await exchange.respond(status, [(b"content-type", b"application/json")], body)
+
+
+class Admin:
+    """The separate listener: ``/healthz``, ``/readyz`` and ``/metrics``."""
+
+    def __init__(self, env: Environment):
+        self.env = env
+        self.server = Server(self.handle, refuse)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange."""
+        pages = {"/healthz": self.health, "/readyz": self.ready, "/metrics": self.metrics}
+        page = pages.get(exchange.path)
+        if page is None:
+            await exchange.respond(404)
+        else:
+            await page(exchange)
+
+    async def health(self, exchange: Exchange) -> None:
+        """The process runs."""
+        await exchange.respond(200, body=b"ok\n")
+
+    async def ready(self, exchange: Exchange) -> None:
+        """A configuration is in force and the process is not draining."""
+        ready = self.env.fleet is not None and not self.env.draining
+        await exchange.respond(200 if ready else 503, body=b"ready\n" if ready else b"not ready\n")
+
+    async def metrics(self, exchange: Exchange) -> None:
+        """The text exposition format."""
+        fields = [(b"content-type", b"text/plain; version=0.0.4")]
+        await exchange.respond(200, fields, self.env.metrics.render())
+
+
+class Signals:
+    """Turns SIGTERM and SIGINT into something that a task can await."""
+
+    def __init__(self):
+        reader, self.writer = stdsocket.socketpair()
+        self.writer.setblocking(False)
+        self.reader = curio.io.Socket(reader)
+        signal.set_wakeup_fd(self.writer.fileno())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda number, frame: None)
+
+    async def wait(self) -> None:
+        """Return when one of the signals has come."""
+        await self.reader.recv(1)
+
+
+async def run_node(env: Environment, server: Server, drain, *tasks) -> None:
+    """Serve until a signal comes, then drain and return.
+
+    :param drain: awaited after the signal; returns when nothing is in flight.
+    :param tasks: coroutine functions that run until the end.
+    """
+    settings = env.settings
+    signals = Signals()
+    listener = listen(settings.address, settings.port)
+    admin_listener = listen(settings.address, settings.admin_port)
+    log(
+        Event.STARTED,
+        f"{settings.vm} listens on {listener.getsockname()}",
+        admin=admin_listener.getsockname()[1],
+        incarnation=env.incarnation,
+    )
+    async with curio.TaskGroup(wait=None) as group:
+        await group.spawn(server.serve, listener)
+        await group.spawn(Admin(env).server.serve, admin_listener)
+        await group.spawn(env.timers.run)
+        for task in tasks:
+            await group.spawn(task)
+        await signals.wait()
+        env.draining = True
+        server.draining = True
+        log(Event.DRAINING, f"{settings.vm} finishes what is in flight")
+        async with curio.ignore_after(settings.drain_grace):
+            await drain()
+    log(Event.STOPPED, f"{settings.vm} stops")
--- /dev/null
+++ b/src/hickorylever/problems.py
@@ -0,0 +1,45 @@
+"""Problem documents (RFC 9457) from request errors."""
+
+import math
+
+import msgspec
+
+from .exceptions import ANSWERS, Kind, RequestError
+
+CONTENT_TYPE = b"application/problem+json"
+
+
+def problem(error: RequestError) -> dict:
+    """Return the members of the problem document.
+
+    The ``error`` member is an extension that OpenAI clients show to their users.
+    """
+    answer = ANSWERS[error.kind]
+    retry = {"advice": answer.advice.value}
+    if error.retry_after is not None:
+        retry["after_s"] = error.retry_after
+    return {
+        "type": f"urn:hickorylever:error:{error.kind}",
+        "title": answer.title,
+        "status": answer.status,
+        "detail": error.detail,
+        "kind": error.kind.value,
+        "ran": error.ran.value,
+        "retry": retry,
+        "error": {"message": error.detail, "type": error.kind.value, "code": error.kind.value},
+    }
+
+
+def document(error: RequestError) -> bytes:
+    """Return the problem document as JSON."""
+    return msgspec.json.encode(problem(error))
+
+
+def headers(error: RequestError) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a problem answer."""
+    fields = [(b"content-type", CONTENT_TYPE), (b"hickory-ran", error.ran.value.encode())]
+    if error.kind is Kind.UNAUTHENTICATED:
+        fields.append((b"www-authenticate", b"Bearer"))
+    if error.retry_after is not None:
+        fields.append((b"retry-after", b"%d" % math.ceil(error.retry_after)))
+    return fields
--- /dev/null
+++ b/src/hickorylever/standins/engine.py
@@ -0,0 +1,167 @@
+"""A stand-in for a model engine: a bounded prefix cache, prefill and streamed tokens."""
+
+import collections
+import itertools
+import os
+import random
+from dataclasses import dataclass, field
+
+import curio
+import msgspec
+import xxhash
+
+from ..http import Exchange, Server, listen
+from ..node import refuse, respond_json
+
+BLOCK_BYTES = 256
+EXIT_CRASHED = 70
+
+
+@dataclass(frozen=True, slots=True)
+class Speed:
+    """How fast the engine is: prompt tokens a second and seconds a token."""
+
+    prefill: float = 20000.0
+    token: float = 0.005
+
+
+@dataclass(slots=True)
+class PrefixCache:
+    """Remembers prefixes block by block, the least recently used are dropped."""
+
+    blocks: int
+    entries: collections.OrderedDict = field(default_factory=collections.OrderedDict)
+
+    def lookup(self, prompt: bytes) -> int:
+        """Return how many leading bytes are cached, and cache the whole prompt."""
+        found = 0
+        hit = True
+        state = xxhash.xxh3_64()
+        for start in range(0, len(prompt), BLOCK_BYTES):
+            block = prompt[start : start + BLOCK_BYTES]
+            state.update(block)
+            key = state.intdigest()
+            hit = hit and key in self.entries
+            found += len(block) if hit else 0
+            self.entries[key] = None
+            self.entries.move_to_end(key)
+            if len(self.entries) > self.blocks:
+                self.entries.popitem(last=False)
+        return found
+
+
+@dataclass
+class Engine:
+    """Answers completions with made-up tokens.
+
+    :param poison: a prompt with this text ends the process.
+    """
+
+    name: str
+    speed: Speed = Speed()
+    blocks: int = 4096
+    seed: int = 0
+    poison: str = ""
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    runs: int = 0
+
+    def __post_init__(self):
+        self.cache = PrefixCache(self.blocks)
+        self.chance = random.Random(self.seed)
+        self.server = Server(self.handle, refuse)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        if exchange.path == "/counts":
+            counts = {
+                "runs": self.runs,
+                "prompt_tokens": self.prompt_tokens,
+                "cached_tokens": self.cached_tokens,
+            }
+            await respond_json(exchange, counts)
+            return
+        body = msgspec.json.decode(await exchange.body())
+        await self.complete(exchange, body)
+
+    async def complete(self, exchange: Exchange, body: dict) -> None:
+        """Prefill, then generate."""
+        self.runs += 1
+        prompt = msgspec.json.encode(body.get("messages") or body.get("prompt") or "")
+        if self.poison and self.poison.encode() in prompt:
+            os._exit(EXIT_CRASHED)
+        cached = self.cache.lookup(prompt) // 4
+        tokens = len(prompt) // 4 + 1
+        self.prompt_tokens += tokens
+        self.cached_tokens += cached
+        await curio.sleep((tokens - cached) / self.speed.prefill)
+        count = body.get("max_tokens") or self.chance.randint(8, 24)
+        words = [f"w{number} " for number in range(count)]
+        usage = {
+            "prompt_tokens": tokens,
+            "completion_tokens": count,
+            "total_tokens": tokens + count,
+            "prompt_tokens_details": {"cached_tokens": cached},
+        }
+        answer = self.stream if body.get("stream") else self.whole
+        await answer(exchange, body, words, usage)
+
+    def chunk(self, body: dict, kind: str, choice: dict, **more) -> bytes:
+        """Return one completion object as JSON."""
+        base = {"id": f"cmpl-{self.name}-{self.runs}", "object": kind, "created": 0}
+        value = {**base, "model": body["model"], "choices": [{"index": 0, **choice}], **more}
+        return msgspec.json.encode(value)
+
+    async def whole(self, exchange: Exchange, body: dict, words: list[str], usage: dict) -> None:
+        """Answer in one piece."""
+        await curio.sleep(self.speed.token * len(words))
+        text = "".join(words)
+        message = {"message": {"role": "assistant", "content": text}, "text": text}
+        choice = {**message, "finish_reason": "stop"}
+        data = self.chunk(body, "chat.completion", choice, usage=usage)
+        await exchange.respond(200, [(b"content-type", b"application/json")], data)
+
+    async def stream(self, exchange: Exchange, body: dict, words: list[str], usage: dict) -> None:
+        """Answer token by token as server-sent events."""
+        await exchange.start(200, [(b"content-type", b"text/event-stream")])
+        for word in words:
+            await curio.sleep(self.speed.token)
+            choice = {"delta": {"content": word}, "text": word, "finish_reason": None}
+            data = self.chunk(body, "chat.completion.chunk", choice)
+            await exchange.write(b"data: " + data + b"\n\n")
+        last = {"delta": {}, "text": "", "finish_reason": "stop"}
+        data = self.chunk(body, "chat.completion.chunk", last, usage=usage)
+        await exchange.write(b"data: " + data + b"\n\ndata: [DONE]\n\n")
+        await exchange.end()
+
+
+@dataclass
+class Service:
+    """A plain service that counts how often each idempotency key ran."""
+
+    name: str
+    delay: float = 0.005
+    runs: collections.Counter = field(default_factory=collections.Counter)
+
+    def __post_init__(self):
+        self.server = Server(self.handle, refuse)
+        self.numbers = itertools.count(1)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request with what it was."""
+        if exchange.path == "/counts":
+            await respond_json(exchange, dict(self.runs))
+            return
+        body = await exchange.body()
+        keys = [value for key, value in exchange.headers if key == b"idempotency-key"]
+        await curio.sleep(self.delay)
+        if keys:
+            self.runs[keys[0].decode()] += 1
+        digest = xxhash.xxh3_128_hexdigest(body)
+        answer = {"service": self.name, "number": next(self.numbers), "digest": digest}
+        await respond_json(exchange, answer)
+
+
+async def main(standin: Engine | Service, address: str, port: int) -> None:
+    """Serve a stand-in until cancelled."""
+    await standin.server.serve(listen(address, port))
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,78 @@
+import msgspec
+import openai
+import pytest
+from harness import HOST, KEY, MODEL, Background, World, run
+
+
+def test_answers_whole_and_streamed():
+    async def main():
+        async with World() as world:
+            status, _, body = await world.chat()
+            assert status == 200 and b"w7 " in body
+            status, headers, body = await world.chat(stream=True)
+            assert status == 200 and body.endswith(b"data: [DONE]\n\n")
+            assert body.count(b'"content"') == 8
+
+    run(main)
+
+
+def test_openai_client_works_unchanged():
+    with Background() as world:
+        url = f"http://{HOST}:{world.router_ports[0]}/v1"
+        client = openai.OpenAI(api_key=KEY, base_url=url, max_retries=0)
+        assert [model.id for model in client.models.list()] == [MODEL]
+        messages = [{"role": "user", "content": "hello"}]
+        answer = client.chat.completions.create(model=MODEL, messages=messages, max_tokens=4)
+        assert answer.choices[0].message.content == "w0 w1 w2 w3 "
+        stream = client.chat.completions.create(
+            model=MODEL, messages=messages, max_tokens=4, stream=True
+        )
+        text = "".join(chunk.choices[0].delta.content or "" for chunk in stream)
+        assert text == "w0 w1 w2 w3 "
+        with pytest.raises(openai.NotFoundError):
+            client.chat.completions.create(model="none", messages=messages)
+        with pytest.raises(openai.AuthenticationError):
+            client.with_options(api_key="wrong").models.list()
+
+
+CHAT = {"model": MODEL, "messages": [{"role": "user", "content": "x"}]}
+REFUSALS = [
+    ("/v1/chat/completions", CHAT, "wrong", 401, "unauthenticated"),
+    ("/v1/chat/completions", {**CHAT, "model": "none"}, KEY, 404, "not_found"),
+    ("/v1/chat/completions", b"{", KEY, 400, "bad_request"),
+    ("/v1/chat/completions", b"[" * 100000, KEY, 400, "bad_request"),
+    ("/nowhere", b"", KEY, 404, "not_found"),
+    ("/ledgers", b"", KEY, 404, "not_found"),
+    ("/ledger/postings", b"{}", KEY, 428, "key_required"),
+]
+
+
+@pytest.mark.parametrize("path, body, key, status, kind", REFUSALS)
+def test_refusals_say_not_run(path, body, key, status, kind):
+    async def main():
+        async with World() as world:
+            answer = await world.post(path, body, key=key)
+            problem = msgspec.json.decode(answer[2])
+            assert (answer[0], problem["kind"], problem["ran"]) == (status, kind, "no")
+            assert not world.engines[0].runs and not world.services[0].runs
+
+    run(main)
+
+
+def test_plain_service_by_path_prefix():
+    async def main():
+        async with World() as world:
+            status, _, body = await world.post("/ledger/notes", b"one")
+            assert status == 200 and msgspec.json.decode(body)["service"] == "ledger-0"
+
+    run(main)
+
+
+def test_restarted_sidecar_is_learned():
+    async def main():
+        async with World(engines=1) as world:
+            world.routers[0].env.incarnations["engine-0"] = "older"
+            status, _, _ = await world.chat()
+            assert status == 200 and world.engines[0].runs == 1
+
+    run(main)
