Split the command line into one module a group; admin pages and benches become registries

Cause: five parts will grow side by side and each needs its own commands, pages and benches. Change: commands/, bench registry with targets, node.pages, Environment.tasks.

--- /dev/null
+++ b/src/hickorylever/bench/__init__.py
@@ -0,0 +1,39 @@
+"""Benches: one module an experiment. Each returns a report with rows and missed targets."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..registry import Registry
+
+
+@dataclass(slots=True)
+class Report:
+    """Rows of one run and the targets that it missed."""
+
+    rows: list[dict] = field(default_factory=list)
+    missed: list[str] = field(default_factory=list)
+
+    def expect(self, held: bool, target: str) -> None:
+        """Note a target that does not hold."""
+        if not held:
+            self.missed.append(target)
+
+    def table(self) -> str:
+        """Return the rows as aligned text; a new head line where the columns change."""
+        lines: list[str] = []
+        columns: list[str] = []
+        for row in self.rows:
+            if list(row) != columns:
+                columns = list(row)
+                lines.append("  ".join(f"{column:>14}" for column in columns))
+            lines.append("  ".join(f"{show(value):>14}" for value in row.values()))
+        return "\n".join(lines)
+
+
+def show(value: object) -> str:
+    """Return a cell's text."""
+    return f"{value:.4g}" if isinstance(value, float) else str(value)
+
+
+Bench = Callable[[int, bool], Report]
+benches: Registry[Bench] = Registry("bench")
--- /dev/null
+++ b/src/hickorylever/commands/__init__.py
@@ -0,0 +1,56 @@
+"""The subcommands, one module a group; the registry fills when they are imported."""
+
+import argparse
+from collections.abc import Callable
+
+from .. import defaults
+from ..exceptions import SettingsError
+from ..registry import Registry
+
+Command = Callable[[argparse.Namespace], int | None]
+commands: Registry[tuple[str, Callable, Command]] = Registry("command")
+
+
+def command(name: str, summary: str, arguments: Callable = lambda parser: None):
+    """Return a decorator that files a function as a subcommand.
+
+    :param arguments: adds the subcommand's arguments to its parser.
+    """
+
+    def decorate(run: Command) -> Command:
+        commands.register(name)((summary, arguments, run))
+        return run
+
+    return decorate
+
+
+def add_directory(parser: argparse.ArgumentParser) -> None:
+    """Add the fleet directory."""
+    parser.add_argument("directory", help="fleet directory with the inventory and rules.toml")
+
+
+def add_platform(parser: argparse.ArgumentParser) -> None:
+    """Add the object API's address."""
+    parser.add_argument(
+        "--platform",
+        default=f"127.0.0.1:{defaults.OBJECTS_PORT}",
+        metavar="ADDRESS:PORT",
+        help="the object API (default: %(default)s)",
+    )
+
+
+def make_platform(text: str):
+    """Return a client of the object API at ``address:port``."""
+    from ..http import Client
+    from ..metrics import Metrics
+    from ..platform import Platform
+    from ..settings import split_address
+
+    try:
+        address, port = split_address(text)
+    except ValueError as error:
+        raise SettingsError([f"--platform: {error}"]) from None
+    return Platform(address, port, Client(), Metrics())
+
+
+from . import bench, configuration, demo, roles  # noqa: E402, F401
--- /dev/null
+++ b/src/hickorylever/commands/demo.py
@@ -0,0 +1,31 @@
+"""The command that drives the demo."""
+
+import argparse
+from pathlib import Path
+
+import curio
+
+from . import add_platform, command
+
+
+def add_demo(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``demo``."""
+    parser.add_argument("step", choices=("prepare", "drive"))
+    parser.add_argument("directories", nargs="+", help="fleet directories")
+    parser.add_argument("--output", default=".demo", help="for settings and process ids")
+    parser.add_argument("--seed", type=int, default=1)
+    add_platform(parser)
+
+
+@command("demo", "one step of examples/demo.sh, which starts the processes", add_demo)
+def run_demo(arguments: argparse.Namespace) -> int:
+    """Write the demo's settings, or drive the running demo."""
+    from .. import demo
+
+    output = Path(arguments.output)
+    if arguments.step == "drive":
+        return curio.run(demo.drive, arguments.directories, output, arguments.seed)
+    for directory in arguments.directories:
+        target = output / Path(directory).name
+        print("\n".join(demo.prepare(directory, arguments.platform, target)))
+    return 0
--- /dev/null
+++ b/src/hickorylever/commands/roles.py
@@ -0,0 +1,67 @@
+"""Commands that run a role of the program until it is told to stop."""
+
+import argparse
+from collections.abc import Callable
+
+import curio
+
+from .. import events
+from . import command
+
+
+def add_settings(parser: argparse.ArgumentParser) -> None:
+    """Add the settings file of a role."""
+    parser.add_argument("--settings", required=True, metavar="FILE", help="TOML settings file")
+
+
+@command("router", "run a router", add_settings)
+def run_router(arguments: argparse.Namespace) -> None:
+    """Run a router until SIGTERM."""
+    from .. import router
+
+    run_role(router.main, arguments.settings)
+
+
+@command("sidecar", "run the sidecar of one endpoint", add_settings)
+def run_sidecar(arguments: argparse.Namespace) -> None:
+    """Run a sidecar until SIGTERM."""
+    from .. import sidecar
+
+    run_role(sidecar.main, arguments.settings)
+
+
+def run_role(main: Callable, path: str) -> None:
+    """Load settings, set up logs and run a role."""
+    from .. import settings
+
+    loaded = settings.load(path)
+    events.configure(loaded.log_format, loaded.log_level)
+    curio.run(main, loaded)
+
+
+def add_standin(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``standin``."""
+    parser.add_argument("kind", choices=("objects", "engine", "service"))
+    parser.add_argument("--address", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--name", default="standin")
+    parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--latency", type=float, default=0.0, help="of the object API, seconds")
+    parser.add_argument("--lost-replies", type=float, default=0.0, help="share from 0 to 1")
+    parser.add_argument("--poison", default="", help="a prompt with this text crashes the engine")
+
+
+@command("standin", "run a stand-in of an outside system (demo and tests only)", add_standin)
+def run_standin(arguments: argparse.Namespace) -> None:
+    """Run one stand-in until it is killed."""
+    from ..standins import engine, objects
+
+    address, port = arguments.address, arguments.port
+    if arguments.kind == "objects":
+        faults = objects.Faults(latency=arguments.latency, lost_replies=arguments.lost_replies)
+        curio.run(objects.main, address, port, arguments.seed, faults)
+    elif arguments.kind == "engine":
+        made = engine.Engine(arguments.name, seed=arguments.seed, poison=arguments.poison)
+        curio.run(engine.main, made, address, port)
+    else:
+        curio.run(engine.main, engine.Service(arguments.name), address, port)
--- a/src/hickorylever/defaults.py
+++ b/src/hickorylever/defaults.py
@@ -45,3 +45,11 @@
 SIDECAR_PORT = 8470
 ADMIN_PORT = 8490
 OBJECTS_PORT = 8460
+
+# Attempts and claims.
+
+# Routing, waiting and suspects.
+
+# Configuration.
+
+# Membership and controllers.
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -4,6 +4,7 @@
 import random
 import time
 import uuid
+from collections.abc import Awaitable, Callable
 
 import curio
 import msgspec
@@ -47,6 +48,7 @@
         )
         self.running: collections.Counter[str] = collections.Counter()
         self.draining = False
+        self.tasks: list[Callable[[], Awaitable[None]]] = [self.follow_configuration]
         self.accounts: dict[str, ClientAccount] = {}
         self.applications: dict[str, Application] = {}
         self.pools: dict[str, list[Endpoint]] = {}
--- a/src/hickorylever/events.py
+++ b/src/hickorylever/events.py
@@ -11,7 +11,11 @@
 
 
 class Event(enum.IntEnum):
-    """Every event that the program logs. docs/EVENTS.md is the catalogue."""
+    """Every event that the program logs. docs/EVENTS.md is the catalogue.
+
+    1xx process, 20x-24x requests and attempts, 25x claims, 26x-29x routing, 3xx configuration,
+    4xx membership, 5xx controllers.
+    """
 
     STARTED = 100
     READY = 101
--- a/src/hickorylever/node.py
+++ b/src/hickorylever/node.py
@@ -2,6 +2,7 @@
 
 import signal
 import socket as stdsocket
+from collections.abc import Awaitable, Callable
 
 import curio
 import msgspec
@@ -9,8 +10,9 @@
 from . import problems
 from .environment import Environment
 from .events import Event, log
-from .exceptions import RequestError
+from .exceptions import Kind, RequestError
 from .http import Exchange, Server, listen
+from .registry import Registry
 
 
 async def refuse(exchange: Exchange, error: RequestError) -> None:
@@ -25,8 +27,32 @@
     await exchange.respond(status, [(b"content-type", b"application/json")], body)
 
 
+Page = Callable[[Environment, Exchange], Awaitable[None]]
+pages: Registry[Page] = Registry("admin page")
+
+
+@pages.register("/healthz")
+async def health(env: Environment, exchange: Exchange) -> None:
+    """The process runs."""
+    await exchange.respond(200, body=b"ok\n")
+
+
+@pages.register("/readyz")
+async def ready(env: Environment, exchange: Exchange) -> None:
+    """A configuration is in force and the process is not draining."""
+    able = env.fleet is not None and not env.draining
+    await exchange.respond(200 if able else 503, body=b"ready\n" if able else b"not ready\n")
+
+
+@pages.register("/metrics")
+async def metrics(env: Environment, exchange: Exchange) -> None:
+    """The text exposition format."""
+    fields = [(b"content-type", b"text/plain; version=0.0.4")]
+    await exchange.respond(200, fields, env.metrics.render())
+
+
 class Admin:
-    """The separate listener: ``/healthz``, ``/readyz`` and ``/metrics``."""
+    """The separate listener for health, metrics and peers; other modules register pages."""
 
     def __init__(self, env: Environment):
         self.env = env
@@ -34,26 +60,9 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one exchange."""
-        pages = {"/healthz": self.health, "/readyz": self.ready, "/metrics": self.metrics}
-        page = pages.get(exchange.path)
-        if page is None:
-            await exchange.respond(404)
-        else:
-            await page(exchange)
-
-    async def health(self, exchange: Exchange) -> None:
-        """The process runs."""
-        await exchange.respond(200, body=b"ok\n")
-
-    async def ready(self, exchange: Exchange) -> None:
-        """A configuration is in force and the process is not draining."""
-        ready = self.env.fleet is not None and not self.env.draining
-        await exchange.respond(200 if ready else 503, body=b"ready\n" if ready else b"not ready\n")
-
-    async def metrics(self, exchange: Exchange) -> None:
-        """The text exposition format."""
-        fields = [(b"content-type", b"text/plain; version=0.0.4")]
-        await exchange.respond(200, fields, self.env.metrics.render())
+        if exchange.path not in pages:
+            raise RequestError(Kind.NOT_FOUND)
+        await pages[exchange.path](self.env, exchange)
 
 
 class Signals:
@@ -72,11 +81,10 @@
         await self.reader.recv(1)
 
 
-async def run_node(env: Environment, server: Server, drain, *tasks) -> None:
+async def run_node(env: Environment, server: Server, drain) -> None:
     """Serve until a signal comes, then drain and return.
 
     :param drain: awaited after the signal; returns when nothing is in flight.
-    :param tasks: coroutine functions that run until the end.
     """
     settings = env.settings
     signals = Signals()
@@ -92,7 +100,7 @@
         await group.spawn(server.serve, listener)
         await group.spawn(Admin(env).server.serve, admin_listener)
         await group.spawn(env.timers.run)
-        for task in tasks:
+        for task in env.tasks:
             await group.spawn(task)
         await signals.wait()
         env.draining = True
--- a/src/hickorylever/router.py
+++ b/src/hickorylever/router.py
@@ -108,4 +108,4 @@
     """Run a router until it is told to stop."""
     env = Environment(settings)
     router = Router(env)
-    await run_node(env, router.server, router.drain, env.follow_configuration)
+    await run_node(env, router.server, router.drain)
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -284,4 +284,4 @@
     """Run a sidecar until it is told to stop."""
     env = Environment(settings)
     sidecar = Sidecar(env)
-    await run_node(env, sidecar.server, sidecar.drain, env.follow_configuration)
+    await run_node(env, sidecar.server, sidecar.drain)
