--- a/src/hickorylever/settings.py
+++ b/src/hickorylever/settings.py
@@ -21,6 +21,8 @@
     :param admin_port: listener of health and metrics.
     :param peers: ``address:port`` of some routers, asked at start-up.
     :param endpoint: ``address:port`` of the endpoint beside a sidecar.
+    :param drain_grace: seconds that in-flight requests get after a signal.
+    :param balancer_delay: seconds that a draining router still accepts connections.
     """
 
     vm: str
@@ -35,6 +37,7 @@
     log_format: str = "json"
     log_level: str = "info"
     drain_grace: float = defaults.DRAIN_GRACE
+    balancer_delay: float = defaults.BALANCER_DELAY
     seed: int = 0
 
 
@@ -67,7 +70,7 @@
         return f"must be one of {', '.join(CHOICES[name])}"
     if name in ("port", "admin_port") and not 0 <= value <= 65535:
         return "must be from 0 to 65535"
-    if name == "drain_grace" and value < 0:
+    if name in ("drain_grace", "balancer_delay") and value < 0:
         return "must not be negative"
     texts = value if name == "peers" else [value] if name in ("platform", "endpoint") else []
     for text in texts:
