--- a/src/hickorylever/node.py
+++ b/src/hickorylever/node.py
@@ -7,9 +7,9 @@
 import curio
 import msgspec
 
-from . import problems
+from . import defaults, problems
 from .environment import Environment
-from .events import Event, log
+from .events import Event, log, logger
 from .exceptions import Kind, RequestError
 from .http import Exchange, Server, listen
 from .registry import Registry
@@ -81,6 +81,17 @@
         await self.reader.recv(1)
 
 
+async def supervise(task: Callable[[], Awaitable[None]]) -> None:
+    """Run a background task, and again after a pause when it fails."""
+    while True:
+        try:
+            await task()
+            return
+        except Exception:
+            logger.exception("background task failed", extra={"event": Event.TASK_FAILED})
+            await curio.sleep(defaults.TASK_PAUSE)
+
+
 async def run_node(env: Environment, server: Server, drain) -> None:
     """Serve until a signal comes, then drain and return.
 
@@ -99,13 +110,12 @@
     async with curio.TaskGroup(wait=None) as group:
         await group.spawn(server.serve, listener)
         await group.spawn(Admin(env).server.serve, admin_listener)
-        await group.spawn(env.timers.run)
-        for task in env.tasks:
-            await group.spawn(task)
+        for task in (env.timers.run, *env.tasks):
+            await group.spawn(supervise, task)
         await signals.wait()
         env.draining = True
         server.draining = True
         log(Event.DRAINING, f"{settings.vm} finishes what is in flight")
-        async with curio.ignore_after(settings.drain_grace):
+        async with curio.ignore_after(settings.balancer_delay + settings.drain_grace):
             await drain()
     log(Event.STOPPED, f"{settings.vm} stops")
--- a/src/hickorylever/relay.py
+++ b/src/hickorylever/relay.py
@@ -51,7 +51,7 @@
 
     def headers(self) -> list[tuple[bytes, bytes]]:
         """Return the headers that go to the caller."""
-        fields = end_to_end(self.head.headers, b"content-length")
+        fields = end_to_end(self.head.headers)
         return [*fields, (b"hickory-request", self.call.id.encode())]
 
     async def take_data(self, frame: Data) -> None:
--- a/src/hickorylever/router.py
+++ b/src/hickorylever/router.py
@@ -99,7 +99,9 @@
         )
 
     async def drain(self) -> None:
-        """Return when no request is in flight."""
+        """Serve until the balancer has noticed, then return when no request is in flight."""
+        await curio.sleep(self.env.settings.balancer_delay)
+        await self.server.stop()
         while self.in_flight:
             await curio.sleep(DRAIN_POLL)
 
