--- a/src/hickorylever/filters/parse.py
+++ b/src/hickorylever/filters/parse.py
@@ -1,21 +1,26 @@
 """Reads the body, and for models its JSON: model, stream, chat identity and expected work."""
 
+from typing import Annotated
+
 import msgspec
 import xxhash
 
 from .. import defaults
 from ..exceptions import Kind, RequestError
 from ..http import header
+from ..nesting import nested_deeper
 from . import filters
 
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class Completion(msgspec.Struct):
     """The members of a completion request that routing needs."""
 
     model: str
     stream: bool = False
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: Count | None = None
+    max_completion_tokens: Count | None = None
     messages: list[dict] = []
     prompt: str | list = ""
 
@@ -29,11 +34,14 @@
     :raises RequestError: when the JSON is malformed or nested absurdly.
     """
     try:
-        return _decoder.decode(body)
+        completion = _decoder.decode(body)
     except RecursionError:
         raise RequestError(Kind.BAD_REQUEST, "the JSON is nested too deeply") from None
     except msgspec.DecodeError as error:
         raise RequestError(Kind.BAD_REQUEST, f"the body: {error}") from None
+    if nested_deeper(body, defaults.MAX_JSON_DEPTH):
+        raise RequestError(Kind.BAD_REQUEST, "the JSON is nested too deeply")
+    return completion
 
 
 def leading(completion: Completion) -> bytes:
--- a/src/hickorylever/http/headers.py
+++ b/src/hickorylever/http/headers.py
@@ -6,6 +6,7 @@
 
 import h11
 
+from .. import defaults
 from ..exceptions import Kind, RequestError
 
 Headers = Iterable[tuple[bytes, bytes]]
@@ -77,8 +78,13 @@
 def check_head(head: h11.Request) -> None:
     """Refuse heads that two parsers could read differently.
 
-    :raises RequestError: for an ambiguous target, both lengths at once or a repeated header.
+    :raises RequestError: for too large a head, an ambiguous target, both lengths at once or a
+        repeated header.
     """
+    size = len(head.target) + sum(len(key) + len(value) + 4 for key, value in head.headers)
+    if size > defaults.MAX_HEADER_BYTES:
+        limit = f"at most {defaults.MAX_HEADER_BYTES} bytes are allowed"
+        raise RequestError(Kind.HEADERS_TOO_LARGE, limit)
     check_target(head.target)
     names = [key for key, _ in head.headers]
     if b"content-length" in names and b"transfer-encoding" in names:
--- /dev/null
+++ b/src/hickorylever/nesting.py
@@ -0,0 +1,20 @@
+"""Nesting of JSON texts."""
+
+import re
+
+STRING = re.compile(rb'"(?:[^"\\]++|\\.)*+"', re.DOTALL)
+BRACKETS = b"[]{}"
+OTHERS = bytes(byte for byte in range(256) if byte not in BRACKETS)
+
+
+def nested_deeper(text: bytes, limit: int) -> bool:
+    """Tell whether a valid JSON text nests arrays and objects more than `limit` deep.
+
+    Each round removes the innermost level. No step is a loop over bytes in Python.
+    """
+    brackets = STRING.sub(b"", text).translate(None, OTHERS)
+    for _ in range(limit):
+        if not brackets:
+            return False
+        brackets = brackets.replace(b"[]", b"").replace(b"{}", b"")
+    return bool(brackets)
