Spread configurations as parts; verify the chain; start from peers

Cause: every node watched the object API and read whole contents, a restarted node trusted one source, and a configuration of 2,400 client accounts (2.1 MB of JSON) did not fit one object. World.put_in_force in tests/harness.py names the parent, since unlinked revisions are refused now. Found on the way: parts of equal content under two names were taken for unchanged; the key is name and digest now, and the tests that empty a bucket cover it.

--- /dev/null
+++ b/src/hickorylever/digests.py
@@ -0,0 +1,10 @@
+"""The digest that configurations and their chain of revisions are verified by."""
+
+import hashlib
+
+DIGEST_BYTES = 16
+
+
+def digest_bytes(data: bytes) -> str:
+    """Return the hexadecimal BLAKE2b digest of `data`."""
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -6,19 +6,16 @@
 import uuid
 from collections.abc import Awaitable, Callable
 
-import curio
-import msgspec
-
-from . import defaults
 from .decisions.affinity import View
-from .decisions.revisions import Revisions
+from .decisions.revisions import PLATFORM, Offer, Revisions, Verdict
 from .events import Event, log
-from .exceptions import ConnectionLost, PlatformError
-from .fleet import decode, digest
+from .exceptions import ContentError
+from .fleet.content import Content, Decoder
+from .fleet.deltas import Desk
 from .http import Client
 from .metrics import Metrics
 from .platform import Platform
-from .records import Application, ClientAccount, Endpoint, Fleet, Load, Revision
+from .records import Application, ClientAccount, Endpoint, Fleet, Load, Member, Revision
 from .settings import Settings, split_address
 from .timers import Timers
 
@@ -38,9 +35,12 @@
         self.timers = Timers(self.chance, self.timer_failed)
         address, port = split_address(settings.platform)
         self.platform = Platform(address, port, self.client, self.metrics)
-        self.revisions = Revisions()
+        self.revisions = Revisions(self.chance)
         self.fleet: Fleet | None = None
-        self.fleet_bytes = b""
+        self.content = Content({})
+        self.decoder = Decoder()
+        self.desk = Desk()
+        self.adopted: list[Callable[[Revision], None]] = []
         self.loads: dict[str, Load] = {}
         self.incarnations: dict[str, str] = {}
         self.view = View(
@@ -48,7 +48,7 @@
         )
         self.running: collections.Counter[str] = collections.Counter()
         self.draining = False
-        self.tasks: list[Callable[[], Awaitable[None]]] = [self.follow_configuration]
+        self.tasks: list[Callable[[], Awaitable[None]]] = []
         self.accounts: dict[str, ClientAccount] = {}
         self.applications: dict[str, Application] = {}
         self.pools: dict[str, list[Endpoint]] = {}
@@ -66,20 +66,55 @@
         """Log a failed subscription of the timer service."""
         log(Event.TIMER_FAILED, f"timer {name} failed: {error!r}", 40)
 
-    def adopt(self, revision: Revision, data: bytes) -> bool:
-        """Put a configuration in force if it is newer and its digest is right."""
-        if not self.revisions.adopt(revision, digest(data)):
-            log(Event.CONFIGURATION_REJECTED, f"revision {revision.number} was not adopted")
+    def live_members(self) -> list[Member]:
+        """Return the members that are believed to be alive; none before membership is known."""
+        return []
+
+    def adopt(
+        self,
+        revision: Revision,
+        content: Content,
+        links: tuple[Revision, ...] = (),
+        source: str = PLATFORM,
+    ) -> bool:
+        """Put a configuration in force if it is newer, linked and has its digest.
+
+        :param links: the revisions before it that its source knows, oldest first.
+        """
+        offer = Offer(source, revision, links)
+        verdict = self.revisions.judge(offer)
+        if verdict is Verdict.ADOPT:
+            try:
+                fleet = self.decoder.decode(content)
+            except ContentError:
+                verdict = Verdict.CORRUPT
+            else:
+                verdict = self.revisions.adopt(offer, content.digest)
+        if verdict is not Verdict.ADOPT:
+            self.reject(revision.number, source, verdict)
             return False
-        self.put_in_force(decode(data), data)
+        self.content = content
+        self.desk.note(content)
+        self.put_in_force(fleet)
         self.metrics.revision.set({}, revision.number)
-        log(Event.CONFIGURATION_ADOPTED, f"revision {revision.number} is in force")
+        log(Event.CONFIGURATION_ADOPTED, f"revision {revision.number} is in force", source=source)
+        for call in self.adopted:
+            call(revision)
         return True
 
-    def put_in_force(self, fleet: Fleet, data: bytes) -> None:
+    def reject(self, number: int, source: str, verdict: Verdict) -> None:
+        """Log a revision that is not put in force."""
+        log(
+            Event.CONFIGURATION_REJECTED,
+            f"revision {number} was rejected: {verdict.value}",
+            30,
+            source=source or "platform",
+            in_force=self.revisions.number,
+        )
+
+    def put_in_force(self, fleet: Fleet) -> None:
         """Build the tables that requests are looked up in."""
         self.fleet = fleet
-        self.fleet_bytes = data
         self.accounts = {
             key: account for account in fleet.client_accounts for key in account.key_digests
         }
@@ -92,26 +127,3 @@
                 self.models.setdefault(model, []).append(endpoint)
         self.view.multiple = fleet.load_multiple
         self.view.floor = fleet.load_floor
-
-    async def pull_configuration(self) -> None:
-        """Read the accepted configuration from the object API and adopt it if it is newer."""
-        head = await self.platform.get("configuration", "head")
-        if head.version == 0:
-            return
-        revision = msgspec.json.decode(head.value, type=Revision)
-        self.revisions.hear(revision.number)
-        if not self.revisions.behind():
-            return
-        content = await self.platform.get("configuration", f"content-{revision.digest}")
-        self.adopt(revision, content.value)
-
-    async def follow_configuration(self) -> None:
-        """Follow the configuration until cancelled; platform outages are waited out."""
-        since = 0
-        while True:
-            try:
-                await self.pull_configuration()
-                since, _ = await self.platform.watch("configuration", since)
-            except (PlatformError, ConnectionLost) as error:
-                log(Event.PLATFORM_FAILED, str(error), 30)
-                await curio.sleep(defaults.PLATFORM_RETRY)
--- a/src/hickorylever/exceptions.py
+++ b/src/hickorylever/exceptions.py
@@ -108,6 +108,10 @@
     """The fleet directory is not valid. Faults carry file, line and column."""
 
 
+class ContentError(HickoryleverError):
+    """A configuration's content is damaged, incomplete or too large."""
+
+
 class PlatformError(HickoryleverError):
     """The object API did not answer, or answered with a failure."""
 
--- /dev/null
+++ b/src/hickorylever/fleet/audit.py
@@ -0,0 +1,78 @@
+"""The audit trail: every accepted revision, older ones in buckets of a fixed length."""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from .. import defaults
+from ..decisions.revisions import link
+from ..exceptions import Conflict, ContentError, LostReply, PlatformError
+from ..platform import Platform
+from ..records import Revision
+
+KIND = "audit"
+Chain = tuple[Revision, ...]
+
+
+def bucket_name(number: int) -> str:
+    """Return the name of the bucket that a revision ends up in."""
+    return f"{(number - 1) // defaults.AUDIT_BUCKET:08d}"
+
+
+async def shorten(platform: Platform, chain: Chain) -> Chain:
+    """Move the oldest revisions of a chain to their bucket once they fill it twice."""
+    if len(chain) <= defaults.MAX_LINKS:
+        return chain
+    bucket, rest = chain[: defaults.AUDIT_BUCKET], chain[defaults.AUDIT_BUCKET :]
+    name = bucket_name(bucket[0].number)
+    value = msgspec.json.encode(bucket)
+    try:
+        await platform.put(KIND, name, value, 0)
+    except (Conflict, LostReply):
+        entry = await platform.get(KIND, name)
+        if entry.value != value:
+            raise PlatformError(f"{KIND}/{name} could not be stored") from None
+    return rest
+
+
+async def read_bucket(platform: Platform, number: int) -> Chain:
+    """Return the bucket that holds a revision.
+
+    :raises ContentError: when it is missing or damaged.
+    """
+    name = bucket_name(number)
+    entry = await platform.get(KIND, name)
+    if entry.version == 0:
+        raise ContentError(f"{KIND}/{name}: is missing")
+    try:
+        return msgspec.json.decode(entry.value, type=Chain)
+    except msgspec.DecodeError as error:
+        raise ContentError(f"{KIND}/{name}: {error}") from None
+
+
+async def find(platform: Platform, chain: Chain, number: int) -> Revision:
+    """Return one revision from the head's chain or its bucket.
+
+    :raises ContentError: when there is no such revision.
+    """
+    if not chain or not 1 <= number <= chain[-1].number:
+        raise ContentError(f"there is no revision {number}")
+    source = chain if number >= chain[0].number else await read_bucket(platform, number)
+    return source[number - source[0].number]
+
+
+async def read_back(platform: Platform, chain: Chain, since: int) -> AsyncIterator[Revision]:
+    """Yield revisions from the newest down to `since`, verifying the chain of digests.
+
+    :raises ContentError: where the chain breaks.
+    """
+    child: Revision | None = None
+    source = chain
+    for number in range(chain[-1].number if chain else 0, since - 1, -1):
+        if number < source[0].number:
+            source = await read_bucket(platform, number)
+        revision = source[number - source[0].number]
+        if revision.number != number or (child is not None and child.parent != link(revision)):
+            raise ContentError(f"the chain of digests breaks between {number} and {number + 1}")
+        yield revision
+        child = revision
--- a/src/hickorylever/fleet/compiler.py
+++ b/src/hickorylever/fleet/compiler.py
@@ -6,9 +6,6 @@
 import tomllib
 from pathlib import Path
 
-import msgspec
-import xxhash
-
 from .. import defaults
 from ..exceptions import FleetError
 from ..records import VM, Application, ClientAccount, Endpoint, Fleet, Guard
@@ -26,21 +23,6 @@
 KEY_DIGEST = re.compile(r"[0-9a-f]{64}")
 
 
-def encode(fleet: Fleet) -> bytes:
-    """Return the configuration's canonical bytes."""
-    return msgspec.json.encode(fleet, order="deterministic")
-
-
-def decode(data: bytes) -> Fleet:
-    """Return the configuration from its bytes."""
-    return msgspec.json.decode(data, type=Fleet)
-
-
-def digest(data: bytes) -> str:
-    """Return the digest of a configuration's bytes."""
-    return xxhash.xxh3_128_hexdigest(data)
-
-
 def split(text: str) -> tuple[str, ...]:
     """Return the words of a cell that are separated by ``;``."""
     return tuple(word.strip() for word in text.split(";") if word.strip())
--- /dev/null
+++ b/src/hickorylever/fleet/content.py
@@ -0,0 +1,160 @@
+"""A configuration as parts named by section and bucket, so that a change writes little."""
+
+import dataclasses
+import zlib
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+
+from .. import defaults
+from ..digests import digest_bytes
+from ..exceptions import ContentError
+from ..records import VM, Application, ClientAccount, Endpoint, Fleet
+
+GENERAL = "general"
+
+
+@dataclass(frozen=True, slots=True)
+class Section:
+    """A tuple of named objects in :class:`Fleet`, spread over a fixed number of parts."""
+
+    kind: type
+    buckets: int
+
+
+SECTIONS = {
+    "vms": Section(VM, defaults.VM_BUCKETS),
+    "endpoints": Section(Endpoint, defaults.ENDPOINT_BUCKETS),
+    "applications": Section(Application, 1),
+    "client_accounts": Section(ClientAccount, defaults.CLIENT_ACCOUNT_BUCKETS),
+}
+EMPTY_SECTIONS = dict.fromkeys(SECTIONS, ())
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """A part of a configuration.
+
+    :param name: section and bucket.
+    :param digest: of the part's JSON.
+    :param packed: the JSON compressed by zlib.
+    """
+
+    name: str
+    digest: str
+    packed: bytes
+
+    @property
+    def key(self) -> str:
+        """Return name and digest; parts of different names may have equal digests."""
+        return f"{self.name} {self.digest}"
+
+
+@dataclass(frozen=True, slots=True)
+class Content:
+    """Every part of one configuration, by name."""
+
+    parts: dict[str, Part]
+
+    @property
+    def digest(self) -> str:
+        """Return the digest that a revision names."""
+        return digest_bytes("\n".join(sorted(self.keys())).encode())
+
+    def replace(self, parts: list[Part]) -> "Content":
+        """Return this content with some parts replaced."""
+        return Content({**self.parts, **{part.name: part for part in parts}})
+
+    def changed(self, held: frozenset[str]) -> list[Part]:
+        """Return the parts whose keys are not among `held`."""
+        return [part for part in self.parts.values() if part.key not in held]
+
+    def keys(self) -> frozenset[str]:
+        """Return the keys of all parts."""
+        return frozenset(part.key for part in self.parts.values())
+
+
+def pack(name: str, value: object) -> Part:
+    """Return a part from its objects."""
+    data = msgspec.json.encode(value, order="deterministic")
+    return Part(name, digest_bytes(data), zlib.compress(data))
+
+
+def unpack(part: Part) -> bytes:
+    """Return a part's JSON.
+
+    :raises ContentError: when it is damaged or too large.
+    """
+    inflater = zlib.decompressobj()
+    try:
+        data = inflater.decompress(part.packed, defaults.MAX_PART_BYTES)
+    except zlib.error as error:
+        raise ContentError(f"{part.name}: {error}") from None
+    if not inflater.eof or digest_bytes(data) != part.digest:
+        raise ContentError(f"{part.name}: does not have its digest")
+    return data
+
+
+def bucket(name: str, count: int) -> int:
+    """Return the bucket that an object's name belongs to."""
+    return xxhash.xxh3_64_intdigest(name.encode()) % count
+
+
+def encode(fleet: Fleet) -> Content:
+    """Return a configuration's parts. Equal configurations give equal digests."""
+    parts = [pack(GENERAL, dataclasses.replace(fleet, **EMPTY_SECTIONS))]
+    for title, section in SECTIONS.items():
+        buckets: list[list] = [[] for _ in range(section.buckets)]
+        for entry in getattr(fleet, title):
+            buckets[bucket(entry.name, section.buckets)].append(entry)
+        parts += [pack(f"{title}-{number}", entries) for number, entries in enumerate(buckets)]
+    return Content({part.name: part for part in parts})
+
+
+def digest(content: Content) -> str:
+    """Return the digest of a configuration's content."""
+    return content.digest
+
+
+class Decoder:
+    """Decodes configurations; parts that have not changed are not decoded again."""
+
+    def __init__(self):
+        self.known: dict[str, object] = {}
+
+    def decode(self, content: Content) -> Fleet:
+        """Return the configuration of a content.
+
+        :raises ContentError: when a part is damaged or missing.
+        """
+        known: dict[str, object] = {}
+        general = self.section(content, GENERAL, Fleet, known)
+        sections = {}
+        for title, section in SECTIONS.items():
+            entries: list = []
+            for number in range(section.buckets):
+                kind = tuple[section.kind, ...]
+                entries += self.section(content, f"{title}-{number}", kind, known)
+            entries.sort(key=lambda entry: entry.name)
+            sections[title] = tuple(entries)
+        self.known = known
+        return dataclasses.replace(general, **sections)
+
+    def section(self, content: Content, name: str, kind: type, known: dict[str, object]):
+        """Return one part's objects, decoded now or before."""
+        part = content.parts.get(name)
+        if part is None:
+            raise ContentError(f"{name}: is missing")
+        if part.key not in self.known:
+            try:
+                self.known[part.key] = msgspec.json.decode(unpack(part), type=kind)
+            except msgspec.DecodeError as error:
+                raise ContentError(f"{name}: {error}") from None
+        known[part.key] = self.known[part.key]
+        return known[part.key]
+
+
+def decode(content: Content) -> Fleet:
+    """Return the configuration of a content."""
+    return Decoder().decode(content)
--- a/src/hickorylever/fleet/heads.py
+++ b/src/hickorylever/fleet/heads.py
@@ -4,16 +4,32 @@
 import uuid
 from dataclasses import dataclass
 
+import curio
 import msgspec
 
-from ..exceptions import Conflict, LostReply, PlatformError
+from .. import defaults
+from ..decisions.revisions import link
+from ..exceptions import Conflict, ContentError, LostReply, PlatformError
 from ..platform import Object, Platform
 from ..records import Fleet, Revision
-from .compiler import digest, encode
+from . import audit, store
+from .content import Content, encode
 
 KIND = "configuration"
 HEAD = "head"
-TRIES = 20
+
+
+@dataclass(frozen=True, slots=True)
+class HeadRecord:
+    """The head object's value.
+
+    :param links: the latest revisions before this one, oldest first.
+    :param oldest: the lowest revision whose content is kept.
+    """
+
+    revision: Revision
+    links: tuple[Revision, ...] = ()
+    oldest: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +38,33 @@
 
     revision: Revision | None
     version: int
+    links: tuple[Revision, ...] = ()
+    oldest: int = 1
+
+    @property
+    def number(self) -> int:
+        """Return the revision's number, 0 before the first."""
+        return self.revision.number if self.revision else 0
+
+    @property
+    def chain(self) -> tuple[Revision, ...]:
+        """Return the known revisions, oldest first."""
+        return (*self.links, self.revision) if self.revision else ()
+
+
+class Raced(Conflict):
+    """Another operator's change was accepted first.
+
+    :param head: what is accepted now.
+    """
+
+    def __init__(self, head: Head):
+        super().__init__(f"revision {head.number} was accepted in the meantime")
+        self.head = head
+
+
+class Unsettled(PlatformError):  # noqa: N818
+    """It is not known whether a change was accepted, and it can't be told now."""
 
 
 async def read_head(platform: Platform) -> Head:
@@ -30,61 +73,126 @@
 
 
 def parse_head(entry: Object) -> Head:
-    """Return the head from its object."""
+    """Return the head from its object.
+
+    :raises ContentError: when the object is damaged.
+    """
     if entry.version == 0:
         return Head(None, 0)
-    return Head(msgspec.json.decode(entry.value, type=Revision), entry.version)
-
-
-def next_revision(head: Head, data: bytes, author: str, reason: str) -> Revision:
-    """Return the revision that follows a head."""
-    current = head.revision
+    try:
+        record = msgspec.json.decode(entry.value, type=HeadRecord)
+    except msgspec.DecodeError as error:
+        raise ContentError(f"{KIND}/{HEAD}: {error}") from None
+    return Head(record.revision, entry.version, record.links, record.oldest)
+
+
+def next_revision(
+    current: Revision | None,
+    content: Content,
+    author: str,
+    reason: str,
+    changes: tuple[str, ...] = (),
+    parts: int = 1,
+    nonce: str = "",
+) -> Revision:
+    """Return the revision that follows another."""
     now = datetime.datetime.now(datetime.UTC).isoformat(timespec="seconds")
     return Revision(
         number=current.number + 1 if current else 1,
-        digest=digest(data),
-        parent=digest(msgspec.json.encode(current)) if current else "",
+        digest=content.digest,
+        parent=link(current) if current else "",
         author=author,
         reason=reason,
         time=now,
-        nonce=uuid.uuid4().hex,
+        nonce=nonce or uuid.uuid4().hex,
+        parts=parts,
+        changes=changes,
     )
 
 
-async def settle(platform: Platform, revision: Revision) -> bool:
-    """After a lost reply, tell whether a head with this revision's nonce was accepted.
+async def settle(platform: Platform, value: bytes, revision: Revision, base: Head) -> None:
+    """Repeat a conditional write whose reply was lost until the outcome is certain.
+
+    Once the base has moved, a delayed copy of the write can't take effect any more.
+
+    :raises Raced: when another change was accepted.
+    :raises Unsettled: when the object API does not answer.
+    """
+    for _ in range(defaults.SETTLE_TRIES):
+        await curio.sleep(defaults.SETTLE_PAUSE)
+        try:
+            head = await repeat_write(platform, value, base)
+        except PlatformError:
+            continue
+        if any(entry.nonce == revision.nonce for entry in head.chain):
+            return
+        raise Raced(head)
+    raise Unsettled(f"the object API did not answer within {defaults.SETTLE_TRIES} tries")
+
+
+async def repeat_write(platform: Platform, value: bytes, base: Head) -> Head:
+    """Write the head again and return the head that stands after it.
 
     :raises PlatformError: when it can't be told now.
     """
-    head = await read_head(platform)
-    return head.revision is not None and head.revision.nonce == revision.nonce
+    try:
+        return parse_head(await platform.put(KIND, HEAD, value, base.version))
+    except Conflict:
+        return await read_head(platform)
 
 
-async def write_content(platform: Platform, name: str, data: bytes) -> None:
-    """Store a configuration's bytes under their digest; they may stand there already."""
+async def clean(platform: Platform, base: Head) -> int:
+    """Remove contents that are out of the kept range and return the new lowest kept number.
+
+    What can't be removed now is removed by a later change.
+    """
+    oldest = base.oldest
+    limit = base.number + 1 - defaults.KEPT_CONTENTS
     try:
-        await platform.put(KIND, name, data, 0)
-    except (Conflict, LostReply):
-        entry = await platform.get(KIND, name)
-        if entry.value != data:
-            raise PlatformError(f"{name} could not be stored") from None
+        for number in range(oldest, min(limit, oldest + defaults.CLEANED_PER_CHANGE)):
+            revision = await audit.find(platform, base.chain, number)
+            following = await audit.find(platform, base.chain, number + 1)
+            await store.remove_content(platform, revision, following)
+            oldest = number + 1
+    except (PlatformError, ContentError):
+        return oldest
+    return oldest
 
 
 async def apply(
-    platform: Platform, fleet: Fleet, base: Head, author: str, reason: str
+    platform: Platform,
+    fleet: Fleet,
+    base: Head,
+    author: str,
+    reason: str,
+    changes: tuple[str, ...] = (),
 ) -> Revision:
     """Accept a configuration on a base.
 
-    :raises Conflict: when another operator was faster.
-    :raises LostReply: when it can't be told whether the change was accepted.
+    :raises Raced: when another operator was faster.
+    :raises Unsettled: when it can't be told whether the change was accepted.
     :raises PlatformError: when it surely was not accepted.
     """
-    data = encode(fleet)
-    revision = next_revision(base, data, author, reason)
-    await write_content(platform, f"content-{revision.digest}", data)
+    content = encode(fleet)
+    nonce = uuid.uuid4().hex
+    data = await store.make_bundle(platform, base.revision, content)
+    pieces = len(store.split_pieces(data))
+    revision = next_revision(base.revision, content, author, reason, changes, pieces, nonce)
+    await store.write_bundle(platform, revision, data)
+    links = await audit.shorten(platform, base.chain)
+    record = HeadRecord(revision, links, await clean(platform, base))
+    await write_head(platform, record, base)
+    return revision
+
+
+async def write_head(platform: Platform, record: HeadRecord, base: Head) -> None:
+    """Write the head on its base; see :func:`apply` for what is raised."""
+    value = msgspec.json.encode(record)
+    revision = record.revision
     try:
-        await platform.put(KIND, HEAD, msgspec.json.encode(revision), base.version)
+        await platform.put(KIND, HEAD, value, base.version)
     except LostReply:
-        if not await settle(platform, revision):
-            raise Conflict("the change was not accepted; its write was lost") from None
-    return revision
+        await settle(platform, value, revision, base)
+    except Conflict as conflict:
+        await store.remove_bundle(platform, store.bundle_name(revision), revision.parts)
+        raise Raced(await read_head(platform)) from conflict
--- /dev/null
+++ b/src/hickorylever/offers.py
@@ -0,0 +1,112 @@
+"""Peers ask each other for the configuration in force, over the admin listener."""
+
+import curio
+import msgspec
+
+from . import defaults
+from .decisions.revisions import Offer
+from .environment import Environment
+from .exceptions import ConnectionLost, ContentError, Kind, RequestError
+from .fleet.content import Content
+from .fleet.deltas import Answer, Ask
+from .http import Exchange
+from .node import pages, respond_json
+from .settings import split_address
+
+PATH = "/configuration"
+
+
+class State(msgspec.Struct):
+    """What a node tells operators about its configuration."""
+
+    vm: str
+    revision: int
+    heard: int
+    digest: str
+    ready: bool
+
+
+@pages.register(PATH)
+async def page(env: Environment, exchange: Exchange) -> None:
+    """Tell operators (GET) or peers (POST) what is in force."""
+    if exchange.method == "GET":
+        revisions = env.revisions
+        digest = revisions.current.digest if revisions.current else ""
+        ready = env.fleet is not None and not env.draining
+        state = State(env.settings.vm, revisions.number, revisions.heard, digest, ready)
+        await respond_json(exchange, state)
+        return
+    if env.desk.open >= defaults.MAX_PULLS_SERVED:
+        raise RequestError(Kind.OVERLOADED)
+    env.desk.open += 1
+    try:
+        await answer_peer(env, exchange)
+    finally:
+        env.desk.open -= 1
+
+
+async def answer_peer(env: Environment, exchange: Exchange) -> None:
+    """Answer one ask."""
+    try:
+        ask = msgspec.msgpack.decode(await exchange.body(), type=Ask)
+    except msgspec.DecodeError as error:
+        raise RequestError(Kind.BAD_REQUEST, str(error)) from None
+    body = msgspec.msgpack.encode(env.desk.answer(env.revisions, env.content, ask))
+    env.metrics.control_bytes.add({"kind": "configuration", "direction": "out"}, len(body))
+    await exchange.respond(200, [(b"content-type", b"application/msgpack")], body)
+
+
+def address_of(env: Environment, source: str) -> tuple[str, int]:
+    """Return where a member's admin listener is.
+
+    :param source: a member's name, or ``address:port`` from the settings.
+    :raises ConnectionLost: when the member is not known any more.
+    """
+    if ":" in source:
+        return split_address(source)
+    for member in env.live_members():
+        if member.name == source:
+            return member.address, member.port
+    raise ConnectionLost(f"{source} is not a live member")
+
+
+async def ask_peer(env: Environment, source: str, ask: Ask) -> Answer:
+    """Ask a peer.
+
+    :raises ConnectionLost: when it does not answer in time.
+    """
+    address, port = address_of(env, source)
+    body = msgspec.msgpack.encode(ask)
+    try:
+        async with curio.timeout_after(defaults.PULL_TIMEOUT):
+            status, _, data = await env.client.fetch(address, port, "POST", PATH, (), body)
+    except curio.TaskTimeout:
+        raise ConnectionLost(f"{source} did not answer in time") from None
+    if status != 200:
+        raise ConnectionLost(f"{source} answered with status {status}")
+    env.metrics.control_bytes.add({"kind": "configuration", "direction": "in"}, len(data))
+    try:
+        return msgspec.msgpack.decode(data, type=Answer)
+    except msgspec.DecodeError as error:
+        raise ConnectionLost(f"{source}: {error}") from None
+
+
+async def ask_offer(env: Environment, source: str) -> Offer:
+    """Ask a peer which revision it has in force."""
+    answer = await ask_peer(env, source, Ask(env.revisions.number, content=False))
+    return Offer(source, answer.revision, answer.links, answer.heard)
+
+
+async def fetch_content(env: Environment, source: str) -> tuple[Offer, Content]:
+    """Ask a peer for its configuration.
+
+    :raises ContentError: when the content does not have its digest.
+    """
+    held = env.content.digest if env.content.parts else ""
+    answer = await ask_peer(env, source, Ask(env.revisions.number, held))
+    base = env.content if answer.difference else Content({})
+    content = base.replace(answer.parts)
+    offer = Offer(source, answer.revision, answer.links, answer.heard)
+    if offer.number > env.revisions.number and content.digest != offer.revision.digest:
+        raise ContentError(f"{source}: the content has another digest")
+    return offer, content
--- a/src/hickorylever/records.py
+++ b/src/hickorylever/records.py
@@ -25,6 +25,9 @@
     """A model engine or an instance of a plain service, with its sidecar.
 
     :param capacity: relative weight, the number of accelerators or 1.
+    :param adapters: adapters that its engine is to hold.
+    :param engine_role: ``mixed``, ``prefill`` or ``decode``; empty for a plain service.
+    :param obeys_fencing: its engine itself refuses orders with an old fencing number.
     """
 
     name: str
@@ -38,6 +41,9 @@
     capacity: int = 1
     models: tuple[str, ...] = ()
     version: str = ""
+    adapters: tuple[str, ...] = ()
+    engine_role: str = ""
+    obeys_fencing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,9 +108,11 @@
     """The head of an accepted configuration.
 
     :param number: counts from 1.
-    :param digest: of the compiled configuration's bytes.
-    :param parent: digest of the previous head, empty for the first.
-    :param nonce: written by the author, settles a lost reply.
+    :param digest: of the configuration's content.
+    :param parent: digest of the previous revision, empty for the first.
+    :param nonce: random, settles a lost reply and names the revision's manifest.
+    :param parts: number of the content's parts.
+    :param changes: what changed, one line an object, cut to a bounded number.
     """
 
     number: int
@@ -115,6 +123,7 @@
     time: str
     nonce: str
     parts: int = 1
+    changes: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorylever/router.py
+++ b/src/hickorylever/router.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from . import defaults, filters
+from . import configuration, defaults, filters
 from .call import Call
 from .environment import Environment
 from .events import Event, log, logger
@@ -107,5 +107,6 @@
 async def main(settings: Settings) -> None:
     """Run a router until it is told to stop."""
     env = Environment(settings)
+    configuration.attach(env)
     router = Router(env)
     await run_node(env, router.server, router.drain)
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from . import defaults, frames
+from . import configuration, defaults, frames
 from .decisions import loads
 from .decisions.attempts import RAN, Attempts, Refusal
 from .environment import Environment
@@ -283,5 +283,6 @@
 async def main(settings: Settings) -> None:
     """Run a sidecar until it is told to stop."""
     env = Environment(settings)
+    configuration.attach(env)
     sidecar = Sidecar(env)
     await run_node(env, sidecar.server, sidecar.drain)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hickorylever import http
+from hickorylever.decisions.revisions import link
 from hickorylever.environment import Environment
 from hickorylever.fleet import digest, encode
 from hickorylever.records import (
@@ -124,7 +125,9 @@
 
     def put_in_force(self, fleet, number):
         data = encode(fleet)
-        revision = Revision(number, digest(data), "", "t", "t", "", "n")
+        before = self.environments()[0].revisions.current
+        parent = link(before) if before else ""
+        revision = Revision(number, digest(data), parent, "t", "t", "", "n")
         for env in self.environments():
             env.adopt(revision, data)
 
