Choose endpoints by a ring with bounded load; identify chats; learn work

Ranking a whole pool by rendezvous hashing costs time in proportion to the pool, the mean had no age, and a chat's identity was encoded from whole messages.

--- /dev/null
+++ b/src/hickorylever/admission.py
@@ -0,0 +1,46 @@
+"""The sidecar's and the router's glue around load reports and the load bound."""
+
+import math
+
+from . import defaults
+from .decisions import loads
+from .decisions.pools import Pool, peer_group
+from .environment import Environment
+from .records import Endpoint, Load
+
+
+def take_load(env: Environment, load: Load) -> None:
+    """Take an endpoint's load as its sidecar has told it; too old a report is left out.
+
+    :param load: its `time` is in this process's monotonic seconds.
+    """
+    if load.time >= env.clock() - env.loads.max_age:
+        env.loads.note(load)
+
+
+def cap(env: Environment, endpoint: Endpoint, work: float, running: int) -> float:
+    """Return the largest work in tokens that an endpoint may hold now.
+
+    The mean is over the reports that are young enough, and the endpoint's own work as it is.
+    """
+    own = Load(endpoint.name, work, running, endpoint.capacity, time=env.clock())
+    env.loads.note(own)
+    mean = env.loads.mean(peer_group(endpoint), own.time)
+    return loads.cap(mean, endpoint.capacity, env.view.multiple, env.view.floor)
+
+
+def room(env: Environment, pool: Pool, held: float) -> float:
+    """Return the work in tokens that this router may have at a pool.
+
+    :param held: work of this router's own requests there, which the reports count too.
+    """
+    capacity = sum(entry.capacity for entry in pool if env.usable(entry.name))
+    whole = env.view.floor * capacity
+    routers = sum(vm.role == "entry" for vm in env.fleet.vms)
+    others = max(0.0, env.loads.total(pool.name, env.clock()).work - held)
+    return max(whole / max(1, routers), whole - others)
+
+
+def retry_after(seconds: float) -> float:
+    """Return a whole pause in seconds for a caller, within sensible limits."""
+    return min(defaults.MAX_RETRY_AFTER, max(1.0, math.ceil(seconds)))
--- a/src/hickorylever/call.py
+++ b/src/hickorylever/call.py
@@ -1,7 +1,9 @@
 """One caller's request on its way through the filter chain."""
 
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass
 
+from .decisions.pools import Pool
 from .exceptions import Ran
 from .http import Exchange
 from .records import Application, ClientAccount, Endpoint
@@ -13,7 +15,8 @@
 
     :param deadline: monotonic seconds.
     :param work: estimated tokens.
-    :param candidates: endpoints in order of preference.
+    :param prefix: identity of a long prefix that other chats share, or empty.
+    :param candidates: endpoints in order of preference, produced on demand.
     :param ran: the strongest claim about execution that is known so far.
     """
 
@@ -23,16 +26,18 @@
     deadline: float
     account: ClientAccount | None = None
     application: Application | None = None
-    endpoints: list[Endpoint] = field(default_factory=list)
+    endpoints: Pool = Pool("")
     model: str = ""
     body: bytes = b""
     stream: bool = False
     chat: str = ""
+    prefix: str = ""
+    prompt_bytes: int = 0
     work: float = 0.0
     key: str = ""
     guarded: bool = False
     fingerprint: str = ""
-    candidates: list[Endpoint] = field(default_factory=list)
+    candidates: Iterable[Endpoint] = ()
     ran: Ran = Ran.NO
     status: int = 0
     endpoint: str = ""
--- /dev/null
+++ b/src/hickorylever/decisions/pools.py
@@ -0,0 +1,121 @@
+"""Pools of endpoints, prepared for choice: the ring of each, and who shares load with whom."""
+
+import math
+from array import array
+from bisect import bisect_left
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+from functools import cached_property
+
+import xxhash
+
+from .. import defaults
+from ..records import Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class Ring:
+    """Points of every endpoint on a circle of 64-bit hashes.
+
+    :param points: hashes in ascending order.
+    :param owners: position of the owner in the pool, one a point.
+    """
+
+    points: array
+    owners: array
+
+
+def make_ring(endpoints: Sequence[Endpoint]) -> Ring:
+    """Return the ring of a pool; an endpoint has points in proportion to its capacity."""
+    unit = math.gcd(*(endpoint.capacity for endpoint in endpoints)) if endpoints else 1
+    pairs = []
+    for owner, endpoint in enumerate(endpoints):
+        for number in range(defaults.RING_POINTS * endpoint.capacity // unit):
+            point = xxhash.xxh3_64_intdigest(f"{endpoint.name}\x00{number}".encode())
+            pairs.append((point, owner))
+    pairs.sort()
+    points = array("Q", (point for point, _ in pairs))
+    return Ring(points, array("L", (owner for _, owner in pairs)))
+
+
+class Pool(Sequence):
+    """The endpoints of one model or plain service, prepared for choice.
+
+    :param name: the model or application; the name of the pool's group in the loads.
+    """
+
+    def __init__(self, name: str, endpoints: Sequence[Endpoint] = ()):
+        self.name = name
+        self.endpoints = tuple(endpoints)
+
+    def __len__(self) -> int:
+        return len(self.endpoints)
+
+    def __getitem__(self, index):
+        return self.endpoints[index]
+
+    @cached_property
+    def ring(self) -> Ring:
+        """The pool's ring, built at the first use."""
+        return make_ring(self.endpoints)
+
+    @cached_property
+    def names(self) -> dict[str, Endpoint]:
+        """The pool's endpoints by name."""
+        return {endpoint.name: endpoint for endpoint in self.endpoints}
+
+    def walk(self, key: str) -> Iterator[Endpoint]:
+        """Yield every endpoint once, in the order of the ring from the key's hash on."""
+        points, owners = self.ring.points, self.ring.owners
+        size = len(points)
+        start = bisect_left(points, xxhash.xxh3_64_intdigest(key.encode()))
+        seen = set()
+        for step in range(start, start + size):
+            owner = owners[step % size]
+            if owner in seen:
+                continue
+            seen.add(owner)
+            yield self.endpoints[owner]
+            if len(seen) == len(self.endpoints):
+                return
+
+
+def make_pools(
+    noun: str, listed: Mapping[str, Sequence[Endpoint]], known: Mapping[str, Pool]
+) -> dict[str, Pool]:
+    """Return pools by name; a known pool is kept, with its ring, when nothing has changed.
+
+    :param noun: what the names are of, the first word of the pools' own names.
+    """
+    pools = {}
+    for name, endpoints in listed.items():
+        pool = known.get(name)
+        same = pool is not None and pool.endpoints == tuple(endpoints)
+        pools[name] = pool if same else Pool(f"{noun} {name}", endpoints)
+    return pools
+
+
+def peer_group(endpoint: Endpoint) -> str:
+    """Return the name of the group of an endpoint's peers in the loads."""
+    return f"peers of {endpoint.name}"
+
+
+def are_peers(one: Endpoint, other: Endpoint) -> bool:
+    """Tell whether two endpoints share work: one application, and a model if it has models."""
+    if one.application != other.application:
+        return False
+    return not one.models or bool(set(one.models) & set(other.models))
+
+
+def load_groups(pools: Sequence[Pool], vm: str) -> dict[str, tuple[str, ...]]:
+    """Return the groups whose mean load a node must know.
+
+    :param pools: of every model and every plain service.
+    :param vm: the node's own VM; a sidecar also needs the peers of its endpoint.
+    """
+    groups = {pool.name: tuple(pool.names) for pool in pools}
+    everyone = {endpoint.name: endpoint for pool in pools for endpoint in pool}
+    for own in [endpoint for endpoint in everyone.values() if endpoint.vm == vm]:
+        shared = [name for name, other in everyone.items() if are_peers(own, other)]
+        groups[peer_group(own)] = tuple(shared)
+    return groups
--- a/src/hickorylever/defaults.py
+++ b/src/hickorylever/defaults.py
@@ -49,6 +49,24 @@
 # Attempts and claims.
 
 # Routing, waiting and suspects.
+RING_POINTS = 128  # Points of an endpoint of the smallest capacity.
+MAX_WALK = 16  # Endpoints looked at for one decision.
+PREFIX_ENDPOINTS = 2  # Endpoints that chats with a shared prefix keep to.
+MAX_LOAD_AGE = 5.0  # Seconds.
+PROMPT_IDENTITY_BYTES = 1024  # Of a prompt without messages.
+PREFIX_LENGTHS = (2048, 8192, 32768, 131072)  # Bytes of leading text.
+PREFIX_HALF_LIFE = 60.0  # Seconds.
+PREFIX_FILL = 0.5  # Part of its endpoints' fair share that a prefix may take.
+PREFIX_PRIOR = 100_000.0  # Tokens of unseen work that a router assumes.
+MAX_PREFIXES = 2048
+MAX_PREFIX_UNIT = 1e12
+MAX_RETRY_AFTER = 60.0  # Seconds.
+MAX_PLACES = 65536  # Chats whose last endpoint a router remembers.
+SERVICE_WORK = 256.0  # Tokens that one request to a plain service counts for.
+MAX_USAGE_BYTES = 512
+LEARNING_RATE = 0.1
+MAX_ESTIMATES = 8192
+ANSWER_TAIL_BYTES = 1024
 
 # Configuration.
 
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -6,7 +6,7 @@
 import h11
 import msgspec
 
-from . import defaults, frames
+from . import admission, defaults, frames
 from .events import Event, log
 from .exceptions import ConnectionLost, Kind, Ran
 from .frames import Beat, Data, End, Failed, Handover, Head
@@ -210,13 +210,14 @@
 
     def note_load(self, work: float, running: int) -> None:
         """Remember the load that an answer carried."""
-        self.env.loads[self.endpoint.name] = Load(
+        load = Load(
             endpoint=self.endpoint.name,
             work=work,
             running=running,
             capacity=self.endpoint.capacity,
             time=self.env.clock(),
         )
+        admission.take_load(self.env, load)
 
     def failed(self, kind: Kind, ran: Ran, detail: str) -> Failed:
         """Return a failure that this router has found itself."""
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -11,6 +11,9 @@
 
 from . import defaults
 from .decisions.affinity import View
+from .decisions.chats import Popularity
+from .decisions.loads import Estimates, Loads
+from .decisions.pools import Pool, load_groups, make_pools
 from .decisions.revisions import Revisions
 from .events import Event, log
 from .exceptions import ConnectionLost, PlatformError
@@ -18,7 +21,7 @@
 from .http import Client
 from .metrics import Metrics
 from .platform import Platform
-from .records import Application, ClientAccount, Endpoint, Fleet, Load, Revision
+from .records import Application, ClientAccount, Endpoint, Fleet, Revision
 from .settings import Settings, split_address
 from .timers import Timers
 
@@ -41,18 +44,23 @@
         self.revisions = Revisions()
         self.fleet: Fleet | None = None
         self.fleet_bytes = b""
-        self.loads: dict[str, Load] = {}
+        self.loads = Loads()
+        self.estimates = Estimates()
+        self.popularity = Popularity()
         self.incarnations: dict[str, str] = {}
         self.view = View(
-            loads=self.loads, failure_domain=settings.failure_domain, chance=self.chance
+            loads=self.loads,
+            failure_domain=settings.failure_domain,
+            chance=self.chance,
+            usable=self.usable,
         )
         self.running: collections.Counter[str] = collections.Counter()
         self.draining = False
         self.tasks: list[Callable[[], Awaitable[None]]] = [self.follow_configuration]
         self.accounts: dict[str, ClientAccount] = {}
         self.applications: dict[str, Application] = {}
-        self.pools: dict[str, list[Endpoint]] = {}
-        self.models: dict[str, list[Endpoint]] = {}
+        self.pools: dict[str, Pool] = {}
+        self.models: dict[str, Pool] = {}
 
     def clock(self) -> float:
         """Return monotonic seconds."""
@@ -84,14 +92,18 @@
             key: account for account in fleet.client_accounts for key in account.key_digests
         }
         self.applications = {entry.name: entry for entry in fleet.applications}
-        self.pools = {}
-        self.models = {}
+        pools: dict[str, list[Endpoint]] = {}
+        models: dict[str, list[Endpoint]] = {}
         for endpoint in fleet.endpoints:
-            self.pools.setdefault(endpoint.application, []).append(endpoint)
+            pools.setdefault(endpoint.application, []).append(endpoint)
             for model in endpoint.models:
-                self.models.setdefault(model, []).append(endpoint)
+                models.setdefault(model, []).append(endpoint)
+        self.pools = make_pools("application", pools, self.pools)
+        self.models = make_pools("model", models, self.models)
         self.view.multiple = fleet.load_multiple
         self.view.floor = fleet.load_floor
+        every = (*self.pools.values(), *self.models.values())
+        self.loads.arrange(load_groups(every, self.settings.vm))
 
     async def pull_configuration(self) -> None:
         """Read the accepted configuration from the object API and adopt it if it is newer."""
--- a/src/hickorylever/filters/choose.py
+++ b/src/hickorylever/filters/choose.py
@@ -1,16 +1,18 @@
 """Ranks the endpoints for a call by the configured policy."""
 
-from ..decisions.affinity import policies
+from ..decisions.affinity import Ask, policies
 from ..exceptions import Kind, RequestError
 from . import filters
 
+SERVICE_POLICY = "near"
+
 
 @filters.register("choose")
 async def choose(env, call, proceed) -> None:
     """Set the call's candidates in order of preference."""
-    usable = [endpoint for endpoint in call.endpoints if env.usable(endpoint.name)]
-    if not usable:
+    if not any(env.usable(endpoint.name) for endpoint in call.endpoints):
         raise RequestError(Kind.NO_ENDPOINT, "no endpoint is ready")
-    policy = policies[env.fleet.policy]
-    call.candidates = policy(call.chat, call.work, usable, env.view)
+    policy = policies[env.fleet.policy if call.model else SERVICE_POLICY]
+    ask = Ask(call.chat, call.prefix, call.work, env.clock())
+    call.candidates = policy(ask, call.endpoints, env.view)
     await proceed()
--- a/src/hickorylever/filters/forward.py
+++ b/src/hickorylever/filters/forward.py
@@ -1,5 +1,7 @@
 """Hands the call to sidecars until one answers."""
 
+import itertools
+
 from .. import defaults
 from ..dispatch import Dispatch
 from ..exceptions import Kind, Ran, RequestError
@@ -30,7 +32,7 @@
     """Try the candidates in order; raise the last failure when none answers."""
     relay = Relay(call)
     failed = None
-    for endpoint in call.candidates[: defaults.MAX_HANDOVERS]:
+    for endpoint in itertools.islice(call.candidates, defaults.MAX_HANDOVERS):
         if env.clock() >= call.deadline:
             raise RequestError(Kind.DEADLINE, "no time is left", call.ran)
         call.endpoint = endpoint.name
--- a/src/hickorylever/filters/parse.py
+++ b/src/hickorylever/filters/parse.py
@@ -1,13 +1,24 @@
 """Reads the body, and for models its JSON: model, stream, chat identity and expected work."""
 
+from collections.abc import Iterator
+
 import msgspec
-import xxhash
 
 from .. import defaults
+from ..decisions.chats import choose_prefix, identify
 from ..exceptions import Kind, RequestError
 from ..http import header
 from . import filters
 
+NOTHING = msgspec.Raw(b"")
+
+
+class Message(msgspec.Struct):
+    """One message; its content stays as it came."""
+
+    role: str = ""
+    content: msgspec.Raw = NOTHING
+
 
 class Completion(msgspec.Struct):
     """The members of a completion request that routing needs."""
@@ -16,8 +27,8 @@
     stream: bool = False
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
-    messages: list[dict] = []
-    prompt: str | list = ""
+    messages: list[Message] = []
+    prompt: msgspec.Raw = NOTHING
 
 
 _decoder = msgspec.json.Decoder(Completion)
@@ -29,35 +40,29 @@
     :raises RequestError: when the JSON is malformed or nested absurdly.
     """
     try:
+        body.decode()  # Raw members are not checked by the decoder.
         return _decoder.decode(body)
     except RecursionError:
         raise RequestError(Kind.BAD_REQUEST, "the JSON is nested too deeply") from None
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise RequestError(Kind.BAD_REQUEST, f"the body: {error}") from None
 
 
-def leading(completion: Completion) -> bytes:
-    """Return the bytes that stay the same when a chat goes on: up to its first user message."""
+def leading(completion: Completion) -> Iterator[bytes]:
+    """Yield the text that stays the same when a chat goes on: up to its first user message."""
     if not completion.messages:
-        return msgspec.json.encode(completion.prompt)[:1024]
-    roles = [message.get("role") for message in completion.messages]
-    end = roles.index("user") + 1 if "user" in roles else len(roles)
-    return msgspec.json.encode(completion.messages[:end])
-
+        yield bytes(completion.prompt)[: defaults.PROMPT_IDENTITY_BYTES]
+    for message in completion.messages:
+        yield message.role.encode()
+        yield bytes(message.content)
+        if message.role == "user":
+            return
 
-def chat_identity(call, completion: Completion) -> str:
-    """Return the chat's identity: the caller's header, else a digest of its leading messages."""
-    given = header(call.exchange.headers, b"hickory-chat")
-    seed = given or leading(completion)
-    return xxhash.xxh3_128_hexdigest(call.account.name.encode() + b"\x00" + seed)
 
-
-def expected_work(call, completion: Completion) -> float:
-    """Return the estimated work in tokens."""
-    limit = completion.max_completion_tokens or completion.max_tokens
-    output = limit or defaults.EXPECTED_OUTPUT_TOKENS
-    output = min(output, defaults.EXPECTED_OUTPUT_TOKENS)
-    return len(call.body) / defaults.BYTES_PER_TOKEN + output
+def prompt_bytes(completion: Completion) -> int:
+    """Return the size of the prompt in bytes."""
+    contents = (memoryview(message.content) for message in completion.messages)
+    return len(memoryview(completion.prompt)) + sum(map(len, contents))
 
 
 @filters.register("parse")
@@ -67,7 +72,7 @@
     if call.application is None:
         parse_model(env, call)
     else:
-        call.work = 1.0
+        call.work = defaults.SERVICE_WORK
         call.chat = call.id
     await proceed()
 
@@ -77,8 +82,8 @@
     if call.exchange.method != "POST":
         raise RequestError(Kind.BAD_REQUEST, "completions take POST")
     completion = decode(call.body)
-    endpoints = env.models.get(completion.model, [])
-    if not endpoints:
+    endpoints = env.models.get(completion.model)
+    if endpoints is None:
         raise RequestError(Kind.NOT_FOUND, f"no endpoint serves model {completion.model!r}")
     if completion.model not in call.account.models:
         raise RequestError(Kind.FORBIDDEN, f"no rule allows model {completion.model}")
@@ -86,5 +91,21 @@
     call.endpoints = endpoints
     call.model = completion.model
     call.stream = completion.stream
-    call.chat = chat_identity(call, completion)
-    call.work = expected_work(call, completion)
+    estimate_work(env, call, completion)
+    recognise_chat(env, call, completion)
+
+
+def estimate_work(env, call, completion: Completion) -> None:
+    """Set the call's expected work in tokens."""
+    limit = completion.max_completion_tokens or completion.max_tokens
+    call.prompt_bytes = prompt_bytes(completion)
+    call.work = env.estimates.expect(call.account.name, call.model, call.prompt_bytes, limit)
+
+
+def recognise_chat(env, call, completion: Completion) -> None:
+    """Set the call's chat, and the long prefix that it shares with other chats."""
+    given = header(call.exchange.headers, b"hickory-chat")
+    identity = identify(call.account.name, call.model, given, leading(completion))
+    env.popularity.note(identity.prefixes, call.work, env.clock())
+    call.chat = identity.chat
+    call.prefix = choose_prefix(identity, env.popularity, len(call.endpoints))
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -6,8 +6,7 @@
 import msgspec
 import xxhash
 
-from . import defaults, frames
-from .decisions import loads
+from . import admission, defaults, frames
 from .decisions.attempts import RAN, Attempts, Refusal
 from .environment import Environment
 from .events import Event, log
@@ -65,10 +64,9 @@
     def cap(self) -> float:
         """Return the largest work in tokens that may be admitted now."""
         endpoint = self.endpoint()
-        capacity = endpoint.capacity if endpoint else 1
-        mean = loads.mean_work(self.env.loads.values())
-        view = self.env.view
-        return loads.cap(mean, capacity, view.multiple, view.floor)
+        if endpoint is None:
+            return self.env.view.floor
+        return admission.cap(self.env, endpoint, self.attempts.work, self.attempts.running)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request of a router."""
