Check every cell, section and key of a fleet directory

Cause: a string where a list is meant, negative numbers, unknown policies and ragged rows passed the compiler or ended in a traceback, and faults of rules.toml carried no place.

--- /dev/null
+++ b/src/hickorylever/fleet/accounts.py
@@ -0,0 +1,95 @@
+"""Client accounts with what the rules give them, and what must never repeat."""
+
+import dataclasses
+import re
+
+from .. import defaults
+from ..records import Application, ClientAccount, Guard
+from .inventory import Faults, Line, read_name, split
+from .rules import Rule, Rules, matching
+
+KEY_DIGEST = re.compile(r"[0-9a-f]{64}")
+
+
+def read_accounts(lines: list[Line], faults: Faults) -> dict[str, ClientAccount]:
+    """Return the client accounts by name, without any rights."""
+    accounts: dict[str, ClientAccount] = {}
+    owners: dict[str, str] = {}
+    for line in lines:
+        name = read_name(line, "client_account", accounts, faults)
+        account = ClientAccount(name, split(line["key_sha256"]))
+        if not account.key_digests:
+            faults.add(line, "key_sha256", "is empty; the account could never call")
+        for key in account.key_digests:
+            if not KEY_DIGEST.fullmatch(key):
+                faults.add(line, "key_sha256", "must be 64 lower-case hexadecimal digits")
+            if key in owners:
+                faults.add(line, "key_sha256", f"is also a key of {owners[key]}")
+            owners[key] = name
+        accounts[name] = account
+    return accounts
+
+
+def apply_allow(
+    rules: Rules, accounts: dict[str, ClientAccount], applications: set[str], models: set[str]
+) -> None:
+    """Give accounts the applications and models that the rules allow."""
+    allowed: dict[str, tuple[set[str], set[str]]] = {name: (set(), set()) for name in accounts}
+    for rule in rules.sections["allow"]:
+        if not {"applications", "models"} & set(rule.table):
+            rules.fault(rule, "models", "names neither models nor applications")
+        used = matching(rules, rule, "applications", applications, "application")
+        chosen = matching(rules, rule, "models", models, "model")
+        for name in matching(rules, rule, "client_accounts", set(accounts), "client account"):
+            allowed[name][0].update(used)
+            allowed[name][1].update(chosen)
+    for name, (used, chosen) in allowed.items():
+        accounts[name] = dataclasses.replace(
+            accounts[name], applications=tuple(sorted(used)), models=tuple(sorted(chosen))
+        )
+
+
+def apply_shares(rules: Rules, accounts: dict[str, ClientAccount]) -> None:
+    """Give accounts their weights and priorities; a later rule wins."""
+    for rule in rules.sections["share"]:
+        changes = {}
+        if "weight" in rule.table:
+            changes["weight"] = float(rule.table["weight"])
+        if "priority" in rule.table:
+            changes["priority"] = rule.table["priority"]
+        for name in matching(rules, rule, "client_accounts", set(accounts), "client account"):
+            accounts[name] = dataclasses.replace(accounts[name], **changes)
+
+
+def read_guards(
+    rules: Rules, applications: dict[str, Application], models: set[str]
+) -> tuple[Guard, ...]:
+    """Return the rules on requests that must never repeat."""
+    return tuple(
+        read_guard(rules, rule, applications, models) for rule in rules.sections["never_repeat"]
+    )
+
+
+def read_guard(
+    rules: Rules, rule: Rule, applications: dict[str, Application], models: set[str]
+) -> Guard:
+    """Return one such rule."""
+    guard = Guard(
+        application=rule.get("application", ""),
+        methods=tuple(rule.get("methods", ())),
+        path=rule.get("path", ""),
+        model=rule.get("model", ""),
+        retention=float(rule.get("retention", defaults.GUARD_RETENTION)),
+    )
+    if not (guard.application or guard.methods or guard.path or guard.model):
+        rules.fault(rule, "application", "names nothing, so every request would be covered")
+    if guard.model and guard.model not in models:
+        rules.fault(rule, "model", f"{guard.model!r} is no model of the inventory")
+    application = applications.get(guard.application)
+    if guard.application and application is None:
+        rules.fault(rule, "application", f"{guard.application!r} is no application")
+    elif application is not None and application.kind == "service" and guard.path:
+        prefix = application.path
+        if guard.path != prefix and not guard.path.startswith(prefix + "/"):
+            rules.fault(rule, "path", f"is not below {prefix}, so it would never match")
+    return guard
--- a/src/hickorylever/records.py
+++ b/src/hickorylever/records.py
@@ -3,6 +3,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from . import defaults
 from .exceptions import Kind, Ran
 
 
@@ -84,7 +85,7 @@
     methods: tuple[str, ...] = ()
     path: str = ""
     model: str = ""
-    retention: float = 86400.0
+    retention: float = defaults.GUARD_RETENTION
 
 
 @dataclass(frozen=True, slots=True)
