Decide `ran` from recorded facts in one place; bound tombstones by the sidecar's own clock

Cause: a reading of the thin attempts code found false or missing claims. A second delivery of a running attempt was refused with ran=no. A tombstone's lifetime rested on a connection's age, which a paused kernel or a retransmission outlives, and an attempt that had finished and was forgotten was later reported as not run. An exception of h11 in the sidecar left the router waiting for ever. A hand-over without an incarnation that lost its connection was reported unknown although no sidecar can admit it. The router had no deadline of its own. A caller that went away was noticed only when bytes were written to it. Orphans ran on, and kept answers had no bound in bytes.

Change: decisions/outcomes.py holds the only mapping from facts to ran. Attempts carry a stamp, the sidecar's clock as the router last heard it; a stamp older than half the tombstones' lifetime is refused, and asking for a forgotten one yields unknown. The sidecar ends an attempt on any exception, cancels orphans that are not guarded, bounds kept answers, and drains until answers are fetched. The router bounds each attempt by the deadline, resets lost connections, takes data only after its head on the same connection, asks the sidecar what became of a broken answer, and watches the caller's connection. Retries of what may have run take from a token bucket.

The tests of Attempts.cancel pass the new argument; nothing that they check has changed.

Conclusion: "no" now needs a recorded fact.

--- a/src/hickorylever/decisions/attempts.py
+++ b/src/hickorylever/decisions/attempts.py
@@ -1,32 +1,10 @@
 """The sidecar's table of attempts: what may start, and what is known to have run."""
 
-import enum
 from dataclasses import dataclass, replace
 
 from ..exceptions import Kind, Ran
 from ..records import Attempt
-
-
-class State(enum.StrEnum):
-    """State of an attempt at its sidecar."""
-
-    REFUSED = "refused"
-    ADMITTED = "admitted"
-    RUNNING = "running"
-    FINISHED = "finished"
-    CANCELLED = "cancelled"
-    CRASHED = "crashed"
-
-
-# What is true of the request's execution in each state. REFUSED and CANCELLED are tombstones.
-RAN = {
-    State.REFUSED: Ran.NO,
-    State.ADMITTED: Ran.NO,
-    State.RUNNING: Ran.UNKNOWN,
-    State.FINISHED: Ran.YES,
-    State.CANCELLED: Ran.NO,
-    State.CRASHED: Ran.UNKNOWN,
-}
+from .outcomes import RAN, State
 
 # State table: action -> states it is allowed in -> next state.
 TRANSITIONS = {
@@ -50,17 +28,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Why an attempt was not admitted."""
+    """Why an attempt was not admitted, and whether it ran before."""
 
     kind: Kind
     detail: str
+    ran: Ran = Ran.NO
 
 
 class Attempts:
     """Decides on attempts at one sidecar.
 
+    An attempt carries a stamp: this sidecar's clock as its router last heard it. An attempt with
+    a stamp older than half the lifetime is refused, so whatever is delivered after its tombstone
+    was forgotten is refused too. Only this sidecar's clock is read.
+
     :param incarnation: of this sidecar process.
-    :param lifetime: seconds that a tombstone or a finished attempt is remembered.
+    :param lifetime: seconds that a tombstone or an ended attempt is remembered.
     """
 
     def __init__(self, incarnation: str, lifetime: float):
@@ -73,7 +56,7 @@
 
     def admit(self, attempt: Attempt, cap: float, now: float) -> Refusal | None:
         """Admit an attempt, or return why not. A refusal leaves a tombstone."""
-        refusal = self.refusal(attempt, cap)
+        refusal = self.refusal(attempt, cap, now)
         if refusal is None:
             self.entries[attempt.id] = Entry(State.ADMITTED, attempt.work, now)
             self.work += attempt.work
@@ -82,12 +65,15 @@
             self.entries[attempt.id] = Entry(State.REFUSED, 0.0, now)
         return refusal
 
-    def refusal(self, attempt: Attempt, cap: float) -> Refusal | None:
+    def refusal(self, attempt: Attempt, cap: float, now: float) -> Refusal | None:
         """Return why an attempt can't be admitted now."""
         if attempt.incarnation != self.incarnation:
             return Refusal(Kind.WRONG_INCARNATION, f"this is incarnation {self.incarnation}")
-        if attempt.id in self.entries:
-            return Refusal(Kind.CANCELLED, "the attempt is known already")
+        entry = self.entries.get(attempt.id)
+        if entry is not None:
+            return Refusal(Kind.CANCELLED, "the attempt is known already", RAN[entry.state])
+        if not 0 <= now - attempt.stamp <= self.lifetime / 2:
+            return Refusal(Kind.WRONG_INCARNATION, "the attempt's stamp is too old")
         if self.draining:
             return Refusal(Kind.DRAINING, "the endpoint is leaving")
         if attempt.budget <= 0:
@@ -108,17 +94,24 @@
         """Mark an attempt whose endpoint failed while it ran."""
         return self.move(attempt, "crash", now)
 
-    def cancel(self, attempt: str, now: float) -> Ran:
+    def ran(self, attempt: str) -> Ran:
+        """Return what is known of a remembered attempt."""
+        return RAN[self.entries[attempt].state]
+
+    def cancel(self, attempt: str, now: float, stamp: float) -> Ran:
         """Cancel an attempt and return whether it ran.
 
-        An unknown attempt leaves a tombstone, so that it is refused if it arrives later.
+        An attempt that is not remembered leaves a tombstone, so that it is refused if it arrives
+        later. With a stamp so old that it may have run and been forgotten, the answer is unknown.
         """
         entry = self.entries.get(attempt)
-        if entry is None:
-            self.entries[attempt] = Entry(State.CANCELLED, 0.0, now)
-            return Ran.NO
-        self.move(attempt, "cancel", now)
-        return RAN[self.entries[attempt].state]
+        if entry is not None:
+            self.move(attempt, "cancel", now)
+            return self.ran(attempt)
+        if not 0 <= now - stamp <= self.lifetime:
+            return Ran.UNKNOWN
+        self.entries[attempt] = Entry(State.CANCELLED, 0.0, now)
+        return Ran.NO
 
     def move(self, attempt: str, action: str, now: float) -> bool:
         """Take a transition of the state table if it is allowed."""
--- a/src/hickorylever/defaults.py
+++ b/src/hickorylever/defaults.py
@@ -49,6 +49,12 @@
 OBJECTS_PORT = 8460
 
 # Attempts and claims.
+HANDOVER_TIMEOUT = 10.0  # seconds
+DEADLINE_GRACE = 0.25  # seconds
+KEPT_LIFETIME = 300.0  # seconds
+MAX_KEPT_BYTES = 8 * 1024 * 1024
+RETRY_SHARE = 0.1
+RETRY_BURST = 20.0
 
 # Routing, waiting and suspects.
 
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -7,11 +7,12 @@
 import msgspec
 
 from . import defaults, frames
+from .decisions.outcomes import Facts
 from .events import Event, log
 from .exceptions import ConnectionLost, Kind, Ran
-from .frames import Beat, Data, End, Failed, Handover, Head
+from .frames import Beat, CancelResult, Data, End, Failed, Handover, Head
 from .http import Answer, Channel, end_to_end
-from .records import Attempt, Endpoint, Load
+from .records import Attempt, Endpoint, Load, Stamp
 from .relay import BrokenAnswer, CallerGone, Relay
 
 LOST = (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError, h11.ProtocolError)
@@ -29,50 +30,72 @@
         self.endpoint = endpoint
         self.relay = relay
         self.attempt: Attempt | None = None
+        self.facts = Facts()
+        self.matched = False
 
     async def run(self) -> Failed | None:
         """Return None when the answer is whole, else why it is not.
 
         A sidecar with another incarnation than expected is tried once more.
         """
-        failed = await self.run_once()
+        failed = await self.run_once(self.new_attempt())
         if failed is None or failed.kind != Kind.WRONG_INCARNATION:
             return failed
         if Ran(failed.ran) is not Ran.NO:
             return failed
-        return await self.run_once()
+        return await self.run_once(self.new_attempt())
 
     def new_attempt(self) -> Attempt:
         """Return a new attempt for the sidecar's last known incarnation."""
         call = self.call
+        name = self.endpoint.name
+        incarnation = self.env.incarnations.get(name, "")
+        stamp = self.env.stamps.get(name)
+        known = stamp is not None and stamp.incarnation == incarnation
         return Attempt(
             id=uuid.uuid4().hex,
-            endpoint=self.endpoint.name,
-            incarnation=self.env.incarnations.get(self.endpoint.name, ""),
+            endpoint=name,
+            incarnation=incarnation,
             budget=call.deadline - self.env.clock(),
             work=call.work,
+            stamp=stamp.time if known else 0.0,
             account=call.account.name,
             fingerprint=call.fingerprint,
             guarded=call.guarded,
         )
 
-    async def run_once(self) -> Failed | None:
+    async def run_once(self, attempt: Attempt) -> Failed | None:
         """Make one attempt."""
-        self.attempt = self.new_attempt()
+        self.attempt = attempt
+        self.facts = Facts(addressed=bool(attempt.incarnation))
+        return await self.bounded(self.hand_over)
+
+    async def attach(self, attempt: Attempt) -> Failed | None:
+        """Fetch the answer of an attempt that was handed over before, from its start."""
+        self.attempt = attempt
+        self.facts = Facts(addressed=True, handed_over=True)
+        return await self.bounded(self.resume)
+
+    async def bounded(self, send) -> Failed | None:
+        """Exchange until the deadline; the sidecar ends the attempt at the deadline itself.
+
+        :param send: the first thing to send, :meth:`hand_over` or :meth:`resume`.
+        """
         if not self.relay.begun:
             self.relay.reset()
+        remaining = max(0.0, self.call.deadline - self.env.clock())
         try:
-            channel = await self.acquire(fresh=False)
-        except ConnectionLost as error:
-            return self.failed(Kind.NO_ENDPOINT, Ran.NO, str(error))
-        try:
-            return await self.exchange(channel)
+            async with curio.timeout_after(remaining + defaults.DEADLINE_GRACE):
+                return await self.exchange(send)
+        except curio.TaskTimeout:
+            await curio.spawn(self.cancel, daemon=True)
+            return self.failed(Kind.DEADLINE, "the deadline passed")
         except CallerGone:
             await self.cancel()
             raise ConnectionLost("the caller is gone") from None
         except BrokenAnswer as error:
             await self.cancel()
-            return self.failed(Kind.ANSWER_LOST, Ran.UNKNOWN, str(error))
+            return self.failed(Kind.ANSWER_LOST, str(error))
         except curio.CancelledError:
             await self.cancel()
             raise
@@ -82,34 +105,42 @@
         address, port = self.endpoint.address, self.endpoint.sidecar_port
         return await self.env.client.acquire(address, port, fresh)
 
-    async def exchange(self, channel: Channel) -> Failed | None:
-        """Hand over, and resume on fresh connections until the answer ends."""
-        resumes = 0
-        send = self.hand_over
+    async def exchange(self, send) -> Failed | None:
+        """Send, and resume on fresh connections until the answer ends."""
+        try:
+            channel = await self.acquire(fresh=False)
+        except ConnectionLost as error:
+            kind = Kind.ANSWER_LOST if self.facts.handed_over else Kind.NO_ENDPOINT
+            return self.failed(kind, str(error))
+        tries = 0
         while True:
+            offset = self.relay.offset
             try:
-                await send(channel)
+                await curio.timeout_after(defaults.HANDOVER_TIMEOUT, send, channel)
                 return await self.receive(channel)
             except LOST as error:
-                await channel.close()
-                log(
-                    Event.ATTEMPT_LOST,
-                    f"connection to {self.endpoint.name} lost: {error!r}",
-                    attempt=self.attempt.id,
-                )
+                await channel.abort()
+                self.log_lost(error)
             except BaseException:
-                await channel.close()
+                await channel.abort()
                 raise
+            if self.relay.offset > offset:
+                tries = 0
             channel = None
             while channel is None:
-                resumes += 1
-                if resumes > defaults.MAX_RESUMES:
+                tries += 1
+                if tries > defaults.MAX_RESUMES:
                     detail = "the sidecar could not be asked what became of the request"
-                    return self.failed(Kind.ANSWER_LOST, Ran.UNKNOWN, detail)
-                channel = await self.reconnect(resumes)
+                    return self.failed(Kind.ANSWER_LOST, detail)
+                channel = await self.reconnect(tries)
             self.env.metrics.resumes.inc({})
             send = self.resume
 
+    def log_lost(self, error: Exception) -> None:
+        """Log a connection that failed while an answer was awaited."""
+        message = f"connection to {self.endpoint.name} lost: {error!r}"
+        log(Event.ATTEMPT_LOST, message, attempt=self.attempt.id)
+
     async def reconnect(self, tries: int) -> Channel | None:
         """Return a fresh connection, or None after a pause."""
         try:
@@ -132,16 +163,22 @@
             body=self.call.body,
         )
         body = msgspec.msgpack.encode(handover)
+        self.facts = self.facts.hand_over()
         await self.env.client.request(channel, "POST", "/attempts", body=body)
 
     async def resume(self, channel: Channel) -> None:
         """Ask the sidecar for the answer from the current offset on."""
-        target = f"/attempts/{self.attempt.id}?offset={self.relay.offset}"
-        target += f"&incarnation={self.attempt.incarnation}"
-        await self.env.client.request(channel, "GET", target)
+        await self.env.client.request(channel, "GET", self.target(self.relay.offset))
+
+    def target(self, offset: int) -> str:
+        """Return the path of the attempt at its sidecar."""
+        attempt = self.attempt
+        query = f"offset={offset}&incarnation={attempt.incarnation}&stamp={attempt.stamp}"
+        return f"/attempts/{attempt.id}?{query}"
 
     async def receive(self, channel: Channel) -> Failed | None:
         """Take frames until the answer ends."""
+        self.matched = False
         silence = defaults.HEARTBEAT_INTERVAL * defaults.HEARTBEATS_MISSED
         answer = await curio.timeout_after(silence, self.env.client.answer, channel)
         reader = frames.Reader()
@@ -178,59 +215,72 @@
 
     async def take_beat(self, frame: Beat) -> None:
         """A heartbeat carries the sidecar's load."""
-        self.note_load(frame.work, frame.running)
+        self.note(frame)
 
     async def take_head(self, frame: Head) -> None:
         """Pass the head on."""
         self.check(frame.attempt)
+        self.matched = True
         await self.relay.take_head(frame)
 
     async def take_data(self, frame: Data) -> None:
-        """Pass body bytes on."""
+        """Pass body bytes on; they belong to the head that came on the same connection."""
+        if not self.matched:
+            raise ConnectionLost("data without a head")
         await self.relay.take_data(frame)
 
     async def take_end(self, frame: End) -> End:
         """Release a whole answer."""
         self.check(frame.attempt)
-        self.note_load(frame.work, frame.running)
+        self.note(frame)
         await self.relay.take_end(frame)
         return frame
 
     async def take_failed(self, frame: Failed) -> Failed:
-        """Note the sidecar's incarnation and load."""
+        """Note what the sidecar says about the execution, its incarnation and load."""
         self.check(frame.attempt)
-        self.note_load(frame.work, frame.running)
+        self.facts = self.facts.tell(Ran(frame.ran))
         self.env.incarnations[self.endpoint.name] = frame.incarnation
-        return frame
+        self.note(frame, frame.incarnation)
+        return msgspec.structs.replace(frame, ran=self.facts.ran().value)
 
     def check(self, attempt: str) -> None:
         """Drop the connection when an answer is for another attempt."""
         if attempt != self.attempt.id:
             raise ConnectionLost("the answer is for another attempt")
 
-    def note_load(self, work: float, running: int) -> None:
-        """Remember the load that an answer carried."""
-        self.env.loads[self.endpoint.name] = Load(
-            endpoint=self.endpoint.name,
-            work=work,
-            running=running,
+    def note(self, frame: Beat | End | Failed, incarnation: str = "") -> None:
+        """Remember the load and the clock that a frame carried."""
+        name = self.endpoint.name
+        now = self.env.clock()
+        self.env.stamps[name] = Stamp(incarnation or self.attempt.incarnation, frame.time, now)
+        self.env.loads[name] = Load(
+            endpoint=name,
+            work=frame.work,
+            running=frame.running,
             capacity=self.endpoint.capacity,
-            time=self.env.clock(),
+            time=now,
         )
 
-    def failed(self, kind: Kind, ran: Ran, detail: str) -> Failed:
+    def failed(self, kind: Kind, detail: str) -> Failed:
         """Return a failure that this router has found itself."""
-        return Failed(self.attempt.id, kind.value, ran.value, detail, "", 0.0, 0)
+        ran = self.facts.ran().value
+        return Failed(self.attempt.id, kind.value, ran, detail, "", 0.0, 0, 0.0)
 
     async def cancel(self) -> None:
-        """Tell the sidecar that nobody waits any more; failures are ignored."""
-        target = f"/attempts/{self.attempt.id}?incarnation={self.attempt.incarnation}"
+        """Tell the sidecar that nobody waits any more, and note whether the attempt ran."""
+        if not self.facts.handed_over or not self.facts.addressed:
+            return
         address, port = self.endpoint.address, self.endpoint.sidecar_port
         async with curio.ignore_after(defaults.CONNECT_TIMEOUT):
             try:
-                await self.env.client.fetch(address, port, "DELETE", target, fresh=True)
+                _, _, body = await self.env.client.fetch(
+                    address, port, "DELETE", self.target(0), fresh=True
+                )
+                result = msgspec.json.decode(body, type=CancelResult)
             except LOST:
                 return
+            self.facts = self.facts.tell(Ran(result.ran))
 
 
 TAKERS = {
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -11,6 +11,7 @@
 
 from . import defaults
 from .decisions.affinity import View
+from .decisions.budgets import RetryBudget
 from .decisions.revisions import Revisions
 from .events import Event, log
 from .exceptions import ConnectionLost, PlatformError
@@ -18,7 +19,7 @@
 from .http import Client
 from .metrics import Metrics
 from .platform import Platform
-from .records import Application, ClientAccount, Endpoint, Fleet, Load, Revision
+from .records import Application, ClientAccount, Endpoint, Fleet, Load, Revision, Stamp
 from .settings import Settings, split_address
 from .timers import Timers
 
@@ -43,6 +44,8 @@
         self.fleet_bytes = b""
         self.loads: dict[str, Load] = {}
         self.incarnations: dict[str, str] = {}
+        self.stamps: dict[str, Stamp] = {}
+        self.retries = RetryBudget(defaults.RETRY_SHARE, defaults.RETRY_BURST)
         self.view = View(
             loads=self.loads, failure_domain=settings.failure_domain, chance=self.chance
         )
--- a/src/hickorylever/filters/forward.py
+++ b/src/hickorylever/filters/forward.py
@@ -4,7 +4,7 @@
 from ..dispatch import Dispatch
 from ..exceptions import Kind, Ran, RequestError
 from ..frames import Failed
-from ..relay import Relay
+from ..relay import Relay, while_wanted
 from . import filters
 
 REPEATABLE_METHODS = ("GET", "HEAD", "OPTIONS")
@@ -18,15 +18,26 @@
     return bool(call.model) or call.exchange.method in REPEATABLE_METHODS
 
 
-def may_retry(call, relay: Relay, failed: Failed) -> bool:
-    """Tell whether another endpoint may be tried after a failure."""
+def may_retry(env, call, relay: Relay, failed: Failed) -> bool:
+    """Tell whether another endpoint may be tried after a failure.
+
+    A request that surely did not run costs nothing to move; any other takes from the budget.
+    """
     if relay.begun or Kind(failed.kind) in FINAL_KINDS:
         return False
-    return Ran(failed.ran) is Ran.NO or repeatable(call)
+    if Ran(failed.ran) is Ran.NO:
+        return True
+    return repeatable(call) and env.retries.withdraw()
 
 
 @filters.register("forward")
 async def forward(env, call, proceed) -> None:
+    """Run the call until it is answered, or until the caller goes away."""
+    env.retries.deposit()
+    await while_wanted(call, try_candidates, env, call)
+
+
+async def try_candidates(env, call) -> None:
     """Try the candidates in order; raise the last failure when none answers."""
     relay = Relay(call)
     failed = None
@@ -39,7 +50,7 @@
             call.note(Ran.YES)
             return
         call.note(Ran(failed.ran))
-        if not may_retry(call, relay, failed):
+        if not may_retry(env, call, relay, failed):
             break
     if failed is None:
         raise RequestError(Kind.NO_ENDPOINT, "no endpoint could be reached", call.ran)
--- a/src/hickorylever/frames.py
+++ b/src/hickorylever/frames.py
@@ -29,10 +29,11 @@
 
 
 class Beat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
-    """Heartbeat while the answer is awaited, with the sidecar's load in tokens."""
+    """Heartbeat while the answer is awaited, with the sidecar's load in tokens and its clock."""
 
     work: float
     running: int
+    time: float
 
 
 class End(msgspec.Struct, frozen=True, array_like=True, tag="end"):
@@ -43,6 +44,7 @@
     digest: str
     work: float
     running: int
+    time: float
 
 
 class Failed(msgspec.Struct, frozen=True, array_like=True, tag="failed"):
@@ -55,6 +57,7 @@
     incarnation: str
     work: float
     running: int
+    time: float
 
 
 Frame = Head | Data | Beat | End | Failed
@@ -113,6 +116,7 @@
     running: int
     draining: bool
     revision: int
+    time: float
 
 
 class CancelResult(msgspec.Struct, frozen=True):
--- a/src/hickorylever/records.py
+++ b/src/hickorylever/records.py
@@ -144,6 +144,7 @@
     :param incarnation: of the sidecar that it is meant for.
     :param budget: remaining time in seconds.
     :param work: estimated tokens.
+    :param stamp: the sidecar's clock in seconds, as the router last heard it.
     """
 
     id: str
@@ -151,11 +152,25 @@
     incarnation: str
     budget: float
     work: float
+    stamp: float = 0.0
     account: str = ""
     fingerprint: str = ""
     guarded: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Stamp:
+    """A sidecar's clock as a router heard it.
+
+    :param time: the sidecar's monotonic seconds.
+    :param heard: the router's monotonic seconds at that moment.
+    """
+
+    incarnation: str
+    time: float
+    heard: float
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
     """Load of one endpoint as its sidecar sees it.
--- a/src/hickorylever/relay.py
+++ b/src/hickorylever/relay.py
@@ -1,5 +1,9 @@
 """Passes one answer on to the caller: a stream piece by piece, anything else only when whole."""
 
+import socket as stdsocket
+from collections.abc import Awaitable, Callable
+
+import curio
 import xxhash
 
 from . import defaults, problems
@@ -16,6 +20,40 @@
     """Frames of an answer do not fit together."""
 
 
+async def caller_gone(call) -> None:
+    """Return when the caller has closed its connection; a request that it pipelines is left."""
+    sock = call.exchange.channel.sock
+    try:
+        data = await sock.recv(1, stdsocket.MSG_PEEK)
+    except OSError:
+        return
+    if data:
+        await curio.Event().wait()
+
+
+async def outcome(work: Callable[..., Awaitable], *arguments: object) -> Exception | None:
+    """Return the exception that `work` ends with, because curio logs tasks that raise one."""
+    try:
+        await work(*arguments)
+    except Exception as error:
+        return error
+    return None
+
+
+async def while_wanted(call, work: Callable[..., Awaitable], *arguments: object) -> None:
+    """Await `work`, or cancel it when the caller goes away.
+
+    :raises ConnectionLost: when the caller was faster.
+    """
+    async with curio.TaskGroup(wait=any) as group:
+        task = await group.spawn(outcome, work, *arguments)
+        await group.spawn(caller_gone, call)
+    if group.completed is not task:
+        raise ConnectionLost("the caller is gone")
+    if task.result is not None:
+        raise task.result
+
+
 class Relay:
     """The caller's side of one call.
 
@@ -96,4 +134,7 @@
         if not self.begun:
             return
         event = b"event: error\ndata: " + problems.document(error) + b"\n\n"
-        await self.write(self.call.exchange.write(event))
+        try:
+            await self.call.exchange.write(event)
+        except ConnectionLost:
+            return
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -8,7 +8,7 @@
 
 from . import defaults, frames
 from .decisions import loads
-from .decisions.attempts import RAN, Attempts, Refusal
+from .decisions.attempts import Attempts, Refusal
 from .environment import Environment
 from .events import Event, log
 from .exceptions import ConnectionLost, Kind, Ran, RequestError
@@ -22,6 +22,17 @@
 FRAMES_TYPE = [(b"content-type", b"application/x-hickorylever-frames")]
 
 
+def number(query: dict, name: str) -> float:
+    """Return a number of the query, 0 when it is missing.
+
+    :raises RequestError: when it is not a number.
+    """
+    try:
+        return float(query.get(name, 0))
+    except ValueError:
+        raise RequestError(Kind.BAD_REQUEST, f"{name} is not a number") from None
+
+
 class Running:
     """The answer of one attempt as far as it is known, for every connection that wants it."""
 
@@ -31,9 +42,32 @@
         self.body = bytearray()
         self.end: End | Failed | None = None
         self.ended = 0.0
+        self.fetched = False
+        self.alone = 0.0
         self.events: set[curio.Event] = set()
         self.task: curio.Task | None = None
 
+    def lifetime(self) -> float:
+        """Return how many seconds an ended answer is kept."""
+        guarded = self.handover.attempt.guarded
+        return defaults.KEPT_LIFETIME if guarded else defaults.FINISHED_LIFETIME
+
+    def expired(self, now: float) -> bool:
+        """Tell whether the answer need not be kept any longer."""
+        return self.end is not None and now - self.ended > self.lifetime()
+
+    def orphaned(self, now: float) -> bool:
+        """Tell whether nobody has waited for the running attempt for too long."""
+        if self.end is not None or self.events or self.handover.attempt.guarded:
+            return False
+        return now - self.alone > defaults.ORPHAN_GRACE
+
+    def delivered(self, now: float) -> bool:
+        """Tell whether the answer was fetched, or nobody has come for it."""
+        if self.end is None or self.events:
+            return False
+        return self.fetched or now - max(self.ended, self.alone) > defaults.ORPHAN_GRACE
+
     async def wake(self) -> None:
         """Tell every connection that there is something new."""
         for event in tuple(self.events):
@@ -91,6 +125,7 @@
             running=self.attempts.running,
             draining=self.attempts.draining,
             revision=revision.number if revision else 0,
+            time=self.env.clock(),
         )
         await respond_json(exchange, state)
 
@@ -104,9 +139,10 @@
         attempt = handover.attempt
         refusal = self.attempts.admit(attempt, self.cap(), self.env.clock())
         if refusal is not None:
-            await self.answer_failed(exchange, attempt.id, refusal, Ran.NO)
+            await self.answer_failed(exchange, attempt.id, refusal)
             return
         running = Running(handover)
+        running.alone = self.env.clock()
         self.running[attempt.id] = running
         running.task = await curio.spawn(self.execute, running, daemon=True)
         await self.stream(exchange, running, 0)
@@ -118,24 +154,25 @@
         """
         attempt = parts[1]
         if query.get("incarnation") != self.env.incarnation:
-            refusal = Refusal(Kind.WRONG_INCARNATION, "the sidecar was restarted")
-            await self.answer_failed(exchange, attempt, refusal, Ran.UNKNOWN)
+            detail = "the sidecar was restarted"
+            refusal = Refusal(Kind.WRONG_INCARNATION, detail, Ran.UNKNOWN)
+            await self.answer_failed(exchange, attempt, refusal)
             return
         running = self.running.get(attempt)
         if running is not None:
-            await self.stream(exchange, running, int(query.get("offset", 0)))
+            await self.stream(exchange, running, int(number(query, "offset")))
             return
-        ran = self.attempts.cancel(attempt, self.env.clock())
+        ran = self.attempts.cancel(attempt, self.env.clock(), number(query, "stamp"))
         kind = Kind.CANCELLED if ran is Ran.NO else Kind.ANSWER_LOST
-        await self.answer_failed(exchange, attempt, Refusal(kind, "no answer is kept"), ran)
+        await self.answer_failed(exchange, attempt, Refusal(kind, "no answer is kept", ran))
 
     async def cancel(self, exchange: Exchange, parts: list[str], query: dict) -> None:
-        """Cancel an attempt and tell whether it ran."""
+        """Cancel an attempt and tell whether it ran. A guarded one that runs goes on."""
         attempt = parts[1]
         if query.get("incarnation") != self.env.incarnation:
             await respond_json(exchange, CancelResult(Ran.UNKNOWN.value))
             return
-        ran = self.attempts.cancel(attempt, self.env.clock())
+        ran = self.attempts.cancel(attempt, self.env.clock(), number(query, "stamp"))
         running = self.running.get(attempt)
         if running is not None and not running.handover.attempt.guarded and running.end is None:
             await running.task.cancel(blocking=False)
@@ -145,14 +182,19 @@
         """Return a failure with this sidecar's incarnation and load."""
         table = self.attempts
         return Failed(
-            attempt, kind.value, ran.value, detail, self.env.incarnation, table.work, table.running
+            attempt=attempt,
+            kind=kind.value,
+            ran=ran.value,
+            detail=detail,
+            incarnation=self.env.incarnation,
+            work=table.work,
+            running=table.running,
+            time=self.env.clock(),
         )
 
-    async def answer_failed(
-        self, exchange: Exchange, attempt: str, refusal: Refusal, ran: Ran
-    ) -> None:
+    async def answer_failed(self, exchange: Exchange, attempt: str, refusal: Refusal) -> None:
         """Answer with a single failure."""
-        frame = self.failed(attempt, refusal.kind, ran, refusal.detail)
+        frame = self.failed(attempt, refusal.kind, refusal.ran, refusal.detail)
         self.env.metrics.attempts.inc({"result": "refused", "kind": refusal.kind.value})
         await exchange.start(200, FRAMES_TYPE)
         await exchange.write(frames.encode(frame))
@@ -167,9 +209,11 @@
             await exchange.start(200, FRAMES_TYPE)
             await self.send_frames(exchange, running, offset, event)
             await exchange.end()
+            running.fetched = True
         finally:
             self.streams -= 1
             running.events.discard(event)
+            running.alone = self.env.clock()
 
     async def send_frames(
         self, exchange: Exchange, running: Running, offset: int, event: curio.Event
@@ -194,7 +238,7 @@
             async with curio.ignore_after(defaults.HEARTBEAT_INTERVAL) as timeout:
                 await event.wait()
             if timeout.expired:
-                beat = Beat(self.attempts.work, self.attempts.running)
+                beat = Beat(self.attempts.work, self.attempts.running, self.env.clock())
                 await exchange.write(frames.encode(beat))
 
     async def execute(self, running: Running) -> None:
@@ -209,6 +253,8 @@
             end = self.give_up(attempt.id, Kind.CANCELLED, "the attempt was cancelled")
         except ConnectionLost as error:
             end = self.give_up(attempt.id, Kind.ENDPOINT_FAILED, str(error))
+        except Exception as error:  # A router waits for this attempt's end, whatever happened.
+            end = self.give_up(attempt.id, Kind.INTERNAL, repr(error))
         running.ended = self.env.clock()
         running.end = end
         result = "failed" if isinstance(end, Failed) else "finished"
@@ -218,9 +264,9 @@
     def give_up(self, attempt: str, kind: Kind, detail: str) -> Failed:
         """End an attempt without a whole answer."""
         now = self.env.clock()
-        self.attempts.cancel(attempt, now)
+        self.attempts.move(attempt, "cancel", now)
         self.attempts.crash(attempt, now)
-        ran = RAN[self.attempts.entries[attempt].state]
+        ran = self.attempts.ran(attempt)
         log(Event.ATTEMPT_FAILED, detail, attempt=attempt, kind=kind.value, ran=ran.value)
         return self.failed(attempt, kind, ran, detail)
 
@@ -229,7 +275,7 @@
         handover = running.handover
         attempt = handover.attempt.id
         client = self.env.client
-        channel = await client.acquire(self.address, self.port)
+        channel = await client.acquire(self.address, self.port, fresh=handover.attempt.guarded)
         try:
             if not self.attempts.start(attempt, self.env.clock()):
                 raise ConnectionLost("the attempt was cancelled before it started")
@@ -250,25 +296,45 @@
         except BaseException:
             await channel.close()
             raise
+        now = self.env.clock()
+        self.attempts.finish(attempt, now)
         await client.release(self.address, self.port, channel)
-        self.attempts.finish(attempt, self.env.clock())
         digest = xxhash.xxh3_128_hexdigest(running.body)
-        return End(attempt, len(running.body), digest, self.attempts.work, self.attempts.running)
+        table = self.attempts
+        return End(attempt, len(running.body), digest, table.work, table.running, now)
 
     async def expire(self) -> None:
         """Forget old answers and tombstones, and cancel attempts that nobody waits for."""
         now = self.env.clock()
         self.attempts.expire(now)
         for name, running in list(self.running.items()):
-            if running.end is not None and now - running.ended > defaults.FINISHED_LIFETIME:
+            if running.expired(now):
                 del self.running[name]
+            elif running.orphaned(now):
+                await running.task.cancel(blocking=False)
+        self.trim(now)
         self.env.metrics.work.set({}, self.attempts.work)
         self.env.metrics.running.set({}, self.attempts.running)
 
+    def trim(self, now: float) -> None:
+        """Drop the oldest delivered answers while all of them take too many bytes."""
+        size = sum(len(running.body) for running in self.running.values())
+        for name, running in list(self.running.items()):
+            if size <= defaults.MAX_KEPT_BYTES:
+                return
+            if running.delivered(now):
+                size -= len(running.body)
+                del self.running[name]
+
+    def undelivered(self) -> bool:
+        """Tell whether an attempt runs or its answer still has to be fetched."""
+        now = self.env.clock()
+        return any(not running.delivered(now) for running in self.running.values())
+
     async def drain(self) -> None:
         """Refuse new work and return when every attempt has ended and was fetched."""
         self.attempts.draining = True
-        while self.attempts.running or self.streams:
+        while self.streams or self.undelivered():
             await curio.sleep(DRAIN_POLL)
 
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -27,7 +27,7 @@
 
 def test_cancel_before_arrival_refuses_the_late_attempt():
     table = Attempts("i", 10.0)
-    assert table.cancel("a", 0.0) is Ran.NO
+    assert table.cancel("a", 0.0, 0.0) is Ran.NO
     assert table.admit(attempt(), 100.0, 1.0).kind is Kind.CANCELLED
     assert not table.start("a", 1.0)
 
@@ -36,7 +36,7 @@
     table = Attempts("i", 10.0)
     table.admit(attempt(), 100.0, 0.0)
     assert table.start("a", 0.0)
-    assert table.cancel("a", 0.0) is Ran.UNKNOWN
+    assert table.cancel("a", 0.0, 0.0) is Ran.UNKNOWN
     assert table.finish("a", 0.0)
-    assert table.cancel("a", 0.0) is Ran.YES
+    assert table.cancel("a", 0.0, 0.0) is Ran.YES
     assert (table.work, table.running) == (0.0, 0)
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,188 @@
+import curio
+import msgspec
+import pytest
+from harness import HOST, World, run
+
+from hickorylever import defaults, frames, http
+from hickorylever.frames import CancelResult, Failed, Handover
+from hickorylever.records import Attempt
+from hickorylever.standins.engine import Speed
+
+SLOW = Speed(prefill=1e6, token=0.5)
+
+
+def handover(sidecar, name="a" * 32, incarnation=None, age=0.0, guarded=False, budget=60.0):
+    env = sidecar.env
+    attempt = Attempt(
+        id=name,
+        endpoint="engine-0",
+        incarnation=env.incarnation if incarnation is None else incarnation,
+        budget=budget,
+        work=10.0,
+        stamp=env.clock() - age,
+        guarded=guarded,
+    )
+    body = msgspec.json.encode({"model": "m1", "prompt": "x", "max_tokens": 20})
+    return Handover(attempt, "POST", "/v1/completions", [], body)
+
+
+async def offer(world, message):
+    """Hand over and return the answer's last frame."""
+    port = world.fleet.endpoints[0].sidecar_port
+    body = msgspec.msgpack.encode(message)
+    _, _, content = await world.client.fetch(HOST, port, "POST", "/attempts", body=body)
+    return frames.Reader().feed(content)[-1]
+
+
+async def cancel(world, sidecar, name="a" * 32, incarnation=None, age=0.0):
+    port = world.fleet.endpoints[0].sidecar_port
+    query = f"incarnation={incarnation or sidecar.env.incarnation}"
+    query += f"&stamp={sidecar.env.clock() - age}"
+    _, _, body = await world.client.fetch(HOST, port, "DELETE", f"/attempts/{name}?{query}")
+    return msgspec.json.decode(body, type=CancelResult).ran
+
+
+REFUSED = [
+    ({"incarnation": "older"}, "wrong_incarnation"),
+    ({"incarnation": ""}, "wrong_incarnation"),
+    ({"age": defaults.TOMBSTONE_LIFETIME / 2 + 1}, "wrong_incarnation"),
+    ({"age": -5.0}, "wrong_incarnation"),
+    ({"budget": 0.0}, "deadline"),
+]
+
+
+@pytest.mark.parametrize("change, kind", REFUSED)
+def test_refusals_are_definite(change, kind):
+    async def main():
+        async with World(engines=1, services=0) as world:
+            sidecar = world.sidecars["engine-0"]
+            result = await offer(world, handover(sidecar, **change))
+            assert isinstance(result, Failed)
+            assert (result.kind, result.ran) == (kind, "no")
+            assert not world.engines[0].runs
+
+    run(main)
+
+
+def test_second_delivery_of_a_finished_attempt_says_that_it_ran():
+    async def main():
+        async with World(engines=1, services=0) as world:
+            sidecar = world.sidecars["engine-0"]
+            await offer(world, handover(sidecar))
+            assert (await offer(world, handover(sidecar))).ran == "yes"
+            assert world.engines[0].runs == 1
+
+    run(main)
+
+
+CANCELS = [
+    ({}, "no"),
+    ({"incarnation": "older"}, "unknown"),
+    ({"age": defaults.TOMBSTONE_LIFETIME + 1}, "unknown"),
+]
+
+
+@pytest.mark.parametrize("change, ran", CANCELS)
+def test_cancel_before_delivery(change, ran):
+    async def main():
+        async with World(engines=1, services=0) as world:
+            sidecar = world.sidecars["engine-0"]
+            assert await cancel(world, sidecar, **change) == ran
+            age = change.get("age", 0.0)
+            if "incarnation" not in change:
+                result = await offer(world, handover(sidecar, age=age))
+                assert result.ran == "no" and not world.engines[0].runs
+
+    run(main)
+
+
+@pytest.mark.parametrize("guarded, running", [(False, 0), (True, 1)])
+def test_orphans_are_cancelled_unless_guarded(guarded, running, monkeypatch):
+    monkeypatch.setattr(defaults, "ORPHAN_GRACE", 0.0)
+
+    async def main():
+        async with World(engines=1, services=0, speed=SLOW) as world:
+            sidecar = world.sidecars["engine-0"]
+            port = world.fleet.endpoints[0].sidecar_port
+            channel = await world.client.acquire(HOST, port)
+            body = msgspec.msgpack.encode(handover(sidecar, guarded=guarded))
+            await world.client.request(channel, "POST", "/attempts", body=body)
+            while not world.engines[0].runs:
+                await curio.sleep(0.01)
+            await channel.abort()
+            attempt = next(iter(sidecar.running.values()))
+            while attempt.events:
+                await curio.sleep(0.01)
+            for _ in range(20):
+                await sidecar.expire()
+                await curio.sleep(0.005)
+            assert sidecar.attempts.running == running
+
+    run(main)
+
+
+def test_kept_answers_are_bounded(monkeypatch):
+    monkeypatch.setattr(defaults, "MAX_KEPT_BYTES", 1000)
+
+    async def main():
+        async with World(engines=1, services=0) as world:
+            sidecar = world.sidecars["engine-0"]
+            for number in range(20):
+                await offer(world, handover(sidecar, name=f"{number:032d}", guarded=True))
+            await sidecar.expire()
+            assert sum(len(kept.body) for kept in sidecar.running.values()) <= 1000
+            assert sidecar.running and f"{19:032d}" in sidecar.running
+
+    run(main)
+
+
+def test_request_that_h11_refuses_ends_the_attempt():
+    async def main():
+        async with World(engines=1, services=0) as world:
+            sidecar = world.sidecars["engine-0"]
+            broken = msgspec.structs.replace(handover(sidecar), target="/with space")
+            result = await offer(world, broken)
+            assert isinstance(result, Failed) and sidecar.attempts.running == 0
+
+    run(main)
+
+
+def test_drain_waits_for_the_stream():
+    async def main():
+        async with World(engines=1, services=0, speed=Speed(1e6, 0.03)) as world:
+            task = await curio.spawn(world.chat, "x", True)
+            while not world.engines[0].runs:
+                await curio.sleep(0.01)
+            await world.sidecars["engine-0"].drain()
+            status, _, body = await task.join()
+            assert status == 200 and body.endswith(b"data: [DONE]\n\n")
+            status, _, body = await world.chat()
+            assert (status, msgspec.json.decode(body)["ran"]) == (503, "no")
+
+    run(main)
+
+
+def test_router_drains_with_a_stream_in_flight():
+    async def main():
+        async with World(engines=1, services=0, speed=Speed(1e6, 0.03)) as world:
+            task = await curio.spawn(world.chat, "x", True)
+            while not world.engines[0].runs:
+                await curio.sleep(0.01)
+            router = world.routers[0]
+            router.server.draining = True
+            await router.drain()
+            status, _, body = await task.join()
+            assert status == 200 and body.endswith(b"data: [DONE]\n\n")
+
+    run(main)
+
+
+def test_bad_offset_is_a_bad_request():
+    async def main():
+        async with World(engines=1, services=0) as world:
+            env = world.sidecars["engine-0"].env
+            port = world.fleet.endpoints[0].sidecar_port
+            target = f"/attempts/x?incarnation={env.incarnation}&stamp=x"
+            assert (await http.Client().fetch(HOST, port, "GET", target))[0] == 400
+
+    run(main)
