--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -6,7 +6,7 @@
 import h11
 import msgspec
 
-from . import defaults, frames
+from . import admission, defaults, frames
 from .decisions.outcomes import Facts
 from .events import Event, log
 from .exceptions import ConnectionLost, Kind, Ran
@@ -254,13 +254,14 @@
         name = self.endpoint.name
         now = self.env.clock()
         self.env.stamps[name] = Stamp(incarnation or self.attempt.incarnation, frame.time, now)
-        self.env.loads[name] = Load(
+        load = Load(
             endpoint=name,
             work=frame.work,
             running=frame.running,
             capacity=self.endpoint.capacity,
             time=now,
         )
+        admission.take_load(self.env, load)
 
     def failed(self, kind: Kind, detail: str) -> Failed:
         """Return a failure that this router has found itself."""
