--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from . import admission, defaults, frames
+from . import admission, configuration, defaults, frames
 from .decisions.attempts import RAN, Attempts, Refusal
 from .environment import Environment
 from .events import Event, log
@@ -281,5 +281,6 @@
 async def main(settings: Settings) -> None:
     """Run a sidecar until it is told to stop."""
     env = Environment(settings)
+    configuration.attach(env)
     sidecar = Sidecar(env)
     await run_node(env, sidecar.server, sidecar.drain)
