--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -6,7 +6,9 @@
 import uuid
 from collections.abc import Awaitable, Callable
 
+from . import defaults
 from .decisions.affinity import View
+from .decisions.budgets import RetryBudget
 from .decisions.chats import Popularity
 from .decisions.loads import Estimates, Loads
 from .decisions.pools import Pool, load_groups, make_pools
@@ -18,7 +20,7 @@
 from .http import Client
 from .metrics import Metrics
 from .platform import Platform
-from .records import Application, ClientAccount, Endpoint, Fleet, Member, Revision
+from .records import Application, ClientAccount, Endpoint, Fleet, Member, Revision, Stamp
 from .settings import Settings, split_address
 from .timers import Timers
 
@@ -48,6 +50,8 @@
         self.estimates = Estimates()
         self.popularity = Popularity()
         self.incarnations: dict[str, str] = {}
+        self.stamps: dict[str, Stamp] = {}
+        self.retries = RetryBudget(defaults.RETRY_SHARE, defaults.RETRY_BURST)
         self.view = View(
             loads=self.loads,
             failure_domain=settings.failure_domain,
