Add the gossip's decisions: members, probes, rumours and their composition

Cause: routers knew endpoints from the inventory alone, so a leaving or dead endpoint was found only by failed hand-overs.

Updates from synchronisation are now merged but not passed on, and one datagram goes to all targets of a round.

--- /dev/null
+++ b/src/hickorylever/bench/mesh.py
@@ -0,0 +1,169 @@
+"""Many members' gossip in one process and virtual time, over links with delay and loss."""
+
+import random
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from .. import defaults
+from ..decisions.swim import Group, Send, Swim
+from ..packets import Phase, identify
+from .driver import Driver
+
+TICK = 0.1
+
+
+@dataclass(slots=True)
+class Node:
+    """One member and what it has spent.
+
+    :param seconds: processor time of its decisions, encoding and decoding included.
+    :param revision: the largest revision number that it has heard, and when.
+    """
+
+    name: str
+    swim: Swim
+    router: bool
+    alive: bool = True
+    paused: bool = False
+    side: int = 0
+    sent: Counter = field(default_factory=Counter)
+    received: Counter = field(default_factory=Counter)
+    seconds: float = 0.0
+    revision: int = 0
+
+
+@dataclass(slots=True)
+class Links:
+    """Delay in seconds, uniform between two bounds, and the share of lost datagrams."""
+
+    low: float = 0.002
+    high: float = 0.012
+    loss: float = 0.0
+
+
+class Mesh:
+    """Members over a driver.
+
+    :param routers: number of routers; the others are sidecars of one application each 40.
+    """
+
+    def __init__(self, driver: Driver, routers: int, sidecars: int, links: Links):
+        self.driver = driver
+        self.links = links
+        self.heard: dict[tuple[str, int], float] = {}
+        self.nodes: dict[int, Node] = {}
+        names = [f"entry-{number}" for number in range(routers)]
+        names += [f"engine-{number}" for number in range(sidecars)]
+        self.ids = [identify(name) for name in names]
+        self.routers = tuple(self.ids[:routers])
+        self.sidecars = tuple(self.ids[routers:])
+        for name in names:
+            self.start(name, 1)
+
+    def start(self, name: str, generation: int) -> Node:
+        """Start a member, or a new run of one that was there."""
+        me = identify(name)
+        swim = Swim(me, generation, random.Random(self.driver.chance.random()))
+        swim.members.set_inventory(self.ids)
+        swim.members.declare(Phase.READY)
+        swim.routers = self.routers
+        node = Node(name, swim, me in self.routers)
+        self.nodes[me] = node
+        swim.groups = self.groups(me)
+        self.driver.after(self.driver.chance.uniform(0, TICK), self.tick, node)
+        return node
+
+    def warm(self) -> None:
+        """Let every member know every other, as after a long quiet time."""
+        updates = [node.swim.my_update() for node in self.nodes.values()]
+        for node in self.nodes.values():
+            for update in updates:
+                node.swim.members.hear(update, self.driver.now)
+            node.swim.members.changed.clear()
+            node.swim.members.established = True
+            node.swim.heard_at = self.driver.now
+            node.swim.sync_due = self.driver.chance.uniform(0, defaults.SYNC_INTERVAL)
+            node.swim.probes.due = self.driver.chance.uniform(0, defaults.PROBE_INTERVAL)
+            node.swim.sample_due = self.driver.chance.uniform(0, defaults.SAMPLE_INTERVAL)
+
+    def groups(self, me: int) -> dict[str, tuple[Group, ...]]:
+        """Return whom a member sends its samples to."""
+        others = tuple(member for member in self.routers if member != me)
+        if me in self.routers:
+            return {"use": (Group(others, defaults.USE_SAMPLE),)}
+        index = self.sidecars.index(me) // 40 * 40
+        peers = tuple(m for m in self.sidecars[index : index + 40] if m != me)
+        return {
+            "load": (
+                Group(peers, defaults.LOAD_SAMPLE),
+                Group(self.routers, defaults.LOAD_ROUTERS),
+            )
+        }
+
+    def tick(self, node: Node) -> None:
+        """Tick one member and ask for its next tick."""
+        if not node.alive:
+            return
+        self.driver.after(TICK, self.tick, node)
+        if not node.paused:
+            self.run(node, node.swim.tick, self.driver.now)
+
+    def run(self, node: Node, call, *arguments) -> None:
+        """Time one decision of a member and send what it returns."""
+        begun = time.perf_counter()
+        sends = call(*arguments)
+        node.seconds += time.perf_counter() - begun
+        for news in node.swim.inbox:
+            if news.topic == "revision":
+                self.heard.setdefault((node.name, news.value), self.driver.now)
+                node.revision = max(node.revision, news.value)
+        node.swim.inbox.clear()
+        for send in sends:
+            self.post(node, send)
+
+    def post(self, node: Node, send: Send) -> None:
+        """Put a datagram on its link."""
+        size = len(send.data) + defaults.DATAGRAM_OVERHEAD
+        node.sent["messages"] += 1
+        node.sent["bytes"] += size
+        target = self.nodes[send.target]
+        chance = self.driver.chance
+        if chance.random() < self.links.loss or target.side != node.side:
+            return
+        delay = chance.uniform(self.links.low, self.links.high)
+        self.driver.after(delay, self.deliver, target, send, size)
+
+    def deliver(self, node: Node, send: Send, size: int) -> None:
+        """Give a datagram to its member, unless that is dead; a paused one takes it late."""
+        if not node.alive:
+            return
+        if node.paused:
+            self.driver.after(TICK, self.deliver, node, send, size)
+            return
+        node.received["messages"] += 1
+        node.received["bytes"] += size
+        self.run(node, node.swim.receive, send.data, self.driver.now)
+
+    def tell(self, node: Node, topic: str, value: object) -> None:
+        """Let a member tell a topic."""
+        node.swim.tell(topic, value)
+
+    def kill(self, node: Node) -> None:
+        """Stop a member without notice."""
+        node.alive = False
+
+    def drain(self, node: Node) -> None:
+        """Let a member announce that it drains."""
+        self.run(node, node.swim.leave, Phase.DRAINING, self.driver.now)
+
+    def reset(self) -> None:
+        """Start the counts again."""
+        for node in self.nodes.values():
+            node.sent.clear()
+            node.received.clear()
+            node.seconds = 0.0
+
+    def live(self) -> list[Node]:
+        """Return the running members."""
+        return [node for node in self.nodes.values() if node.alive]
--- /dev/null
+++ b/src/hickorylever/decisions/swim.py
@@ -0,0 +1,390 @@
+"""One member of the gossip: probes, rumours, samples and synchronisation over datagrams.
+
+Bytes go in and out; sockets and the clock belong to the caller.
+"""
+
+import collections
+import enum
+import math
+import random
+from dataclasses import dataclass
+
+from .. import defaults, packets
+from ..packets import Health, News, Packet, PacketKind, Phase, Update
+from .members import Members
+from .probes import Probes
+from .rumours import Budget, Rumours
+
+
+class Spread(enum.Enum):
+    """How a topic travels."""
+
+    SAMPLE = "sample"  # from its origin to random members of its groups, every second
+    RUMOUR = "rumour"  # passed on by everyone, the latest value of each origin
+    LARGEST = "largest"  # passed on by everyone, only the largest value of all origins
+
+
+@dataclass(frozen=True, slots=True)
+class Topic:
+    """How a topic is sent.
+
+    :param value: topics of a higher value are sent first and dropped last.
+    """
+
+    spread: Spread
+    value: int
+
+
+TOPICS = {
+    "revision": Topic(Spread.LARGEST, 4),
+    "suspect": Topic(Spread.RUMOUR, 2),
+    "use": Topic(Spread.SAMPLE, 1),
+    "load": Topic(Spread.SAMPLE, 0),
+}
+OTHER_TOPIC = Topic(Spread.SAMPLE, 0)
+UPDATE_VALUE = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """A datagram for a member."""
+
+    target: int
+    data: bytes
+    kind: str
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """Members that a sampled topic goes to, `count` of them every second."""
+
+    members: tuple[int, ...]
+    count: int
+
+
+class Swim:
+    """The whole state of one member's gossip.
+
+    :param me: this member's id.
+    :param generation: this run of the process; the wall clock's milliseconds are a good hint.
+    """
+
+    def __init__(self, me: int, generation: int, chance: random.Random):
+        self.me = me
+        self.chance = chance
+        self.members = Members(me, generation)
+        self.probes = Probes(chance, self.probe_candidates)
+        self.rumours = Rumours(lambda: len(self.members.entries))
+        self.budget = Budget(defaults.CONTROL_RATE, defaults.CONTROL_BURST)
+        self.groups: dict[str, tuple[Group, ...]] = {}
+        self.routers: tuple[int, ...] = ()
+        self.mine: dict[str, News] = {}
+        self.seen: dict[tuple[str, int], object] = {}
+        self.inbox: list[News] = []
+        self.chunks: collections.deque[tuple[int, Packet]] = collections.deque()
+        self.dropped: collections.Counter[str] = collections.Counter()
+        self.version = generation << 20
+        self.heard_at = -math.inf
+        self.ticked_at: float | None = None
+        self.gossip_due = 0.0
+        self.sample_due = 0.0
+        self.sync_due = 0.0
+        self.rounds = 0
+        self.handlers = {
+            PacketKind.PING: self.take_ping,
+            PacketKind.ACK: self.take_ack,
+            PacketKind.NACK: self.take_nack,
+            PacketKind.RELAY: self.take_relay,
+            PacketKind.GOSSIP: self.take_gossip,
+            PacketKind.UPDATES: self.take_updates,
+            PacketKind.DIGESTS: self.take_digests,
+            PacketKind.DIGESTS_REPLY: self.take_digests,
+        }
+
+    def isolated(self, now: float) -> bool:
+        """Tell whether nobody was heard for a while, so that silence means nothing."""
+        return now - self.heard_at > defaults.ISOLATION_TIME
+
+    def probe_candidates(self) -> list[int]:
+        """Return the members to probe."""
+        return self.members.live()
+
+    def tell(self, topic: str, value: object) -> None:
+        """Tell others this member's latest value of a topic."""
+        self.version += 1
+        news = News(self.me, topic, self.version, value)
+        spread = TOPICS.get(topic, OTHER_TOPIC).spread
+        if spread is Spread.SAMPLE:
+            self.mine[topic] = news
+        elif self.is_news(news):
+            self.pass_on(news)
+
+    def is_news(self, news: News) -> bool:
+        """Remember an item if it is newer than what is known. False when it is not."""
+        largest = TOPICS.get(news.topic, OTHER_TOPIC).spread is Spread.LARGEST
+        key = (news.topic, 0 if largest else news.origin)
+        mark = news.value if largest else news.version
+        if key in self.seen and mark <= self.seen[key]:
+            return False
+        self.seen[key] = mark
+        return True
+
+    def pass_on(self, news: News) -> None:
+        """Queue an item for others."""
+        topic = TOPICS.get(news.topic, OTHER_TOPIC)
+        key = (news.topic, 0 if topic.spread is Spread.LARGEST else news.origin)
+        self.rumours.add(key, news, len(packets.encode(news)), topic.value)
+
+    def queue_updates(self) -> None:
+        """Queue changed members for others."""
+        for update in self.members.changed:
+            size = len(packets.encode(update))
+            self.rumours.add(("member", update.member), update, size, UPDATE_VALUE)
+        self.members.changed.clear()
+
+    def packet(
+        self, kind: PacketKind, room: int, first: Update | None = None, copies: int = 1, **more
+    ) -> Packet:
+        """Return a packet filled with rumours up to `room` bytes, for `copies` members."""
+        self.queue_updates()
+        items = self.rumours.take(room, copies)
+        updates = [item for item in items if isinstance(item, Update)]
+        if first is not None and first not in updates:
+            updates.insert(0, first)
+        news = [item for item in items if isinstance(item, News)]
+        return Packet(kind, self.me, updates=updates, news=news, **more)
+
+    def send(self, target: int, packet: Packet) -> Send:
+        """Return a datagram that must go out; it is charged to the budget."""
+        send = Send(target, packets.encode(packet), packet.kind.name.lower())
+        self.budget.force(len(send.data) + defaults.DATAGRAM_OVERHEAD)
+        return send
+
+    def offer(self, target: int, packet: Packet, kind: str, reserve: float) -> list[Send]:
+        """Return a datagram if the budget has room for it."""
+        data = packets.encode(packet)
+        if not self.budget.take(len(data) + defaults.DATAGRAM_OVERHEAD, reserve):
+            self.dropped[kind] += 1
+            return []
+        return [Send(target, data, kind)]
+
+    def my_update(self) -> Update:
+        """Return what this member says of itself."""
+        return self.members.entries[self.me].update
+
+    def tick(self, now: float) -> list[Send]:
+        """Do what is due. Call it several times a second."""
+        self.notice_pause(now)
+        self.budget.fill(now)
+        sends = self.finish_probes(now)
+        if not self.isolated(now):
+            self.members.expire(now)
+        sends += self.begin_probe(now)
+        sends += self.gossip(now)
+        sends += self.samples(now)
+        sends += self.synchronise(now)
+        return sends
+
+    def notice_pause(self, now: float) -> None:
+        """After a pause of this process, trust no silence that fell into it."""
+        gap = now - self.ticked_at if self.ticked_at is not None else 0.0
+        self.ticked_at = now
+        if gap < defaults.PAUSE_NOTICED:
+            return
+        self.probes.abandon(now)
+        self.members.postpone(gap)
+
+    def finish_probes(self, now: float) -> list[Send]:
+        """Ask helpers, suspect silent members and tell others of failed relays."""
+        sends = []
+        for number, probe in self.probes.unanswered(now):
+            packet = Packet(PacketKind.RELAY, self.me, number, probe.target)
+            sends += [self.send(helper, packet) for helper in self.probes.helpers(probe)]
+        for target in self.probes.failed(now):
+            if not self.isolated(now):
+                self.members.suspect(target, now)
+        for relayed in self.probes.declined(now):
+            packet = Packet(PacketKind.NACK, self.me, relayed.sequence, relayed.target)
+            sends.append(self.send(relayed.origin, packet))
+        return sends
+
+    def begin_probe(self, now: float) -> list[Send]:
+        """Probe the next member, and now and then one that is gone."""
+        if now < self.probes.due:
+            return []
+        self.rounds += 1
+        targets = []
+        target = self.probes.next_target()
+        if target is not None:
+            targets.append(target)
+        gone = self.members.gone() if self.rounds % defaults.PROBE_GONE_EVERY == 0 else []
+        if gone:
+            targets.append(self.chance.choice(gone))
+        return [self.ping(target, self.probes.begin(target, now)) for target in targets]
+
+    def ping(self, target: int, sequence: int) -> Send:
+        """Return a probe; it carries what is known of its target, which may refute it."""
+        entry = self.members.entries.get(target)
+        packet = self.packet(
+            PacketKind.PING, defaults.PIGGYBACK_BYTES, self.my_update(), sequence=sequence
+        )
+        if entry is not None and entry.update.health is not Health.ALIVE:
+            packet.updates.append(entry.update)
+        return self.send(target, packet)
+
+    def gossip(self, now: float) -> list[Send]:
+        """Pass rumours on to a few random members."""
+        self.queue_updates()
+        if now < self.gossip_due or not self.rumours:
+            return []
+        self.gossip_due = now + defaults.GOSSIP_INTERVAL
+        live = self.members.live()
+        targets = self.chance.sample(live, min(defaults.GOSSIP_FANOUT, len(live)))
+        if not targets or self.budget.tokens < len(targets) * defaults.DATAGRAM_BYTES:
+            self.dropped["gossip"] += 1
+            return []
+        packet = self.packet(PacketKind.GOSSIP, defaults.DATAGRAM_BYTES, copies=len(targets))
+        return [self.send(target, packet) for target in targets]
+
+    def samples(self, now: float) -> list[Send]:
+        """Send the sampled topics, those of high value first."""
+        if now < self.sample_due:
+            return []
+        self.sample_due = now + defaults.SAMPLE_INTERVAL
+        sends = []
+        order = sorted(self.mine, key=lambda name: -TOPICS.get(name, OTHER_TOPIC).value)
+        for name in order:
+            packet = Packet(PacketKind.GOSSIP, self.me, news=[self.mine[name]])
+            low = TOPICS.get(name, OTHER_TOPIC).value == 0
+            reserve = defaults.CONTROL_RESERVE * (2 if low else 1)
+            for group in self.groups.get(name, ()):
+                chosen = self.chance.sample(group.members, min(group.count, len(group.members)))
+                for target in chosen:
+                    sends += self.offer(target, packet, name, reserve)
+        return sends
+
+    def synchronise(self, now: float) -> list[Send]:
+        """Compare tables with a random member now and then, and send what was asked for."""
+        live = self.members.live() if now >= self.sync_due else []
+        if live:
+            joined = self.members.established
+            pause = defaults.SYNC_INTERVAL if joined else defaults.PROBE_INTERVAL
+            self.sync_due = now + pause * self.chance.uniform(0.75, 1.25)
+            digests = self.members.digests()
+            packet = Packet(
+                PacketKind.DIGESTS, self.me, updates=[self.my_update()], digests=digests
+            )
+            self.chunks.append((self.chance.choice(live), packet))
+        sends = []
+        while self.chunks and self.budget.tokens > defaults.CONTROL_RESERVE:
+            sends.append(self.send(*self.chunks.popleft()))
+        return sends
+
+    def leave(self, phase: Phase, now: float) -> list[Send]:
+        """Declare that this member drains or has left, to many members at once."""
+        if not self.members.declare(phase):
+            return []
+        self.queue_updates()
+        near = self.routers or tuple(self.members.live())
+        targets = self.chance.sample(near, min(defaults.DRAIN_NOTICES, len(near)))
+        packet = Packet(PacketKind.GOSSIP, self.me, updates=[self.my_update()])
+        return [self.send(target, packet) for target in targets if target != self.me]
+
+    def receive(self, data: bytes, now: float) -> list[Send]:
+        """Take a datagram and return the answers.
+
+        :raises msgspec.DecodeError: when it is malformed.
+        """
+        packet = packets.decode(data)
+        if packet.sender not in self.members.entries or packet.sender == self.me:
+            return []
+        self.heard_at = now
+        before = self.my_update()
+        for update in packet.updates:
+            self.members.hear(update, now)
+        if self.my_update() != before:
+            self.probes.blame_myself()
+        for news in packet.news:
+            self.take_news(news)
+        return self.handlers[packet.kind](packet, now)
+
+    def take_news(self, news: News) -> None:
+        """Keep news for the handlers, and pass rumours on."""
+        if news.origin == self.me or not self.is_news(news):
+            return
+        self.inbox.append(news)
+        if TOPICS.get(news.topic, OTHER_TOPIC).spread is not Spread.SAMPLE:
+            self.pass_on(news)
+
+    def correction(self, packet: Packet) -> Update | None:
+        """Return what is known of a sender if that is newer than what it says of itself."""
+        entry = self.members.entries[packet.sender]
+        said = [update for update in packet.updates if update.member == packet.sender]
+        wrong = entry.heard and said and said[0] != entry.update
+        doubted = entry.update.health is not Health.ALIVE
+        return entry.update if wrong or doubted else None
+
+    def take_ping(self, packet: Packet, now: float) -> list[Send]:
+        """Answer a probe."""
+        answer = self.packet(
+            PacketKind.ACK,
+            defaults.PIGGYBACK_BYTES,
+            self.correction(packet),
+            sequence=packet.sequence,
+            target=self.me,
+        )
+        return [self.send(packet.sender, answer)]
+
+    def take_ack(self, packet: Packet, now: float) -> list[Send]:
+        """Note a sign of life, for this member or for the one that asked for it."""
+        relayed = self.probes.relayed.pop(packet.sequence, None)
+        if relayed is not None and relayed.target == packet.target:
+            answer = Packet(PacketKind.ACK, self.me, relayed.sequence, relayed.target)
+            return [self.send(relayed.origin, answer)]
+        probe = self.probes.open.get(packet.sequence)
+        if probe is not None and probe.target == packet.target:
+            self.probes.acknowledge(packet.sequence)
+            corrected = any(update.member == self.me for update in packet.updates)
+            self.members.established = self.members.established or not corrected
+        return []
+
+    def take_nack(self, packet: Packet, now: float) -> list[Send]:
+        """Note that a helper could not reach the target."""
+        self.probes.decline(packet.sequence)
+        return []
+
+    def take_relay(self, packet: Packet, now: float) -> list[Send]:
+        """Probe a member for the sender."""
+        if packet.target not in self.members.entries:
+            return []
+        number = self.probes.relay(packet.sender, packet.sequence, packet.target, now)
+        return [self.ping(packet.target, number)]
+
+    def take_gossip(self, packet: Packet, now: float) -> list[Send]:
+        """Rumours were taken already; a doubted sender is told of the doubt."""
+        entry = self.members.entries[packet.sender]
+        if entry.update.health is Health.ALIVE:
+            return []
+        answer = Packet(PacketKind.GOSSIP, self.me, updates=[entry.update])
+        return [self.send(packet.sender, answer)]
+
+    def take_updates(self, packet: Packet, now: float) -> list[Send]:
+        """Pass on only what concerns this member; the rest was told before."""
+        changed = self.members.changed
+        changed[:] = [update for update in changed if update.member == self.me]
+        return []
+
+    def take_digests(self, packet: Packet, now: float) -> list[Send]:
+        """Queue the updates that the sender's table may lack, and ask for its own."""
+        updates = self.members.differing(packet.digests)
+        if not updates:
+            return []
+        if packet.kind is PacketKind.DIGESTS:
+            digests = self.members.digests()
+            reply = Packet(PacketKind.DIGESTS_REPLY, self.me, digests=digests)
+            self.chunks.append((packet.sender, reply))
+        each = defaults.SYNC_UPDATES
+        for start in range(0, len(updates), each):
+            chunk = Packet(PacketKind.UPDATES, self.me, updates=updates[start : start + each])
+            self.chunks.append((packet.sender, chunk))
+        return []
--- /dev/null
+++ b/tests/test_swim.py
@@ -0,0 +1,130 @@
+import random
+from collections import Counter
+
+import pytest
+
+from hickorylever import defaults, packets
+from hickorylever.bench.driver import Driver
+from hickorylever.bench.mesh import Links, Mesh
+from hickorylever.decisions.rumours import Budget
+from hickorylever.decisions.swim import Group, Swim
+from hickorylever.packets import Health, Packet, PacketKind, Phase, Update
+from hickorylever.records import MemberState
+
+
+def mesh(routers=3, sidecars=9, loss=0.0, seed=1, warm=True):
+    made = Mesh(Driver(seed), routers, sidecars, Links(loss=loss))
+    if warm:
+        made.warm()
+    return made
+
+
+def states(world, about, nodes=None):
+    seen = [n.swim.members.state(about) for n in nodes or world.live() if n.swim.me != about]
+    return Counter(seen)
+
+
+def test_a_cold_start_makes_everybody_ready():
+    world = mesh(loss=0.05, warm=False)
+    world.driver.run(10.0)
+    for node in world.live():
+        assert node.swim.members.established
+        assert set(states(world, node.swim.me)) == {MemberState.READY}
+
+
+def test_a_killed_member_is_gone_and_its_next_run_is_ready():
+    world = mesh(loss=0.05)
+    victim = world.sidecars[0]
+    world.kill(world.nodes[victim])
+    world.driver.run(12.0)
+    assert set(states(world, victim)) == {MemberState.GONE}
+    world.start("engine-0", 0)
+    world.driver.run(30.0)
+    assert set(states(world, victim)) == {MemberState.READY}
+    assert world.nodes[victim].swim.my_update().generation > 1
+
+
+def test_draining_reaches_routers_within_two_seconds():
+    world = mesh(routers=20, sidecars=40, loss=0.05)
+    world.driver.run(1.0)
+    leaving = world.sidecars[3]
+    world.drain(world.nodes[leaving])
+    world.driver.run(3.0)
+    routers = [world.nodes[member] for member in world.routers]
+    assert set(states(world, leaving, routers)) == {MemberState.DRAINING}
+
+
+def test_a_paused_member_does_not_declare_the_others_gone():
+    world = mesh()
+    paused = world.nodes[world.routers[0]]
+    world.driver.run(1.0)
+    paused.paused = True
+    world.driver.run(31.0)
+    paused.paused = False
+    world.driver.run(31.5)
+    others = [paused.swim.members.state(n.swim.me) for n in world.live() if n is not paused]
+    assert set(others) == {MemberState.READY}
+    world.driver.run(45.0)
+    assert set(states(world, paused.swim.me)) == {MemberState.READY}
+
+
+def test_two_sides_of_a_partition_find_each_other_again():
+    world = mesh(loss=0.02)
+    for member in world.ids[::2]:
+        world.nodes[member].side = 1
+    world.driver.run(30.0)
+    assert states(world, world.ids[0])[MemberState.GONE] == 6
+    for node in world.live():
+        node.side = 0
+    world.driver.run(60.0)
+    for member in world.ids:
+        assert set(states(world, member)) == {MemberState.READY}
+
+
+def test_an_isolated_router_keeps_its_endpoints():
+    world = mesh()
+    router = world.nodes[world.routers[0]]
+    router.side = 1
+    world.driver.run(60.0)
+    swim = router.swim
+    assert swim.isolated(60.0)
+    assert all(swim.members.usable(member, 60.0, True) for member in world.sidecars)
+
+
+@pytest.mark.parametrize("loss", [0.01, 0.2])
+def test_the_largest_revision_reaches_everybody(loss):
+    world = mesh(loss=loss)
+    for member, number in zip(world.ids, (3, 9, 4), strict=False):
+        world.nodes[member].swim.tell("revision", number)
+    world.driver.run(3.0)
+    tellers = world.ids[1]
+    assert {n.revision for n in world.live() if n.swim.me != tellers} == {9}
+
+
+def test_low_value_topics_are_dropped_first_when_the_budget_is_short():
+    swim = Swim(1, 1, random.Random(1))
+    swim.members.set_inventory([2])
+    swim.budget = Budget(0.0, 2.5 * defaults.CONTROL_RESERVE)
+    swim.groups = {name: (Group((2,), 1),) for name in ("use", "load")}
+    swim.tell("load", "x" * 1000)
+    swim.tell("use", "x" * 1000)
+    kinds = [send.kind for send in swim.samples(0.0)]
+    assert kinds == ["use"] and swim.dropped == {"load": 1}
+
+
+def test_sent_bytes_keep_to_the_budget_when_a_failure_domain_drops_out():
+    world = mesh(routers=10, sidecars=50)
+    for member in world.ids[::5]:
+        world.kill(world.nodes[member])
+    world.reset()
+    world.driver.run(20.0)
+    most = max(node.sent["bytes"] for node in world.live())
+    assert most <= 20 * defaults.CONTROL_RATE + defaults.CONTROL_BURST
+
+
+def test_datagrams_stay_small_and_malformed_or_unknown_ones_change_nothing():
+    updates = [Update(2**64 - i, 2**41, 9, Phase.READY, Health.GONE) for i in range(1, 41)]
+    packet = Packet(PacketKind.UPDATES, 7, updates=updates)
+    assert len(packets.encode(packet)) <= defaults.DATAGRAM_BYTES
+    swim = Swim(1, 1, random.Random(1))
+    assert swim.receive(packets.encode(packet), 0.0) == [] and swim.isolated(0.0)
