Queue requests fairly by client account in the router

Cause: nothing kept one account's surge from the others, and a request that could not start in time was held until its deadline. Usage in answers feeds the estimates of work. Conclusion: property tests show that nothing starves; a float remainder that blocked an idle queue was found by them and is fixed.

--- a/src/hickorylever/admission.py
+++ b/src/hickorylever/admission.py
@@ -5,11 +5,10 @@
 from . import defaults
 from .decisions import loads
 from .decisions.pools import Pool, peer_group
-from .environment import Environment
 from .records import Endpoint, Load
 
 
-def take_load(env: Environment, load: Load) -> None:
+def take_load(env, load: Load) -> None:
     """Take an endpoint's load as its sidecar has told it; too old a report is left out.
 
     :param load: its `time` is in this process's monotonic seconds.
@@ -18,7 +17,7 @@
         env.loads.note(load)
 
 
-def cap(env: Environment, endpoint: Endpoint, work: float, running: int) -> float:
+def cap(env, endpoint: Endpoint, work: float, running: int) -> float:
     """Return the largest work in tokens that an endpoint may hold now.
 
     The mean is over the reports that are young enough, and the endpoint's own work as it is.
@@ -29,7 +28,7 @@
     return loads.cap(mean, endpoint.capacity, env.view.multiple, env.view.floor)
 
 
-def room(env: Environment, pool: Pool, held: float) -> float:
+def room(env, pool: Pool, held: float) -> float:
     """Return the work in tokens that this router may have at a pool.
 
     :param held: work of this router's own requests there, which the reports count too.
--- a/src/hickorylever/call.py
+++ b/src/hickorylever/call.py
@@ -16,6 +16,8 @@
     :param deadline: monotonic seconds.
     :param work: estimated tokens.
     :param prefix: identity of a long prefix that other chats share, or empty.
+    :param priority: higher goes first at the endpoint.
+    :param tail: last bytes of the answer, where engines report usage.
     :param candidates: endpoints in order of preference, produced on demand.
     :param ran: the strongest claim about execution that is known so far.
     """
@@ -34,6 +36,8 @@
     prefix: str = ""
     prompt_bytes: int = 0
     work: float = 0.0
+    priority: int = 0
+    tail: bytes = b""
     key: str = ""
     guarded: bool = False
     fingerprint: str = ""
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -188,6 +188,7 @@
     async def take_data(self, frame: Data) -> None:
         """Pass body bytes on."""
         await self.relay.take_data(frame)
+        self.call.tail = (self.call.tail + frame.body)[-defaults.ANSWER_TAIL_BYTES :]
 
     async def take_end(self, frame: End) -> End:
         """Release a whole answer."""
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -1,6 +1,5 @@
 """The central object of a process: settings, registries, clock, metrics and the fleet in force."""
 
-import collections
 import random
 import time
 import uuid
@@ -19,6 +18,7 @@
 from .exceptions import ConnectionLost, PlatformError
 from .fleet import decode, digest
 from .http import Client
+from .limits import Limits
 from .metrics import Metrics
 from .platform import Platform
 from .records import Application, ClientAccount, Endpoint, Fleet, Revision
@@ -54,7 +54,8 @@
             chance=self.chance,
             usable=self.usable,
         )
-        self.running: collections.Counter[str] = collections.Counter()
+        self.limits = Limits(self)
+        self.client_accounts: dict[str, ClientAccount] = {}
         self.draining = False
         self.tasks: list[Callable[[], Awaitable[None]]] = [self.follow_configuration]
         self.accounts: dict[str, ClientAccount] = {}
@@ -91,6 +92,7 @@
         self.accounts = {
             key: account for account in fleet.client_accounts for key in account.key_digests
         }
+        self.client_accounts = {entry.name: entry for entry in fleet.client_accounts}
         self.applications = {entry.name: entry for entry in fleet.applications}
         pools: dict[str, list[Endpoint]] = {}
         models: dict[str, list[Endpoint]] = {}
--- a/src/hickorylever/filters/choose.py
+++ b/src/hickorylever/filters/choose.py
@@ -3,6 +3,7 @@
 from ..decisions.affinity import Ask, policies
 from ..exceptions import Kind, RequestError
 from . import filters
+from .parse import with_priority
 
 SERVICE_POLICY = "near"
 
@@ -15,4 +16,6 @@
     policy = policies[env.fleet.policy if call.model else SERVICE_POLICY]
     ask = Ask(call.chat, call.prefix, call.work, env.clock())
     call.candidates = policy(ask, call.endpoints, env.view)
+    if call.model:
+        call.body = with_priority(call.body, call.priority)
     await proceed()
--- a/src/hickorylever/filters/limit.py
+++ b/src/hickorylever/filters/limit.py
@@ -1,15 +1,28 @@
-"""Limits of client accounts."""
+"""Makes a call wait for its client account's fair turn, within what the pool has room for."""
 
+from ..decisions import loads
+from ..decisions.fairness import Waiter
 from . import filters
 
 
+def learn(env, call) -> None:
+    """Learn a call's true work from the usage that its answer reported."""
+    usage = loads.read_usage(call.tail) if call.model else None
+    if usage is not None:
+        env.estimates.learn(call.account.name, call.model, call.prompt_bytes, usage)
+
+
 @filters.register("limit")
 async def limit(env, call, proceed) -> None:
-    """Count the call in its account's running requests while it goes on."""
-    env.running[call.account.name] += 1
+    """Let the call go on when its account's turn has come."""
+    limits = env.limits
+    queue = limits.queue(call.endpoints)
+    waiter = Waiter(call.account.name, call.work, call.deadline)
     try:
+        await limits.wait(queue, waiter)
+        limits.use.note(waiter.account, waiter.work, env.clock())
+        call.priority = call.account.priority - (not waiter.in_share)
         await proceed()
+        learn(env, call)
     finally:
-        env.running[call.account.name] -= 1
-        if not env.running[call.account.name]:
-            del env.running[call.account.name]
+        await limits.tell(queue.finish(waiter, env.clock()))
--- a/src/hickorylever/filters/parse.py
+++ b/src/hickorylever/filters/parse.py
@@ -29,6 +29,7 @@
     max_completion_tokens: int | None = None
     messages: list[Message] = []
     prompt: msgspec.Raw = NOTHING
+    priority: msgspec.Raw = NOTHING
 
 
 _decoder = msgspec.json.Decoder(Completion)
@@ -65,6 +66,20 @@
     return len(memoryview(completion.prompt)) + sum(map(len, contents))
 
 
+def with_priority(body: bytes, priority: int) -> bytes:
+    """Return a completion request with the priority that its engine is to honour.
+
+    A caller's own priority is removed. Engines run the lowest number first.
+    """
+    if decode(body).priority:
+        members = msgspec.json.decode(body)
+        del members["priority"]
+        body = msgspec.json.encode(members)
+    if not priority:
+        return body
+    return b'{"priority":%d,' % -priority + body.lstrip()[1:]
+
+
 @filters.register("parse")
 async def parse(env, call, proceed) -> None:
     """Read the body and set the call's model, stream, chat, work and endpoints."""
--- a/src/hickorylever/router.py
+++ b/src/hickorylever/router.py
@@ -27,6 +27,7 @@
         self.env = env
         self.server = Server(self.handle, refuse)
         self.in_flight = 0
+        env.timers.subscribe("limits", defaults.REVIEW_INTERVAL, env.limits.review)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one caller's request."""
