Keep a crashing request from a third endpoint

Cause: a request that crashes its endpoint was sent on to the next, by every router that its caller tried. Change: a sidecar registers a crash and all that ran there in the object API before it tells of the failure; a router reads the register before it passes over an endpoint that would have known; a suspect's one further run is taken by a conditional write, never beside another suspect; completing it clears it. Without the object API suspects are refused, not run.

--- a/src/hickorylever/call.py
+++ b/src/hickorylever/call.py
@@ -1,6 +1,6 @@
 """One caller's request on its way through the filter chain."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from .decisions.pools import Pool
@@ -16,6 +16,11 @@
     :param deadline: monotonic seconds.
     :param work: estimated tokens.
     :param prefix: identity of a long prefix that other chats share, or empty.
+    :param order: the endpoints in the order that every router agrees on, None without one.
+    :param doubtful: routers may disagree about the order.
+    :param screened: the register of suspects was read since the call came.
+    :param suspected: an endpoint has crashed under it, or refuses it for that.
+    :param trial: version of the object that allows a suspect's one further run, or 0.
     :param priority: higher goes first at the endpoint.
     :param tail: last bytes of the answer, where engines report usage.
     :param candidates: endpoints in order of preference, produced on demand.
@@ -41,6 +46,11 @@
     key: str = ""
     guarded: bool = False
     fingerprint: str = ""
+    order: Iterator[Endpoint] | None = None
+    doubtful: bool = False
+    screened: bool = False
+    suspected: bool = False
+    trial: int = 0
     candidates: Iterable[Endpoint] = ()
     ran: Ran = Ran.NO
     status: int = 0
--- a/src/hickorylever/decisions/chats.py
+++ b/src/hickorylever/decisions/chats.py
@@ -124,13 +124,27 @@
         return certain / (self.total + defaults.PREFIX_PRIOR * self.scale)
 
 
-def choose_prefix(identity: Identity, popularity: Popularity, endpoints: int) -> str:
-    """Return the shortest prefix whose chats fit a few endpoints, or empty for none.
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The prefix that a chat is placed by, or empty.
+
+    :param doubtful: another router may see the shares so that it chooses differently.
+    """
+
+    prefix: str = ""
+    doubtful: bool = False
+
+
+def choose_prefix(identity: Identity, popularity: Popularity, endpoints: int) -> Choice:
+    """Return the shortest prefix whose chats fit a few endpoints.
 
     A prefix that most chats of a pool share would send them all the same way.
     """
-    few = defaults.PREFIX_ENDPOINTS / max(1, endpoints)
+    limit = defaults.PREFIX_FILL * defaults.PREFIX_ENDPOINTS / max(1, endpoints)
+    doubtful = False
     for prefix in identity.prefixes:
-        if popularity.share(prefix) <= few * defaults.PREFIX_FILL:
-            return prefix
-    return ""
+        share = popularity.share(prefix)
+        doubtful = doubtful or limit / 2 < share < limit * 2
+        if share <= limit:
+            return Choice(prefix, doubtful)
+    return Choice("", doubtful)
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -61,6 +61,7 @@
             stamp=stamp.time if known else 0.0,
             account=call.account.name,
             fingerprint=call.fingerprint,
+            trial=bool(call.trial),
             guarded=call.guarded,
         )
 
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -12,6 +12,7 @@
 from .decisions.loads import Estimates, Loads
 from .decisions.pools import Pool, load_groups, make_pools
 from .decisions.revisions import PLATFORM, Offer, Revisions, Verdict
+from .decisions.suspects import Suspects
 from .events import Event, log
 from .exceptions import ContentError
 from .fleet.content import Content, Decoder
@@ -49,6 +50,7 @@
         self.loads = Loads()
         self.estimates = Estimates()
         self.popularity = Popularity()
+        self.suspects = Suspects()
         self.incarnations: dict[str, str] = {}
         self.stamps: dict[str, Stamp] = {}
         self.retries = RetryBudget(defaults.RETRY_SHARE, defaults.RETRY_BURST)
--- a/src/hickorylever/filters/choose.py
+++ b/src/hickorylever/filters/choose.py
@@ -1,6 +1,6 @@
 """Ranks the endpoints for a call by the configured policy."""
 
-from ..decisions.affinity import Ask, policies
+from ..decisions.affinity import Ask, order, policies
 from ..exceptions import Kind, RequestError
 from . import filters
 from .parse import with_priority
@@ -15,6 +15,7 @@
         raise RequestError(Kind.NO_ENDPOINT, "no endpoint is ready")
     policy = policies[env.fleet.policy if call.model else SERVICE_POLICY]
     ask = Ask(call.chat, call.prefix, call.work, env.clock())
+    call.order = order(ask, call.endpoints) if call.model else None
     call.candidates = policy(ask, call.endpoints, env.view)
     if call.model:
         call.body = with_priority(call.body, call.priority)
--- a/src/hickorylever/filters/forward.py
+++ b/src/hickorylever/filters/forward.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from .. import defaults
+from .. import defaults, suspicion
 from ..dispatch import Dispatch
 from ..exceptions import Kind, Ran, RequestError
 from ..frames import Failed
@@ -10,7 +10,7 @@
 from . import filters
 
 REPEATABLE_METHODS = ("GET", "HEAD", "OPTIONS")
-FINAL_KINDS = (Kind.DEADLINE, Kind.ANSWER_TOO_LARGE, Kind.CRASHING)
+FINAL_KINDS = (Kind.DEADLINE, Kind.ANSWER_TOO_LARGE)
 
 
 def repeatable(call) -> bool:
@@ -46,12 +46,15 @@
     for endpoint in itertools.islice(call.candidates, defaults.MAX_HANDOVERS):
         if env.clock() >= call.deadline:
             raise RequestError(Kind.DEADLINE, "no time is left", call.ran)
+        await suspicion.screen(env, call, endpoint)
         call.endpoint = endpoint.name
         failed = await Dispatch(env, call, endpoint, relay).run()
         if failed is None:
             call.note(Ran.YES)
+            await suspicion.finish_trial(env, call)
             return
         call.note(Ran(failed.ran))
+        suspicion.note_failure(call, failed.kind, Ran(failed.ran))
         if not may_retry(env, call, relay, failed):
             break
     if failed is None:
--- a/src/hickorylever/filters/parse.py
+++ b/src/hickorylever/filters/parse.py
@@ -6,6 +6,7 @@
 
 from .. import defaults
 from ..decisions.chats import choose_prefix, identify
+from ..decisions.suspects import fingerprint
 from ..exceptions import Kind, RequestError
 from ..http import header
 from . import filters
@@ -60,6 +61,15 @@
             return
 
 
+def prompt(completion: Completion) -> Iterator[bytes]:
+    """Yield what an engine reads of a request: the model, and every message."""
+    yield completion.model.encode()
+    yield bytes(completion.prompt)
+    for message in completion.messages:
+        yield message.role.encode()
+        yield bytes(message.content)
+
+
 def prompt_bytes(completion: Completion) -> int:
     """Return the size of the prompt in bytes."""
     contents = (memoryview(message.content) for message in completion.messages)
@@ -89,6 +99,9 @@
     else:
         call.work = defaults.SERVICE_WORK
         call.chat = call.id
+        exchange = call.exchange
+        target = f"{exchange.method} {exchange.path}?{exchange.query}".encode()
+        call.fingerprint = fingerprint((call.application.name.encode(), target, call.body))
     await proceed()
 
 
@@ -108,6 +121,7 @@
     call.stream = completion.stream
     estimate_work(env, call, completion)
     recognise_chat(env, call, completion)
+    call.fingerprint = fingerprint(prompt(completion))
 
 
 def estimate_work(env, call, completion: Completion) -> None:
@@ -122,5 +136,7 @@
     given = header(call.exchange.headers, b"hickory-chat")
     identity = identify(call.account.name, call.model, given, leading(completion))
     env.popularity.note(identity.prefixes, call.work, env.clock())
+    choice = choose_prefix(identity, env.popularity, len(call.endpoints))
     call.chat = identity.chat
-    call.prefix = choose_prefix(identity, env.popularity, len(call.endpoints))
+    call.prefix = choice.prefix
+    call.doubtful = choice.doubtful
--- a/src/hickorylever/records.py
+++ b/src/hickorylever/records.py
@@ -166,6 +166,7 @@
     account: str = ""
     fingerprint: str = ""
     guarded: bool = False
+    trial: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from . import admission, configuration, defaults, frames
+from . import admission, configuration, defaults, frames, suspicion
 from .decisions.attempts import Attempts, Refusal
 from .environment import Environment
 from .events import Event, log
@@ -14,7 +14,7 @@
 from .frames import Beat, CancelResult, Data, End, Failed, Handover, Head, SidecarState
 from .http import Exchange, Server, end_to_end
 from .node import refuse, respond_json, run_node
-from .records import Endpoint
+from .records import Attempt, Endpoint
 from .settings import Settings, split_address
 
 DRAIN_POLL = 0.05
@@ -86,6 +86,7 @@
         self.running: dict[str, Running] = {}
         self.server = Server(self.handle, refuse)
         self.streams = 0
+        self.crashes: dict[str, curio.Task] = {}
         env.timers.subscribe("expire", 1.0, self.expire)
 
     def endpoint(self) -> Endpoint | None:
@@ -135,7 +136,7 @@
         except msgspec.DecodeError as error:
             raise RequestError(Kind.BAD_REQUEST, str(error)) from None
         attempt = handover.attempt
-        refusal = self.attempts.admit(attempt, self.cap(), self.env.clock())
+        refusal = self.decide(attempt)
         if refusal is not None:
             await self.answer_failed(exchange, attempt.id, refusal)
             return
@@ -145,6 +146,19 @@
         running.task = await curio.spawn(self.execute, running, daemon=True)
         await self.stream(exchange, running, 0)
 
+    def decide(self, attempt: Attempt) -> Refusal | None:
+        """Admit an attempt, or return why not. Suspects are looked at first."""
+        now = self.env.clock()
+        reason = suspicion.refuse_attempt(self.env, attempt, self.live())
+        if reason is None:
+            return self.attempts.admit(attempt, self.cap(), now)
+        self.attempts.cancel(attempt.id, now, attempt.stamp)
+        return Refusal(*reason)
+
+    def live(self) -> list[Attempt]:
+        """Return the attempts whose answers are not whole yet."""
+        return [entry.handover.attempt for entry in self.running.values() if entry.end is None]
+
     async def resume(self, exchange: Exchange, parts: list[str], query: dict) -> None:
         """Stream an attempt's answer from an offset on.
 
@@ -251,6 +265,7 @@
             end = self.give_up(attempt.id, Kind.CANCELLED, "the attempt was cancelled")
         except ConnectionLost as error:
             end = self.give_up(attempt.id, Kind.ENDPOINT_FAILED, str(error))
+            await self.report_crash(attempt, Ran(end.ran))
         except Exception as error:  # A router waits for this attempt's end, whatever happened.
             end = self.give_up(attempt.id, Kind.INTERNAL, repr(error))
         running.ended = self.env.clock()
@@ -259,6 +274,17 @@
         self.env.metrics.attempts.inc({"result": result, "kind": getattr(end, "kind", "")})
         await running.wake()
 
+    async def report_crash(self, attempt: Attempt, ran: Ran) -> None:
+        """Register a crash under an attempt, and all that ran beside it, before it is told."""
+        if ran is Ran.NO or not attempt.fingerprint:
+            return
+        if attempt.id not in self.crashes:
+            live = [entry for entry in self.live() if self.attempts.ran(entry.id) is not Ran.NO]
+            prints = sorted({entry.fingerprint for entry in live if entry.fingerprint})
+            task = await curio.spawn(suspicion.register_crash, self.env, prints, daemon=True)
+            self.crashes = {entry.id: task for entry in live}
+        await self.crashes[attempt.id].wait()
+
     def give_up(self, attempt: str, kind: Kind, detail: str) -> Failed:
         """End an attempt without a whole answer."""
         now = self.env.clock()
--- a/tests/test_chats.py
+++ b/tests/test_chats.py
@@ -81,5 +81,5 @@
     assert popularity.share(common) > 0.8 and popularity.share(lone) == 0.0
     assert len(popularity.counters) <= defaults.MAX_PREFIXES
     both = type(identity([FIRST]))("chat", (common, dossier))
-    assert choose_prefix(both, popularity, 19) == dossier
-    assert choose_prefix(type(both)("chat", (common,)), popularity, 19) == ""
+    assert choose_prefix(both, popularity, 19).prefix == dossier
+    assert choose_prefix(type(both)("chat", (common,)), popularity, 19).prefix == ""
