Run guarded requests at most once, under claims in the object API

Cause: a guarded request needed only an Idempotency-Key; a repeat through another router ran again.

Change: decisions/claims.py holds a shard as a log, a head object that is written only conditionally and sealed segments named by their digest. controllers/claims.py groups the changes of a shard into one write every few ms, sends them to the router that rendezvous hashing prefers, and settles lost replies by reading again. filters/claim.py commits a claim before the hand-over, attaches a repeat to the attempt in force, takes over only from an attempt with a tombstone, and records what ran or will stay unknown along with later claims. Segments age by their writers' monotonic clocks, carried in the head, so that no clock has to agree.

A router holds a shard's claims in memory, which bounds a fleet to CLAIM_SHARDS * (MAX_SEGMENTS + 1) * SEGMENT_CLAIMS claims within their retention.

--- /dev/null
+++ b/src/hickorylever/commands/claims.py
@@ -0,0 +1,38 @@
+"""The section of ``status`` on guarded requests whose end is not known."""
+
+import argparse
+
+from .. import defaults
+from ..decisions.claims import Claim, Outcome
+from .status import sections
+
+
+async def read_claims(platform, shard: int) -> dict[bytes, Claim]:
+    """Return the claim in force for each key of a shard."""
+    from ..controllers.claims import read_segment, read_shard
+
+    _, head = await read_shard(platform, shard)
+    table = {}
+    for number in range(head.first, head.number):
+        segment = await read_segment(platform, shard, head.name(number))
+        table.update((claim.key, claim) for claim in segment.claims)
+    table.update((claim.key, claim) for claim in head.claims)
+    return table
+
+
+def line(claim: Claim) -> str:
+    """Return a claim as a line of text."""
+    return (
+        f"{claim.key.hex()}  endpoint {claim.endpoint}  attempt {claim.attempt}"
+        f"  generation {claim.generation}"
+    )
+
+
+@sections.register("unresolved")
+async def unresolved(arguments: argparse.Namespace, platform) -> list[str]:
+    """Return the guarded requests of which nobody knows whether they ran."""
+    lines = []
+    for shard in range(defaults.CLAIM_SHARDS):
+        claims = (await read_claims(platform, shard)).values()
+        lines += [line(claim) for claim in claims if claim.outcome == Outcome.UNKNOWN]
+    return [f"{len(lines)} guarded requests are unresolved", *sorted(lines)]
--- /dev/null
+++ b/src/hickorylever/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that keep state in the object API."""
--- a/src/hickorylever/defaults.py
+++ b/src/hickorylever/defaults.py
@@ -55,6 +55,17 @@
 MAX_KEPT_BYTES = 8 * 1024 * 1024
 RETRY_SHARE = 0.1
 RETRY_BURST = 20.0
+STAMP_REFRESH = 60.0  # seconds
+CLAIM_SHARDS = 4
+CLAIM_WRITES = 180.0  # a second, over all shards
+CLAIM_TRIES = 6
+MAX_CLAIM_STEPS = 8
+MAX_WAITING_CLAIMS = 2000
+SEGMENT_CLAIMS = 200
+MAX_SEGMENTS = 256
+CLAIM_RETENTION = 86400.0  # seconds
+OUTCOME_FLUSH = 5.0  # seconds
+PEER_TIMEOUT = 1.0  # seconds
 
 # Routing, waiting and suspects.
 RING_POINTS = 128  # Points of an endpoint of the smallest capacity.
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -1,5 +1,6 @@
 """One attempt as the router sees it: hand over, receive, resume, and tell what is known."""
 
+import dataclasses
 import uuid
 
 import curio
@@ -10,7 +11,7 @@
 from .decisions.outcomes import Facts
 from .events import Event, log
 from .exceptions import ConnectionLost, Kind, Ran
-from .frames import Beat, CancelResult, Data, End, Failed, Handover, Head
+from .frames import Beat, CancelResult, Data, End, Failed, Handover, Head, SidecarState
 from .http import Answer, Channel, end_to_end
 from .records import Attempt, Endpoint, Load, Stamp
 from .relay import BrokenAnswer, CallerGone, Relay
@@ -64,6 +65,32 @@
             guarded=call.guarded,
         )
 
+    async def learn(self) -> None:
+        """Ask the sidecar for its incarnation and clock unless they were heard lately.
+
+        :raises ConnectionLost: when it does not answer.
+        """
+        name = self.endpoint.name
+        stamp = self.env.stamps.get(name)
+        now = self.env.clock()
+        if stamp is not None and now - stamp.heard < defaults.STAMP_REFRESH:
+            self.env.incarnations[name] = stamp.incarnation
+            return
+        address, port = self.endpoint.address, self.endpoint.sidecar_port
+        try:
+            async with curio.timeout_after(defaults.CONNECT_TIMEOUT):
+                _, _, body = await self.env.client.fetch(address, port, "GET", "/state")
+            state = msgspec.json.decode(body, type=SidecarState)
+        except (curio.TaskTimeout, msgspec.DecodeError, h11.ProtocolError) as error:
+            raise ConnectionLost(f"{name}: {error!r}") from None
+        self.env.incarnations[name] = state.incarnation
+        self.env.stamps[name] = Stamp(state.incarnation, state.time, now)
+
+    def renew(self, attempt: Attempt) -> Attempt:
+        """Return an attempt with the time that is left now."""
+        budget = self.call.deadline - self.env.clock()
+        return dataclasses.replace(attempt, budget=budget)
+
     async def run_once(self, attempt: Attempt) -> Failed | None:
         """Make one attempt."""
         self.attempt = attempt
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -5,6 +5,7 @@
 import time
 import uuid
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 from . import defaults
 from .decisions.affinity import View
@@ -24,6 +25,9 @@
 from .settings import Settings, split_address
 from .timers import Timers
 
+if TYPE_CHECKING:
+    from .controllers.claims import Claims
+
 
 class Environment:
     """What the parts of one process share.
@@ -51,6 +55,7 @@
         self.popularity = Popularity()
         self.incarnations: dict[str, str] = {}
         self.stamps: dict[str, Stamp] = {}
+        self.claims: Claims | None = None
         self.retries = RetryBudget(defaults.RETRY_SHARE, defaults.RETRY_BURST)
         self.view = View(
             loads=self.loads,
--- a/src/hickorylever/filters/__init__.py
+++ b/src/hickorylever/filters/__init__.py
@@ -9,9 +9,9 @@
 
 filters: Registry[Filter] = Registry("filter")
 
-CHAIN = ("identify", "authorise", "parse", "limit", "guard", "choose", "forward")
+CHAIN = ("identify", "authorise", "parse", "limit", "guard", "choose", "claim", "forward")
 
-from . import authorise, choose, forward, guard, identify, limit, parse  # noqa: E402, F401
+from . import authorise, choose, claim, forward, guard, identify, limit, parse  # noqa: E402, F401
 
 
 async def run(env, call, names: tuple[str, ...] = CHAIN) -> None:
--- a/src/hickorylever/router.py
+++ b/src/hickorylever/router.py
@@ -6,6 +6,7 @@
 
 from . import configuration, defaults, filters
 from .call import Call
+from .controllers.claims import Claims
 from .environment import Environment
 from .events import Event, log, logger
 from .exceptions import HickoryleverError, Kind, Ran, RequestError
@@ -25,6 +26,7 @@
 
     def __init__(self, env: Environment):
         self.env = env
+        env.claims = Claims(env)
         self.server = Server(self.handle, refuse)
         self.in_flight = 0
 
