--- a/src/hickorylever/defaults.py
+++ b/src/hickorylever/defaults.py
@@ -80,6 +80,13 @@
 MAX_PREFIXES = 2048
 MAX_PREFIX_UNIT = 1e12
 MAX_RETRY_AFTER = 60.0  # Seconds.
+MAX_WAITING = 1024
+BORROWED_PART = 0.5  # Of a pool's room, for accounts beyond their share.
+RATE_PERIOD = 10.0  # Seconds.
+USE_PERIOD = 10.0  # Seconds.
+ACCOUNT_IDLE = 10.0  # Seconds.
+LEAST_PART = 0.05  # Of an account's weight, at a router that sees little of it.
+REVIEW_INTERVAL = 0.1  # Seconds.
 MAX_PLACES = 65536  # Chats whose last endpoint a router remembers.
 SERVICE_WORK = 256.0  # Tokens that one request to a plain service counts for.
 MAX_USAGE_BYTES = 512
@@ -88,6 +95,7 @@
 ANSWER_TAIL_BYTES = 1024
 
 # Configuration.
+GUARD_RETENTION = 86400.0
 VM_BUCKETS = 16
 ENDPOINT_BUCKETS = 32
 CLIENT_ACCOUNT_BUCKETS = 64
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -255,6 +255,7 @@
         if not self.matched:
             raise ConnectionLost("data without a head")
         await self.relay.take_data(frame)
+        self.call.tail = (self.call.tail + frame.body)[-defaults.ANSWER_TAIL_BYTES :]
 
     async def take_end(self, frame: End) -> End:
         """Release a whole answer."""
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -1,6 +1,5 @@
 """The central object of a process: settings, registries, clock, metrics and the fleet in force."""
 
-import collections
 import random
 import time
 import uuid
@@ -19,6 +18,7 @@
 from .fleet.content import Content, Decoder
 from .fleet.deltas import Desk
 from .http import Client
+from .limits import Limits
 from .metrics import Metrics
 from .platform import Platform
 from .records import Application, ClientAccount, Endpoint, Fleet, Member, Revision, Stamp
@@ -63,7 +63,8 @@
             chance=self.chance,
             usable=self.usable,
         )
-        self.running: collections.Counter[str] = collections.Counter()
+        self.limits = Limits(self)
+        self.client_accounts: dict[str, ClientAccount] = {}
         self.draining = False
         self.tasks: list[Callable[[], Awaitable[None]]] = []
         self.accounts: dict[str, ClientAccount] = {}
@@ -135,6 +136,7 @@
         self.accounts = {
             key: account for account in fleet.client_accounts for key in account.key_digests
         }
+        self.client_accounts = {entry.name: entry for entry in fleet.client_accounts}
         self.applications = {entry.name: entry for entry in fleet.applications}
         pools: dict[str, list[Endpoint]] = {}
         models: dict[str, list[Endpoint]] = {}
