--- a/src/hickorylever/call.py
+++ b/src/hickorylever/call.py
@@ -1,6 +1,6 @@
 """One caller's request on its way through the filter chain."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from .decisions.pools import Pool
@@ -16,7 +16,7 @@
     :param deadline: monotonic seconds.
     :param work: estimated tokens.
     :param prefix: identity of a long prefix that other chats share, or empty.
-    :param order: the endpoints in the order that every router agrees on, None without one.
+    :param agreed: returns the endpoints in the order that every router agrees on.
     :param doubtful: routers may disagree about the order.
     :param screened: the register of suspects was read since the call came.
     :param suspected: an endpoint has crashed under it, or refuses it for that.
@@ -46,12 +46,12 @@
     key: str = ""
     guarded: bool = False
     fingerprint: str = ""
-    order: Iterator[Endpoint] | None = None
+    agreed: Callable[[], Iterator[Endpoint]] | None = None
     doubtful: bool = False
     screened: bool = False
     suspected: bool = False
     trial: int = 0
-    candidates: Iterable[Endpoint] = ()
+    candidates: Iterator[Endpoint] = iter(())
     ran: Ran = Ran.NO
     status: int = 0
     endpoint: str = ""
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -7,7 +7,7 @@
 import h11
 import msgspec
 
-from . import admission, defaults, frames
+from . import admission, defaults, frames, suspicion
 from .decisions.outcomes import Facts
 from .events import Event, log
 from .exceptions import ConnectionLost, Kind, Ran
@@ -62,7 +62,7 @@
             stamp=stamp.time if known else 0.0,
             account=call.account.name,
             fingerprint=call.fingerprint,
-            trial=bool(call.trial),
+            trial=suspicion.trial_crashes(self.env, call),
             guarded=call.guarded,
         )
 
--- a/src/hickorylever/filters/choose.py
+++ b/src/hickorylever/filters/choose.py
@@ -1,5 +1,7 @@
 """Ranks the endpoints for a call by the configured policy."""
 
+import functools
+
 from ..decisions.affinity import Ask, order, policies
 from ..exceptions import Kind, RequestError
 from . import filters
@@ -15,7 +17,7 @@
         raise RequestError(Kind.NO_ENDPOINT, "no endpoint is ready")
     policy = policies[env.fleet.policy if call.model else SERVICE_POLICY]
     ask = Ask(call.chat, call.prefix, call.work, env.clock())
-    call.order = order(ask, call.endpoints) if call.model else None
+    call.agreed = functools.partial(order, ask, call.endpoints)
     call.candidates = policy(ask, call.endpoints, env.view)
     if call.model:
         call.body = with_priority(call.body, call.priority)
--- a/src/hickorylever/filters/forward.py
+++ b/src/hickorylever/filters/forward.py
@@ -1,7 +1,5 @@
 """Hands the call to sidecars until one answers."""
 
-import itertools
-
 from .. import defaults, suspicion
 from ..dispatch import Dispatch
 from ..exceptions import Kind, Ran, RequestError
@@ -43,10 +41,12 @@
     """Try the candidates in order; raise the last failure when none answers."""
     relay = Relay(call)
     failed = None
-    for endpoint in itertools.islice(call.candidates, defaults.MAX_HANDOVERS):
+    for _ in range(defaults.MAX_HANDOVERS):
         if env.clock() >= call.deadline:
             raise RequestError(Kind.DEADLINE, "no time is left", call.ran)
-        await suspicion.screen(env, call, endpoint)
+        endpoint = await suspicion.next_endpoint(env, call)
+        if endpoint is None:
+            break
         call.endpoint = endpoint.name
         failed = await Dispatch(env, call, endpoint, relay).run()
         if failed is None:
--- a/src/hickorylever/records.py
+++ b/src/hickorylever/records.py
@@ -166,7 +166,7 @@
     account: str = ""
     fingerprint: str = ""
     guarded: bool = False
-    trial: bool = False
+    trial: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorylever/router.py
+++ b/src/hickorylever/router.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from . import configuration, defaults, filters
+from . import configuration, defaults, filters, suspicion
 from .call import Call
 from .controllers.claims import Claims
 from .environment import Environment
@@ -29,6 +29,7 @@
         env.claims = Claims(env)
         self.server = Server(self.handle, refuse)
         self.in_flight = 0
+        suspicion.attach(env)
         env.timers.subscribe("limits", defaults.REVIEW_INTERVAL, env.limits.review)
 
     async def handle(self, exchange: Exchange) -> None:
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -1,5 +1,6 @@
 """The sidecar: admits, runs and remembers the attempts of one endpoint."""
 
+import functools
 from urllib.parse import parse_qs
 
 import curio
@@ -87,6 +88,7 @@
         self.server = Server(self.handle, refuse)
         self.streams = 0
         self.crashes: dict[str, curio.Task] = {}
+        suspicion.attach(env)
         env.timers.subscribe("expire", 1.0, self.expire)
 
     def endpoint(self) -> Endpoint | None:
@@ -323,6 +325,7 @@
         now = self.env.clock()
         self.attempts.finish(attempt, now)
         await client.release(self.address, self.port, channel)
+        self.env.suspects.clear(handover.attempt.fingerprint, handover.attempt.trial)
         digest = xxhash.xxh3_128_hexdigest(running.body)
         table = self.attempts
         return End(attempt, len(running.body), digest, table.work, table.running, now)
@@ -375,4 +378,5 @@
     env = Environment(settings)
     configuration.attach(env)
     sidecar = Sidecar(env)
+    env.tasks.append(functools.partial(suspicion.follow_register, env))
     await run_node(env, sidecar.server, sidecar.drain)
--- a/src/hickorylever/suspicion.py
+++ b/src/hickorylever/suspicion.py
@@ -14,7 +14,7 @@
 from .decisions.suspects import Standing
 from .events import Event, log
 from .exceptions import Conflict, Kind, LostReply, PlatformError, Ran, RequestError
-from .records import Attempt
+from .records import Attempt, Endpoint
 
 KIND = "suspects"
 
@@ -51,6 +51,33 @@
         env.suspects.begin_trial(record.fingerprint, then)
 
 
+def attach(env) -> None:
+    """Let a node forget old suspicions."""
+
+    async def expire() -> None:
+        env.suspects.expire(env.clock())
+
+    env.timers.subscribe("suspects", defaults.SUSPECT_LIFETIME / 10, expire)
+
+
+async def follow_register(env) -> None:
+    """Read the register when a sidecar starts, since it has forgotten what it knew."""
+    while True:
+        try:
+            await read_register(env)
+            return
+        except PlatformError as error:
+            log(Event.REGISTER_FAILED, str(error), 30)
+            await curio.sleep(defaults.PLATFORM_RETRY)
+
+
+def trial_crashes(env, call) -> tuple[str, ...]:
+    """Return the crashes that a call's one further run is for, empty for any other run."""
+    if not call.trial:
+        return ()
+    return tuple(env.suspects.crashes(call.fingerprint, env.clock())) or ("unknown",)
+
+
 def take_suspects(env, origin: str, value: bytes) -> None:
     """Take what another node tells: one encoded record. Anything else is left out."""
     try:
@@ -122,13 +149,32 @@
     return RequestError(Kind.CRASHING, detail, call.ran, pause)
 
 
-async def screen(env, call, endpoint) -> None:
-    """Check a request right before it is handed over to an endpoint.
+async def next_endpoint(env, call) -> Endpoint | None:
+    """Return the endpoint to hand a request over to, None when there is no other.
+
+    A suspect's one further run starts anew from the agreed order, with nothing passed over, so
+    that the first endpoints hear of the suspicion.
 
     :raises RequestError: when it may not run; nothing has been handed over.
     """
-    passed_over = call.order is not None and next(call.order, None) != endpoint
-    if (passed_over or call.doubtful) and not call.screened:
+    endpoint = next(call.candidates, None)
+    if endpoint is None:
+        return None
+    held = call.trial
+    await screen(env, call, endpoint)
+    if not call.trial or held or not call.model:
+        return endpoint
+    call.candidates = call.agreed()
+    return next(call.candidates)
+
+
+async def screen(env, call, endpoint: Endpoint) -> None:
+    """Check a request right before it is handed over to an endpoint.
+
+    Only the first endpoint of the agreed order would know of an earlier crash itself.
+    """
+    away = bool(call.model) and next(call.agreed()) != endpoint
+    if (away or call.doubtful) and not call.screened:
         await consult(env, call)
     standing = env.suspects.standing(call.fingerprint, env.clock())
     if standing is Standing.REFUSED and not call.trial:
@@ -206,8 +252,13 @@
 
 
 def note_failure(call, kind: str, ran: Ran) -> None:
-    """Note how an attempt failed: a crash while it ran, or a sidecar that knows of one."""
+    """Note how an attempt failed: a crash while it ran, or a sidecar that knows of one.
+
+    :raises RequestError: when a suspect's one further run can't go on.
+    """
     crashed = kind == Kind.ENDPOINT_FAILED and ran is not Ran.NO
+    if call.trial and kind in (Kind.CRASHING, Kind.NO_ENDPOINT):
+        raise refusal(call, Standing.SUSPECT)
     if crashed:
         call.trial = 0
     if crashed or kind == Kind.CRASHING:
@@ -216,16 +267,26 @@
 
 
 def refuse_attempt(env, attempt: Attempt, running: list[Attempt]) -> tuple[Kind, str] | None:
-    """Return why a sidecar must not run an attempt beside those that run, None when it may."""
+    """Return why a sidecar must not run an attempt beside those that run, None when it may.
+
+    An attempt that is a suspect's one further run tells this sidecar of the suspicion.
+    """
     now = env.clock()
+    for crash in attempt.trial:
+        env.suspects.crash(crash, [attempt.fingerprint], now)
 
     def suspected(entry: Attempt) -> bool:
-        return entry.trial or env.suspects.standing(entry.fingerprint, now) is not Standing.CLEAR
+        return (
+            bool(entry.trial)
+            or env.suspects.standing(entry.fingerprint, now) is not Standing.CLEAR
+        )
 
     if not attempt.fingerprint or not suspected(attempt):
         return None
     if not attempt.trial:
         return Kind.CRASHING, "an endpoint crashed while this request ran"
+    if any(entry.fingerprint == attempt.fingerprint for entry in running):
+        return Kind.CRASHING, "the same request runs here already"
     if any(map(suspected, running)):
         return Kind.OVERLOADED, "another suspect runs here"
     return None
