--- a/src/hickorylever/call.py
+++ b/src/hickorylever/call.py
@@ -1,7 +1,9 @@
 """One caller's request on its way through the filter chain."""
 
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
+from .decisions.pools import Pool
 from .exceptions import Ran
 from .http import Exchange
 from .records import Application, ClientAccount, Endpoint
@@ -13,7 +15,15 @@
 
     :param deadline: monotonic seconds.
     :param work: estimated tokens.
-    :param candidates: endpoints in order of preference.
+    :param prefix: identity of a long prefix that other chats share, or empty.
+    :param agreed: returns the endpoints in the order that every router agrees on.
+    :param doubtful: routers may disagree about the order.
+    :param screened: the register of suspects was read since the call came.
+    :param suspected: an endpoint has crashed under it, or refuses it for that.
+    :param trial: version of the object that allows a suspect's one further run, or 0.
+    :param priority: higher goes first at the endpoint.
+    :param tail: last bytes of the answer, where engines report usage.
+    :param candidates: endpoints in order of preference, produced on demand.
     :param ran: the strongest claim about execution that is known so far.
     """
 
@@ -23,16 +33,25 @@
     deadline: float
     account: ClientAccount | None = None
     application: Application | None = None
-    endpoints: list[Endpoint] = field(default_factory=list)
+    endpoints: Pool = Pool("")
     model: str = ""
     body: bytes = b""
     stream: bool = False
     chat: str = ""
+    prefix: str = ""
+    prompt_bytes: int = 0
     work: float = 0.0
+    priority: int = 0
+    tail: bytes = b""
     key: str = ""
     guarded: bool = False
     fingerprint: str = ""
-    candidates: list[Endpoint] = field(default_factory=list)
+    agreed: Callable[[], Iterator[Endpoint]] | None = None
+    doubtful: bool = False
+    screened: bool = False
+    suspected: bool = False
+    trial: int = 0
+    candidates: Iterator[Endpoint] = iter(())
     ran: Ran = Ran.NO
     status: int = 0
     endpoint: str = ""
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -1,27 +1,34 @@
 """The central object of a process: settings, registries, clock, metrics and the fleet in force."""
 
-import collections
 import random
 import time
 import uuid
 from collections.abc import Awaitable, Callable
-
-import curio
-import msgspec
+from typing import TYPE_CHECKING
 
 from . import defaults
 from .decisions.affinity import View
-from .decisions.revisions import Revisions
+from .decisions.budgets import RetryBudget
+from .decisions.chats import Popularity
+from .decisions.loads import Estimates, Loads
+from .decisions.pools import Pool, load_groups, make_pools
+from .decisions.revisions import PLATFORM, Offer, Revisions, Verdict
+from .decisions.suspects import Suspects
 from .events import Event, log
-from .exceptions import ConnectionLost, PlatformError
-from .fleet import decode, digest
+from .exceptions import ContentError
+from .fleet.content import Content, Decoder
+from .fleet.deltas import Desk
 from .http import Client
+from .limits import Limits
 from .metrics import Metrics
 from .platform import Platform
-from .records import Application, ClientAccount, Endpoint, Fleet, Load, Revision
+from .records import Application, ClientAccount, Endpoint, Fleet, Member, Revision, Stamp
 from .settings import Settings, split_address
 from .timers import Timers
 
+if TYPE_CHECKING:
+    from .controllers.claims import Claims
+
 
 class Environment:
     """What the parts of one process share.
@@ -38,21 +45,34 @@
         self.timers = Timers(self.chance, self.timer_failed)
         address, port = split_address(settings.platform)
         self.platform = Platform(address, port, self.client, self.metrics)
-        self.revisions = Revisions()
+        self.revisions = Revisions(self.chance)
         self.fleet: Fleet | None = None
-        self.fleet_bytes = b""
-        self.loads: dict[str, Load] = {}
+        self.content = Content({})
+        self.decoder = Decoder()
+        self.desk = Desk()
+        self.adopted: list[Callable[[Revision], None]] = []
+        self.loads = Loads()
+        self.estimates = Estimates()
+        self.popularity = Popularity()
+        self.suspects = Suspects()
         self.incarnations: dict[str, str] = {}
+        self.stamps: dict[str, Stamp] = {}
+        self.claims: Claims | None = None
+        self.retries = RetryBudget(defaults.RETRY_SHARE, defaults.RETRY_BURST)
         self.view = View(
-            loads=self.loads, failure_domain=settings.failure_domain, chance=self.chance
+            loads=self.loads,
+            failure_domain=settings.failure_domain,
+            chance=self.chance,
+            usable=self.usable,
         )
-        self.running: collections.Counter[str] = collections.Counter()
+        self.limits = Limits(self)
+        self.client_accounts: dict[str, ClientAccount] = {}
         self.draining = False
-        self.tasks: list[Callable[[], Awaitable[None]]] = [self.follow_configuration]
+        self.tasks: list[Callable[[], Awaitable[None]]] = []
         self.accounts: dict[str, ClientAccount] = {}
         self.applications: dict[str, Application] = {}
-        self.pools: dict[str, list[Endpoint]] = {}
-        self.models: dict[str, list[Endpoint]] = {}
+        self.pools: dict[str, Pool] = {}
+        self.models: dict[str, Pool] = {}
 
     def clock(self) -> float:
         """Return monotonic seconds."""
@@ -66,52 +86,69 @@
         """Log a failed subscription of the timer service."""
         log(Event.TIMER_FAILED, f"timer {name} failed: {error!r}", 40)
 
-    def adopt(self, revision: Revision, data: bytes) -> bool:
-        """Put a configuration in force if it is newer and its digest is right."""
-        if not self.revisions.adopt(revision, digest(data)):
-            log(Event.CONFIGURATION_REJECTED, f"revision {revision.number} was not adopted")
+    def live_members(self) -> list[Member]:
+        """Return the members that are believed to be alive; none before membership is known."""
+        return []
+
+    def adopt(
+        self,
+        revision: Revision,
+        content: Content,
+        links: tuple[Revision, ...] = (),
+        source: str = PLATFORM,
+    ) -> bool:
+        """Put a configuration in force if it is newer, linked and has its digest.
+
+        :param links: the revisions before it that its source knows, oldest first.
+        """
+        offer = Offer(source, revision, links)
+        verdict = self.revisions.judge(offer)
+        if verdict is Verdict.ADOPT:
+            try:
+                fleet = self.decoder.decode(content)
+            except ContentError:
+                verdict = Verdict.CORRUPT
+            else:
+                verdict = self.revisions.adopt(offer, content.digest)
+        if verdict is not Verdict.ADOPT:
+            self.reject(revision.number, source, verdict)
             return False
-        self.put_in_force(decode(data), data)
+        self.content = content
+        self.desk.note(content)
+        self.put_in_force(fleet)
         self.metrics.revision.set({}, revision.number)
-        log(Event.CONFIGURATION_ADOPTED, f"revision {revision.number} is in force")
+        log(Event.CONFIGURATION_ADOPTED, f"revision {revision.number} is in force", source=source)
+        for call in self.adopted:
+            call(revision)
         return True
 
-    def put_in_force(self, fleet: Fleet, data: bytes) -> None:
+    def reject(self, number: int, source: str, verdict: Verdict) -> None:
+        """Log a revision that is not put in force."""
+        log(
+            Event.CONFIGURATION_REJECTED,
+            f"revision {number} was rejected: {verdict.value}",
+            30,
+            source=source or "platform",
+            in_force=self.revisions.number,
+        )
+
+    def put_in_force(self, fleet: Fleet) -> None:
         """Build the tables that requests are looked up in."""
         self.fleet = fleet
-        self.fleet_bytes = data
         self.accounts = {
             key: account for account in fleet.client_accounts for key in account.key_digests
         }
+        self.client_accounts = {entry.name: entry for entry in fleet.client_accounts}
         self.applications = {entry.name: entry for entry in fleet.applications}
-        self.pools = {}
-        self.models = {}
+        pools: dict[str, list[Endpoint]] = {}
+        models: dict[str, list[Endpoint]] = {}
         for endpoint in fleet.endpoints:
-            self.pools.setdefault(endpoint.application, []).append(endpoint)
+            pools.setdefault(endpoint.application, []).append(endpoint)
             for model in endpoint.models:
-                self.models.setdefault(model, []).append(endpoint)
+                models.setdefault(model, []).append(endpoint)
+        self.pools = make_pools("application", pools, self.pools)
+        self.models = make_pools("model", models, self.models)
         self.view.multiple = fleet.load_multiple
         self.view.floor = fleet.load_floor
-
-    async def pull_configuration(self) -> None:
-        """Read the accepted configuration from the object API and adopt it if it is newer."""
-        head = await self.platform.get("configuration", "head")
-        if head.version == 0:
-            return
-        revision = msgspec.json.decode(head.value, type=Revision)
-        self.revisions.hear(revision.number)
-        if not self.revisions.behind():
-            return
-        content = await self.platform.get("configuration", f"content-{revision.digest}")
-        self.adopt(revision, content.value)
-
-    async def follow_configuration(self) -> None:
-        """Follow the configuration until cancelled; platform outages are waited out."""
-        since = 0
-        while True:
-            try:
-                await self.pull_configuration()
-                since, _ = await self.platform.watch("configuration", since)
-            except (PlatformError, ConnectionLost) as error:
-                log(Event.PLATFORM_FAILED, str(error), 30)
-                await curio.sleep(defaults.PLATFORM_RETRY)
+        every = (*self.pools.values(), *self.models.values())
+        self.loads.arrange(load_groups(every, self.settings.vm))
--- a/src/hickorylever/filters/forward.py
+++ b/src/hickorylever/filters/forward.py
@@ -1,14 +1,14 @@
 """Hands the call to sidecars until one answers."""
 
-from .. import defaults
+from .. import defaults, suspicion
 from ..dispatch import Dispatch
 from ..exceptions import Kind, Ran, RequestError
 from ..frames import Failed
-from ..relay import Relay
+from ..relay import Relay, while_wanted
 from . import filters
 
 REPEATABLE_METHODS = ("GET", "HEAD", "OPTIONS")
-FINAL_KINDS = (Kind.DEADLINE, Kind.ANSWER_TOO_LARGE, Kind.CRASHING)
+FINAL_KINDS = (Kind.DEADLINE, Kind.ANSWER_TOO_LARGE)
 
 
 def repeatable(call) -> bool:
@@ -18,28 +18,44 @@
     return bool(call.model) or call.exchange.method in REPEATABLE_METHODS
 
 
-def may_retry(call, relay: Relay, failed: Failed) -> bool:
-    """Tell whether another endpoint may be tried after a failure."""
+def may_retry(env, call, relay: Relay, failed: Failed) -> bool:
+    """Tell whether another endpoint may be tried after a failure.
+
+    A request that surely did not run costs nothing to move; any other takes from the budget.
+    """
     if relay.begun or Kind(failed.kind) in FINAL_KINDS:
         return False
-    return Ran(failed.ran) is Ran.NO or repeatable(call)
+    if Ran(failed.ran) is Ran.NO:
+        return True
+    return repeatable(call) and env.retries.withdraw()
 
 
 @filters.register("forward")
 async def forward(env, call, proceed) -> None:
+    """Run the call until it is answered, or until the caller goes away."""
+    env.retries.deposit()
+    await while_wanted(call, try_candidates, env, call)
+
+
+async def try_candidates(env, call) -> None:
     """Try the candidates in order; raise the last failure when none answers."""
     relay = Relay(call)
     failed = None
-    for endpoint in call.candidates[: defaults.MAX_HANDOVERS]:
+    for _ in range(defaults.MAX_HANDOVERS):
         if env.clock() >= call.deadline:
             raise RequestError(Kind.DEADLINE, "no time is left", call.ran)
+        endpoint = await suspicion.next_endpoint(env, call)
+        if endpoint is None:
+            break
         call.endpoint = endpoint.name
         failed = await Dispatch(env, call, endpoint, relay).run()
         if failed is None:
             call.note(Ran.YES)
+            await suspicion.finish_trial(env, call)
             return
         call.note(Ran(failed.ran))
-        if not may_retry(call, relay, failed):
+        suspicion.note_failure(call, failed.kind, Ran(failed.ran))
+        if not may_retry(env, call, relay, failed):
             break
     if failed is None:
         raise RequestError(Kind.NO_ENDPOINT, "no endpoint could be reached", call.ran)
