Gossip in real processes: topics, readiness of endpoints, usable endpoints at routers

Cause: routers handed work to endpoints that were leaving, dead or not up yet, and loads, use, revisions and suspects had no way between processes.

A draining process tells many routers at once; a DRAINING refusal or a failed connection takes an endpoint out of use at the router that met it. A sidecar is ready only while its endpoint takes connections. A revision is told only by members that have it in force, so that pulls spread over them.

--- a/src/hickorylever/decisions/members.py
+++ b/src/hickorylever/decisions/members.py
@@ -87,6 +87,7 @@
 
     :param me: this member's id.
     :param generation: this run of the process, a hint from the wall clock.
+    :param version: rises with every change of the table.
     """
 
     me: int
@@ -97,6 +98,7 @@
     established: bool = False
     superseded: bool = False
     refutations: int = 0
+    version: int = 0
 
     def __post_init__(self):
         update = Update(self.me, self.generation, 0, Phase.JOINING, Health.ALIVE)
@@ -110,11 +112,13 @@
         for member in self.entries.keys() - wanted:
             del self.entries[member]
             self.suspected.discard(member)
+        self.version += 1
 
     def set_listed(self, listed: dict[int, Listed]) -> None:
         """Take the VM list's latest answer; members that it lacks are absent."""
         for member, entry in self.entries.items():
             entry.listed = listed.get(member, Listed.ABSENT)
+        self.version += 1
 
     def declare(self, phase: Phase) -> bool:
         """Change this member's own phase. False when it must not go back."""
@@ -131,6 +135,7 @@
         update = Update(self.me, generation, serial, phase, Health.ALIVE)
         self.entries[self.me].update = update
         self.changed.append(update)
+        self.version += 1
 
     def hear(self, news: Update, now: float) -> bool:
         """Merge an update. True when it was news, which is then in `changed`."""
@@ -179,6 +184,7 @@
             entry.deadline = math.inf
             self.suspected.discard(update.member)
         self.changed.append(update)
+        self.version += 1
         if before is Heard.READY and self.heard_state(entry) in (Heard.GONE, Heard.JOINING):
             self.penalise(entry, now)
 
--- a/src/hickorylever/decisions/swim.py
+++ b/src/hickorylever/decisions/swim.py
@@ -21,7 +21,7 @@
 
     SAMPLE = "sample"  # from its origin to random members of its groups, every second
     RUMOUR = "rumour"  # passed on by everyone, the latest value of each origin
-    LARGEST = "largest"  # passed on by everyone, only the largest value of all origins
+    REACHED = "reached"  # told by each member that has reached the value itself
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +36,7 @@
 
 
 TOPICS = {
-    "revision": Topic(Spread.LARGEST, 4),
+    "revision": Topic(Spread.REACHED, 4),
     "suspect": Topic(Spread.RUMOUR, 2),
     "use": Topic(Spread.SAMPLE, 1),
     "load": Topic(Spread.SAMPLE, 0),
@@ -79,12 +79,13 @@
         self.groups: dict[str, tuple[Group, ...]] = {}
         self.routers: tuple[int, ...] = ()
         self.mine: dict[str, News] = {}
-        self.seen: dict[tuple[str, int], object] = {}
+        self.seen: dict[tuple[str, int], int] = {}
         self.inbox: list[News] = []
         self.chunks: collections.deque[tuple[int, Packet]] = collections.deque()
         self.dropped: collections.Counter[str] = collections.Counter()
         self.version = generation << 20
         self.heard_at = -math.inf
+        self.latest: Packet | None = None
         self.ticked_at: float | None = None
         self.gossip_due = 0.0
         self.sample_due = 0.0
@@ -114,25 +115,27 @@
         self.version += 1
         news = News(self.me, topic, self.version, value)
         spread = TOPICS.get(topic, OTHER_TOPIC).spread
-        if spread is Spread.SAMPLE:
-            self.mine[topic] = news
-        elif self.is_news(news):
+        if spread is Spread.REACHED and topic in self.mine and value <= self.mine[topic].value:
+            return
+        self.mine[topic] = news
+        if spread is not Spread.SAMPLE:
             self.pass_on(news)
 
     def is_news(self, news: News) -> bool:
         """Remember an item if it is newer than what is known. False when it is not."""
-        largest = TOPICS.get(news.topic, OTHER_TOPIC).spread is Spread.LARGEST
-        key = (news.topic, 0 if largest else news.origin)
-        mark = news.value if largest else news.version
-        if key in self.seen and mark <= self.seen[key]:
+        key = (news.topic, news.origin)
+        if news.version <= self.seen.get(key, 0):
             return False
-        self.seen[key] = mark
-        return True
+        self.seen[key] = news.version
+        reached = TOPICS.get(news.topic, OTHER_TOPIC).spread is Spread.REACHED
+        return (
+            not reached or news.topic not in self.mine or news.value > self.mine[news.topic].value
+        )
 
     def pass_on(self, news: News) -> None:
         """Queue an item for others."""
         topic = TOPICS.get(news.topic, OTHER_TOPIC)
-        key = (news.topic, 0 if topic.spread is Spread.LARGEST else news.origin)
+        key = (news.topic, news.origin)
         self.rumours.add(key, news, len(packets.encode(news)), topic.value)
 
     def queue_updates(self) -> None:
@@ -252,7 +255,10 @@
             return []
         self.sample_due = now + defaults.SAMPLE_INTERVAL
         sends = []
-        order = sorted(self.mine, key=lambda name: -TOPICS.get(name, OTHER_TOPIC).value)
+        sampled = [
+            name for name in self.mine if TOPICS.get(name, OTHER_TOPIC).spread is Spread.SAMPLE
+        ]
+        order = sorted(sampled, key=lambda name: -TOPICS.get(name, OTHER_TOPIC).value)
         for name in order:
             packet = Packet(PacketKind.GOSSIP, self.me, news=[self.mine[name]])
             low = TOPICS.get(name, OTHER_TOPIC).value == 0
@@ -295,7 +301,7 @@
 
         :raises msgspec.DecodeError: when it is malformed.
         """
-        packet = packets.decode(data)
+        packet = self.latest = packets.decode(data)
         if packet.sender not in self.members.entries or packet.sender == self.me:
             return []
         self.heard_at = now
@@ -313,7 +319,7 @@
         if news.origin == self.me or not self.is_news(news):
             return
         self.inbox.append(news)
-        if TOPICS.get(news.topic, OTHER_TOPIC).spread is not Spread.SAMPLE:
+        if TOPICS.get(news.topic, OTHER_TOPIC).spread is Spread.RUMOUR:
             self.pass_on(news)
 
     def correction(self, packet: Packet) -> Update | None:
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -139,6 +139,7 @@
             channel = await self.acquire(fresh=False)
         except ConnectionLost as error:
             kind = Kind.ANSWER_LOST if self.facts.handed_over else Kind.NO_ENDPOINT
+            self.env.note_refusal(self.endpoint.name, Kind.NO_ENDPOINT)
             return self.failed(kind, str(error))
         tries = 0
         while True:
@@ -271,6 +272,7 @@
         self.facts = self.facts.tell(Ran(frame.ran))
         self.env.incarnations[self.endpoint.name] = frame.incarnation
         self.note(frame, frame.incarnation)
+        self.env.note_refusal(self.endpoint.name, Kind(frame.kind))
         return msgspec.structs.replace(frame, ran=self.facts.ran().value)
 
     def check(self, attempt: str) -> None:
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -15,12 +15,13 @@
 from .decisions.revisions import PLATFORM, Offer, Revisions, Verdict
 from .decisions.suspects import Suspects
 from .events import Event, log
-from .exceptions import ContentError
+from .exceptions import ContentError, Kind
 from .fleet.content import Content, Decoder
 from .fleet.deltas import Desk
 from .http import Client
 from .limits import Limits
 from .metrics import Metrics
+from .packets import Phase
 from .platform import Platform
 from .records import Application, ClientAccount, Endpoint, Fleet, Member, Revision, Stamp
 from .settings import Settings, split_address
@@ -28,6 +29,7 @@
 
 if TYPE_CHECKING:
     from .controllers.claims import Claims
+    from .gossip import Gossip
 
 
 class Environment:
@@ -58,6 +60,7 @@
         self.incarnations: dict[str, str] = {}
         self.stamps: dict[str, Stamp] = {}
         self.claims: Claims | None = None
+        self.gossip: Gossip | None = None
         self.retries = RetryBudget(defaults.RETRY_SHARE, defaults.RETRY_BURST)
         self.view = View(
             loads=self.loads,
@@ -80,15 +83,25 @@
 
     def usable(self, endpoint: str) -> bool:
         """Tell whether an endpoint may be given new work, as far as this node knows."""
-        return True
+        return self.gossip is None or self.gossip.usable(endpoint)
+
+    def note_refusal(self, endpoint: str, kind: Kind) -> None:
+        """Take an endpoint out of use whose sidecar drains or can't be reached."""
+        if self.gossip is not None:
+            self.gossip.note_refusal(endpoint, kind)
+
+    async def tell_phase(self, phase: Phase) -> None:
+        """Tell other members at once that this process drains or ends."""
+        if self.gossip is not None:
+            await self.gossip.leave(phase)
 
     def timer_failed(self, name: str, error: Exception) -> None:
         """Log a failed subscription of the timer service."""
         log(Event.TIMER_FAILED, f"timer {name} failed: {error!r}", 40)
 
     def live_members(self) -> list[Member]:
-        """Return the members that are believed to be alive; none before membership is known."""
-        return []
+        """Return the members that are believed to be ready; none before membership is known."""
+        return self.gossip.live_members() if self.gossip else []
 
     def adopt(
         self,
--- a/src/hickorylever/events.py
+++ b/src/hickorylever/events.py
@@ -37,6 +37,11 @@
     CONFIGURATION_REJECTED = 301
     SOURCE_FAILED = 302
     PLATFORM_FAILED = 310
+    NEWS_REJECTED = 400
+    SUPERSEDED = 401
+    ENDPOINT_READY = 402
+    ENDPOINT_LOST = 403
+    VM_LIST_FAILED = 404
 
 
 def log(event: Event, message: str, level: int = logging.INFO, **fields: object) -> None:
--- a/src/hickorylever/node.py
+++ b/src/hickorylever/node.py
@@ -12,6 +12,7 @@
 from .events import Event, log
 from .exceptions import Kind, RequestError
 from .http import Exchange, Server, listen
+from .packets import Phase
 from .registry import Registry
 
 
@@ -96,6 +97,9 @@
         admin=admin_listener.getsockname()[1],
         incarnation=env.incarnation,
     )
+    if env.gossip is not None:
+        env.gossip.bind(settings.address, admin_listener.getsockname()[1])
+        env.tasks.append(env.gossip.run)
     async with curio.TaskGroup(wait=None) as group:
         await group.spawn(server.serve, listener)
         await group.spawn(Admin(env).server.serve, admin_listener)
@@ -106,6 +110,8 @@
         env.draining = True
         server.draining = True
         log(Event.DRAINING, f"{settings.vm} finishes what is in flight")
+        await env.tell_phase(Phase.DRAINING)
         async with curio.ignore_after(settings.drain_grace):
             await drain()
+        await env.tell_phase(Phase.LEFT)
     log(Event.STOPPED, f"{settings.vm} stops")
--- a/src/hickorylever/router.py
+++ b/src/hickorylever/router.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from . import configuration, defaults, filters, suspicion
+from . import configuration, defaults, filters, gossip, suspicion
 from .call import Call
 from .controllers.claims import Claims
 from .environment import Environment
@@ -112,5 +112,6 @@
     """Run a router until it is told to stop."""
     env = Environment(settings)
     configuration.attach(env)
+    gossip.attach_router(env)
     router = Router(env)
     await run_node(env, router.server, router.drain)
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -7,7 +7,7 @@
 import msgspec
 import xxhash
 
-from . import admission, configuration, defaults, frames, suspicion
+from . import admission, configuration, defaults, frames, gossip, suspicion
 from .decisions.attempts import Attempts, Refusal
 from .environment import Environment
 from .events import Event, log
@@ -15,6 +15,7 @@
 from .frames import Beat, CancelResult, Data, End, Failed, Handover, Head, SidecarState
 from .http import Exchange, Server, end_to_end
 from .node import refuse, respond_json, run_node
+from .readiness import Readiness
 from .records import Attempt, Endpoint
 from .settings import Settings, split_address
 
@@ -378,5 +379,7 @@
     env = Environment(settings)
     configuration.attach(env)
     sidecar = Sidecar(env)
+    readiness = Readiness(env, sidecar.address, sidecar.port)
+    gossip.attach_sidecar(env, sidecar, readiness.ready)
     env.tasks.append(functools.partial(suspicion.follow_register, env))
     await run_node(env, sidecar.server, sidecar.drain)
--- a/src/hickorylever/suspicion.py
+++ b/src/hickorylever/suspicion.py
@@ -117,6 +117,8 @@
     name = f"{env.incarnation}-{env.clock():.6f}"
     record = CrashRecord(name, fingerprints, time.time())
     take_record(env, record)
+    if env.gossip is not None:
+        env.gossip.tell("suspect", msgspec.json.encode(record))
     log(Event.ENDPOINT_CRASHED, f"{len(fingerprints)} requests are suspects", crash=name)
     if not await write_crash(env, record):
         await curio.spawn(keep_writing, env, record, daemon=True)
