--- a/src/hickorylever/call.py
+++ b/src/hickorylever/call.py
@@ -1,6 +1,6 @@
 """One caller's request on its way through the filter chain."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from .decisions.pools import Pool
@@ -16,6 +16,13 @@
     :param deadline: monotonic seconds.
     :param work: estimated tokens.
     :param prefix: identity of a long prefix that other chats share, or empty.
+    :param agreed: returns the endpoints in the order that every router agrees on.
+    :param doubtful: routers may disagree about the order.
+    :param screened: the register of suspects was read since the call came.
+    :param suspected: an endpoint has crashed under it, or refuses it for that.
+    :param trial: version of the object that allows a suspect's one further run, or 0.
+    :param priority: higher goes first at the endpoint.
+    :param tail: last bytes of the answer, where engines report usage.
     :param candidates: endpoints in order of preference, produced on demand.
     :param ran: the strongest claim about execution that is known so far.
     """
@@ -34,10 +41,17 @@
     prefix: str = ""
     prompt_bytes: int = 0
     work: float = 0.0
+    priority: int = 0
+    tail: bytes = b""
     key: str = ""
     guarded: bool = False
     fingerprint: str = ""
-    candidates: Iterable[Endpoint] = ()
+    agreed: Callable[[], Iterator[Endpoint]] | None = None
+    doubtful: bool = False
+    screened: bool = False
+    suspected: bool = False
+    trial: int = 0
+    candidates: Iterator[Endpoint] = iter(())
     ran: Ran = Ran.NO
     status: int = 0
     endpoint: str = ""
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -1,10 +1,10 @@
 """The central object of a process: settings, registries, clock, metrics and the fleet in force."""
 
-import collections
 import random
 import time
 import uuid
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 from . import defaults
 from .decisions.affinity import View
@@ -13,17 +13,24 @@
 from .decisions.loads import Estimates, Loads
 from .decisions.pools import Pool, load_groups, make_pools
 from .decisions.revisions import PLATFORM, Offer, Revisions, Verdict
+from .decisions.suspects import Suspects
 from .events import Event, log
-from .exceptions import ContentError
+from .exceptions import ContentError, Kind
 from .fleet.content import Content, Decoder
 from .fleet.deltas import Desk
 from .http import Client
+from .limits import Limits
 from .metrics import Metrics
+from .packets import Phase
 from .platform import Platform
 from .records import Application, ClientAccount, Endpoint, Fleet, Member, Revision, Stamp
 from .settings import Settings, split_address
 from .timers import Timers
 
+if TYPE_CHECKING:
+    from .controllers.claims import Claims
+    from .gossip import Gossip
+
 
 class Environment:
     """What the parts of one process share.
@@ -50,8 +57,11 @@
         self.loads = Loads()
         self.estimates = Estimates()
         self.popularity = Popularity()
+        self.suspects = Suspects()
         self.incarnations: dict[str, str] = {}
         self.stamps: dict[str, Stamp] = {}
+        self.claims: Claims | None = None
+        self.gossip: Gossip | None = None
         self.retries = RetryBudget(defaults.RETRY_SHARE, defaults.RETRY_BURST)
         self.view = View(
             loads=self.loads,
@@ -59,7 +69,8 @@
             chance=self.chance,
             usable=self.usable,
         )
-        self.running: collections.Counter[str] = collections.Counter()
+        self.limits = Limits(self)
+        self.client_accounts: dict[str, ClientAccount] = {}
         self.draining = False
         self.tasks: list[Callable[[], Awaitable[None]]] = []
         self.accounts: dict[str, ClientAccount] = {}
@@ -73,15 +84,25 @@
 
     def usable(self, endpoint: str) -> bool:
         """Tell whether an endpoint may be given new work, as far as this node knows."""
-        return True
+        return self.gossip is None or self.gossip.usable(endpoint)
+
+    def note_refusal(self, endpoint: str, kind: Kind) -> None:
+        """Take an endpoint out of use whose sidecar drains or can't be reached."""
+        if self.gossip is not None:
+            self.gossip.note_refusal(endpoint, kind)
+
+    async def tell_phase(self, phase: Phase) -> None:
+        """Tell other members at once that this process drains or ends."""
+        if self.gossip is not None:
+            await self.gossip.leave(phase)
 
     def timer_failed(self, name: str, error: Exception) -> None:
         """Log a failed subscription of the timer service."""
         log(Event.TIMER_FAILED, f"timer {name} failed: {error!r}", 40)
 
     def live_members(self) -> list[Member]:
-        """Return the members that are believed to be alive; none before membership is known."""
-        return []
+        """Return the members that are believed to be ready; none before membership is known."""
+        return self.gossip.live_members() if self.gossip else []
 
     def adopt(
         self,
@@ -131,6 +152,7 @@
         self.accounts = {
             key: account for account in fleet.client_accounts for key in account.key_digests
         }
+        self.client_accounts = {entry.name: entry for entry in fleet.client_accounts}
         self.applications = {entry.name: entry for entry in fleet.applications}
         pools: dict[str, list[Endpoint]] = {}
         models: dict[str, list[Endpoint]] = {}
--- a/src/hickorylever/filters/parse.py
+++ b/src/hickorylever/filters/parse.py
@@ -7,6 +7,7 @@
 
 from .. import defaults
 from ..decisions.chats import choose_prefix, identify
+from ..decisions.suspects import fingerprint
 from ..exceptions import Kind, RequestError
 from ..http import header
 from ..nesting import nested_deeper
@@ -32,6 +33,7 @@
     max_completion_tokens: Count | None = None
     messages: list[Message] = []
     prompt: msgspec.Raw = NOTHING
+    priority: msgspec.Raw = NOTHING
 
 
 _decoder = msgspec.json.Decoder(Completion)
@@ -65,12 +67,35 @@
             return
 
 
+def prompt(completion: Completion) -> Iterator[bytes]:
+    """Yield what an engine reads of a request: the model, and every message."""
+    yield completion.model.encode()
+    yield bytes(completion.prompt)
+    for message in completion.messages:
+        yield message.role.encode()
+        yield bytes(message.content)
+
+
 def prompt_bytes(completion: Completion) -> int:
     """Return the size of the prompt in bytes."""
     contents = (memoryview(message.content) for message in completion.messages)
     return len(memoryview(completion.prompt)) + sum(map(len, contents))
 
 
+def with_priority(body: bytes, priority: int) -> bytes:
+    """Return a completion request with the priority that its engine is to honour.
+
+    A caller's own priority is removed. Engines run the lowest number first.
+    """
+    if decode(body).priority:
+        members = msgspec.json.decode(body)
+        del members["priority"]
+        body = msgspec.json.encode(members)
+    if not priority:
+        return body
+    return b'{"priority":%d,' % -priority + body.lstrip()[1:]
+
+
 @filters.register("parse")
 async def parse(env, call, proceed) -> None:
     """Read the body and set the call's model, stream, chat, work and endpoints."""
@@ -80,6 +105,9 @@
     else:
         call.work = defaults.SERVICE_WORK
         call.chat = call.id
+        exchange = call.exchange
+        target = f"{exchange.method} {exchange.path}?{exchange.query}".encode()
+        call.fingerprint = fingerprint((call.application.name.encode(), target, call.body))
     await proceed()
 
 
@@ -99,6 +127,7 @@
     call.stream = completion.stream
     estimate_work(env, call, completion)
     recognise_chat(env, call, completion)
+    call.fingerprint = fingerprint(prompt(completion))
 
 
 def estimate_work(env, call, completion: Completion) -> None:
@@ -113,5 +142,7 @@
     given = header(call.exchange.headers, b"hickory-chat")
     identity = identify(call.account.name, call.model, given, leading(completion))
     env.popularity.note(identity.prefixes, call.work, env.clock())
+    choice = choose_prefix(identity, env.popularity, len(call.endpoints))
     call.chat = identity.chat
-    call.prefix = choose_prefix(identity, env.popularity, len(call.endpoints))
+    call.prefix = choice.prefix
+    call.doubtful = choice.doubtful
--- a/src/hickorylever/router.py
+++ b/src/hickorylever/router.py
@@ -4,8 +4,9 @@
 
 import curio
 
-from . import configuration, defaults, filters
+from . import configuration, defaults, filters, gossip, suspicion
 from .call import Call
+from .controllers.claims import Claims
 from .environment import Environment
 from .events import Event, log, logger
 from .exceptions import HickoryleverError, Kind, Ran, RequestError
@@ -25,8 +26,11 @@
 
     def __init__(self, env: Environment):
         self.env = env
+        env.claims = Claims(env)
         self.server = Server(self.handle, refuse)
         self.in_flight = 0
+        suspicion.attach(env)
+        env.timers.subscribe("limits", defaults.REVIEW_INTERVAL, env.limits.review)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one caller's request."""
@@ -110,5 +114,6 @@
     """Run a router until it is told to stop."""
     env = Environment(settings)
     configuration.attach(env)
+    gossip.attach_router(env)
     router = Router(env)
     await run_node(env, router.server, router.drain)
