--- a/src/hickorylever/bench/__init__.py
+++ b/src/hickorylever/bench/__init__.py
@@ -37,3 +37,5 @@
 
 Bench = Callable[[int, bool], Report]
 benches: Registry[Bench] = Registry("bench")
+
+from . import control  # noqa: E402, F401
--- /dev/null
+++ b/src/hickorylever/bench/control.py
@@ -0,0 +1,219 @@
+"""Control traffic: cost of the gossip per node, and how fast news, drains and deaths are known."""
+
+import gc
+import random
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from .. import defaults
+from ..decisions.revisions import watchers
+from ..decisions.swim import Swim
+from ..packets import Health, Phase, Update
+from ..records import Member, MemberState
+from . import Report, benches
+from .driver import Driver
+from .mesh import Links, Mesh, Node
+
+SIZES = (8, 32, 128, 370, 1130)
+QUICK_SIZES = (8, 32, 128)
+LOSSES = (0.01, 0.05, 0.2)
+ROUTER_SHARE = 370 / 1130
+DOMAINS = 5
+WARM_UP = 2.0
+WINDOW = 20.0
+REVISIONS = 3
+REVISION_WAIT = 6.0
+DRAINS = 3
+DRAIN_WAIT = 3.0
+KILLS = 2
+KILL_WAIT = 16.0
+STEP = 0.1
+
+TODAY_BYTES = 4 * 1024
+TARGET_BYTES = 28 * 1024
+TARGET_CPU = 0.027
+TARGET_MEMORY = 32 * 1024 * 1024
+TARGET_IN_FORCE = 3.0
+TARGET_DRAIN = 2.0
+FLAT = 1.5
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the value that `share` of the values do not exceed; infinity for none."""
+    if not values:
+        return float("inf")
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def make_mesh(size: int, loss: float, seed: int) -> Mesh:
+    """Return a mesh that has run for a while and tells its usual topics."""
+    routers = max(2, round(size * ROUTER_SHARE))
+    mesh = Mesh(Driver(seed), routers, size - routers, Links(loss=loss))
+    mesh.warm()
+    accounts = {f"client-account-{number}": 1000 + number for number in range(10)}
+    for node in mesh.live():
+        if node.router:
+            node.swim.tell("use", accounts)
+        else:
+            node.swim.tell("load", (node.name, 12345.0, 12, 8))
+    mesh.driver.run(WARM_UP)
+    mesh.reset()
+    return mesh
+
+
+def traffic(report: Report, size: int, seed: int) -> dict:
+    """Measure bytes, messages and processor time of each node with one revision under way."""
+    mesh = make_mesh(size, 0.01, seed)
+    begun = time.perf_counter()
+    mesh.reach(mesh.live()[0], 1)
+    mesh.driver.run(WARM_UP + WINDOW)
+    nodes = mesh.live()
+    octets = [(node.sent["bytes"] + node.received["bytes"]) / WINDOW for node in nodes]
+    messages = [(node.sent["messages"] + node.received["messages"]) / WINDOW for node in nodes]
+    shares = [node.seconds / WINDOW for node in nodes]
+    row = {
+        "members": size,
+        "B/s p50": statistics.median(octets),
+        "B/s max": max(octets),
+        "messages/s p50": statistics.median(messages),
+        "messages/s max": max(messages),
+        "core p50": statistics.median(shares),
+        "core max": max(shares),
+        "state KB": state_bytes(size) / 1024,
+        "watching": len(chosen_watchers(size)),
+        "bench s": time.perf_counter() - begun,
+    }
+    report.rows.append(row)
+    report.expect(max(octets) < TARGET_BYTES, f"{size} members: under 28 KB/s a node")
+    report.expect(max(shares) < TARGET_CPU, f"{size} members: under 2.7% of a core")
+    if size <= 32:
+        report.expect(max(octets) < TODAY_BYTES, f"{size} members: under 4 KB/s a node")
+    return row
+
+
+def state_bytes(size: int) -> float:
+    """Return the bytes that one member's table, probes and queues take."""
+    gc.collect()
+    tracemalloc.start()
+    swim = Swim(1, 1, random.Random(1))
+    swim.members.set_inventory(range(1, size + 1))
+    for member in range(2, size + 1):
+        swim.members.hear(Update(member, 1, 0, Phase.READY, Health.ALIVE), 0.0)
+    swim.queue_updates()
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return taken
+
+
+def chosen_watchers(size: int) -> set[str]:
+    """Return who watches the object API; each makes one waiting call at a time."""
+    members = [
+        Member(f"vm-{n}", "", 0, "", "r", f"d{n % DOMAINS}", "", MemberState.READY)
+        for n in range(size)
+    ]
+    return {name for domain in range(DOMAINS) for name in watchers(members, f"d{domain}")}
+
+
+def spread(report: Report, size: int, loss: float, seed: int) -> None:
+    """Measure how long a revision takes until each node has it in force."""
+    mesh = make_mesh(size, loss, seed)
+    driver = mesh.driver
+    times: list[float] = []
+    missing = 0
+    for number in range(1, REVISIONS + 1):
+        begun = driver.now
+        mesh.reach(driver.chance.choice(mesh.live()), number)
+        driver.run(begun + REVISION_WAIT)
+        times += [at - begun for (_, heard), at in mesh.heard.items() if heard == number]
+        missing += sum(node.revision < number for node in mesh.live())
+    false = sum(node.swim.members.refutations for node in mesh.live())
+    p99 = percentile(times, 0.99)
+    report.rows.append(
+        {
+            "members": size,
+            "loss": loss,
+            "in force p50 s": percentile(times, 0.5),
+            "p99 s": p99,
+            "max s": max(times),
+            "not in force": missing,
+            "refutations/h": false / size / (driver.now / 3600),
+        }
+    )
+    if loss <= 0.05:
+        report.expect(p99 < TARGET_IN_FORCE, f"{size} members, {loss:.0%} loss: in force in 3 s")
+        report.expect(missing == 0, f"{size} members, {loss:.0%} loss: in force everywhere")
+
+
+def wait_for(mesh: Mesh, limit: float, seen: Callable[[Node], bool]) -> list[float]:
+    """Return when each live router first sees something, in seconds from now."""
+    begun = mesh.driver.now
+    waiting = [mesh.nodes[member] for member in mesh.routers if mesh.nodes[member].alive]
+    times: list[float] = []
+    while waiting and mesh.driver.now < begun + limit:
+        mesh.driver.run(mesh.driver.now + STEP)
+        still = [node for node in waiting if not seen(node)]
+        times += [mesh.driver.now - begun] * (len(waiting) - len(still))
+        waiting = still
+    return times + [float("inf")] * len(waiting)
+
+
+def out_of_use(member: int, mesh: Mesh) -> Callable[[Node], bool]:
+    """Return a test whether a router leaves a member out."""
+    return lambda node: not node.swim.members.usable(member, mesh.driver.now)
+
+
+def is_gone(member: int) -> Callable[[Node], bool]:
+    """Return a test whether a router takes a member as gone."""
+    return lambda node: node.swim.members.state(member) is MemberState.GONE
+
+
+def leaving(report: Report, size: int, seed: int) -> None:
+    """Measure when routers leave out draining and dead endpoints, at 5% loss."""
+    mesh = make_mesh(size, 0.05, seed)
+    drains: list[float] = []
+    kills: list[float] = []
+    gone: list[float] = []
+    for member in mesh.sidecars[:DRAINS]:
+        mesh.drain(mesh.nodes[member])
+        drains += wait_for(mesh, DRAIN_WAIT, out_of_use(member, mesh))
+    for member in mesh.sidecars[-KILLS:]:
+        mesh.kill(mesh.nodes[member])
+        first = wait_for(mesh, KILL_WAIT, out_of_use(member, mesh))
+        passed = max(first)
+        rest = wait_for(mesh, KILL_WAIT, is_gone(member))
+        kills += first
+        gone += [passed + later for later in rest]
+    report.rows.append(
+        {
+            "members": size,
+            "drain p50 s": percentile(drains, 0.5),
+            "drain max s": max(drains),
+            "dead p50 s": percentile(kills, 0.5),
+            "dead max s": max(kills),
+            "gone max s": max(gone),
+        }
+    )
+    report.expect(max(drains) <= TARGET_DRAIN, f"{size} members: a drain is seen in 2 s")
+    report.expect(max(gone) < float("inf"), f"{size} members: a dead endpoint is seen")
+
+
+@benches.register("control")
+def run(seed: int, quick: bool) -> Report:
+    """Run every experiment at every size."""
+    report = Report()
+    sizes = QUICK_SIZES if quick else SIZES
+    rows = [traffic(report, size, seed) for size in sizes]
+    for size in sizes:
+        for loss in LOSSES:
+            spread(report, size, loss, seed)
+    for size in sizes:
+        leaving(report, size, seed)
+    flat = rows[-1]["B/s p50"] <= FLAT * rows[1]["B/s p50"]
+    report.expect(flat, f"bytes at {sizes[-1]} members at most {FLAT} x those at {sizes[1]}")
+    report.expect(rows[-1]["state KB"] * 1024 < TARGET_MEMORY, "state under 32 MB")
+    calls = rows[-1]["watching"] <= DOMAINS * defaults.WATCHERS_PER_DOMAIN
+    report.expect(calls, "watching calls do not grow with the members")
+    return report
--- /dev/null
+++ b/src/hickorylever/controllers/placement.py
@@ -0,0 +1,84 @@
+"""Orders endpoints to load models, versions and adapters as the inventory has them."""
+
+import curio
+import msgspec
+
+from .. import defaults
+from ..decisions.placement import Loaded, LoadState, Order, plan
+from ..events import Event, log
+from ..exceptions import ConnectionLost
+from ..orders import PATH, OrderReport
+from ..records import Endpoint
+from . import controllers
+
+LOST = (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError)
+
+
+@controllers.register("placement")
+class Placement:
+    """Asks sidecars in turn what is loaded, and gives orders.
+
+    :param loaded: what each endpoint's sidecar said last; forgotten when it does not answer.
+    """
+
+    def __init__(self, env, keeper):
+        self.env = env
+        self.keeper = keeper
+        self.loaded: dict[str, Loaded] = {}
+        self.turn = 0
+
+    async def run(self, number: int) -> None:
+        """Ask a few sidecars and give the orders that are due."""
+        endpoints = tuple(entry for entry in self.env.fleet.endpoints if entry.models)
+        if not endpoints:
+            return
+        async with curio.TaskGroup() as group:
+            for _ in range(min(defaults.PLACEMENT_POLLS, len(endpoints))):
+                self.turn = (self.turn + 1) % len(endpoints)
+                await group.spawn(self.ask, endpoints[self.turn])
+        usable = {entry.name for entry in endpoints if self.env.usable(entry.name)}
+        orders = plan(endpoints, self.loaded, usable, self.demand(), number)
+        places = {entry.name: entry for entry in endpoints}
+        for order in orders:
+            await self.give(places[order.endpoint], order)
+
+    def demand(self) -> dict[str, float]:
+        """Return the admitted work of each model's endpoints."""
+        now = self.env.clock()
+        totals = self.env.loads.total
+        return {model: totals(pool.name, now).work for model, pool in self.env.models.items()}
+
+    async def ask(self, endpoint: Endpoint) -> None:
+        """Ask one sidecar what is loaded."""
+        report = await self.call(endpoint, "GET")
+        if report is None:
+            self.loaded.pop(endpoint.name, None)
+        else:
+            state = LoadState(report.state)
+            self.loaded[endpoint.name] = Loaded(state, tuple(report.models), report.version)
+
+    async def give(self, endpoint: Endpoint, order: Order) -> None:
+        """Give one order while the lease is held."""
+        if not self.keeper.lease.holds(self.env.clock()):
+            return
+        body = msgspec.json.encode(order)
+        report = await self.call(endpoint, "POST", body)
+        if report is None:
+            self.loaded.pop(endpoint.name, None)
+            return
+        log(Event.ORDER_GIVEN, f"{endpoint.name}: {report.verdict}", number=order.number)
+        if report.verdict == "older":
+            self.keeper.lease.lost()
+        self.loaded[endpoint.name] = Loaded(LoadState.LOADING)
+
+    async def call(self, endpoint: Endpoint, method: str, body: bytes = b"") -> OrderReport | None:
+        """Call a sidecar's page of orders; None when it does not answer."""
+        client = self.env.client
+        try:
+            async with curio.timeout_after(defaults.CONNECT_TIMEOUT):
+                _, _, data = await client.fetch(
+                    endpoint.address, endpoint.sidecar_port, method, PATH, (), body
+                )
+            return msgspec.json.decode(data, type=OrderReport)
+        except LOST:
+            return None
--- /dev/null
+++ b/src/hickorylever/orders.py
@@ -0,0 +1,184 @@
+"""The sidecar's side of orders: the check of fencing numbers, the engine's state, warming."""
+
+import curio
+import msgspec
+
+from . import defaults
+from .decisions.leases import Gate, LeaseRecord, Verdict
+from .decisions.placement import Loaded, LoadState, Order
+from .events import Event, log
+from .exceptions import ConnectionLost, Kind, PlatformError, RequestError
+from .http import Exchange
+from .node import respond_json
+
+PATH = "/orders"
+LEASE = ("leases", "placement")
+LOST = (ConnectionLost, curio.TaskTimeout)
+
+
+class OrderReport(msgspec.Struct, frozen=True):
+    """What a sidecar answers about orders.
+
+    :param state: a :class:`LoadState`.
+    :param verdict: what became of the order, empty for a question.
+    """
+
+    state: str
+    models: list[str] = []
+    version: str = ""
+    verdict: str = ""
+    number: int = 0
+
+
+class EngineState(msgspec.Struct, frozen=True):
+    """What an engine that takes orders says of itself."""
+
+    state: str
+    models: list[str] = []
+    version: str = ""
+
+
+class EngineOrder(msgspec.Struct, frozen=True):
+    """What an engine is ordered to load; some check the fencing number."""
+
+    models: tuple[str, ...]
+    version: str
+    number: int
+
+
+class Orders:
+    """The orders of one endpoint.
+
+    Orders run one at a time. An engine that does not check numbers may still take up an older
+    order late; the sidecar sees that in the engine's state and repeats the last one it obeyed.
+
+    :param endpoint: returns the endpoint of the configuration in force, or None.
+    """
+
+    def __init__(self, env, address: str, port: int, endpoint):
+        self.env = env
+        self.address = address
+        self.port = port
+        self.endpoint = endpoint
+        self.gate = Gate()
+        self.order: Order | None = None
+        self.loaded = Loaded(LoadState.LOADING)
+        self.warmed: Loaded | None = None
+        self.lock = curio.Lock()
+        env.timers.subscribe("orders", defaults.ORDERS_CHECK, self.check)
+
+    async def read_number(self) -> None:
+        """Read the current fencing number until that works; no order is obeyed before."""
+        while self.gate.number is None:
+            try:
+                entry = await self.env.platform.get(*LEASE)
+            except PlatformError as error:
+                log(Event.PLATFORM_FAILED, str(error), 30)
+                await curio.sleep(defaults.PLATFORM_RETRY)
+                continue
+            empty = not entry.version
+            record = LeaseRecord() if empty else msgspec.json.decode(entry.value, type=LeaseRecord)
+            self.gate.read(record.number)
+
+    async def answer(self, exchange: Exchange) -> None:
+        """Answer the controller: what is loaded, or what became of its order."""
+        verdict = ""
+        if exchange.method == "POST":
+            verdict = (await self.take(await exchange.body())).value
+        await respond_json(exchange, self.report(verdict))
+
+    def report(self, verdict: str = "") -> OrderReport:
+        """Return what is loaded."""
+        known = self.loaded
+        number = self.gate.number or 0
+        return OrderReport(known.state, list(known.models), known.version, verdict, number)
+
+    async def take(self, body: bytes) -> Verdict:
+        """Check an order and pass it to the engine.
+
+        :raises RequestError: when it is malformed.
+        """
+        try:
+            order = msgspec.json.decode(body, type=Order)
+        except msgspec.DecodeError as error:
+            raise RequestError(Kind.BAD_REQUEST, str(error)) from None
+        async with self.lock:
+            verdict = self.gate.judge(order.number)
+            if verdict is Verdict.OBEY:
+                self.order = order
+                await self.pass_on()
+            else:
+                log(Event.ORDER_REFUSED, verdict.value, 30, number=order.number)
+        return verdict
+
+    async def pass_on(self) -> None:
+        """Give the last order to the engine; :meth:`check` repeats it if that fails."""
+        order = self.order
+        body = msgspec.json.encode(EngineOrder(order.models, order.version, order.number))
+        self.loaded = Loaded(LoadState.LOADING)
+        try:
+            async with curio.timeout_after(defaults.ORDER_TIMEOUT):
+                await self.env.client.fetch(self.address, self.port, "POST", PATH, (), body)
+        except LOST as error:
+            log(Event.ORDER_FAILED, f"the engine did not take the order: {error!r}", 30)
+
+    async def check(self) -> None:
+        """Ask the engine what it has loaded, repeat the order if it differs, and warm it."""
+        endpoint = self.endpoint()
+        if endpoint is None:
+            return
+        async with self.lock:
+            self.loaded = await self.ask_engine() if endpoint.models else Loaded(LoadState.FIXED)
+            if self.differs():
+                await self.pass_on()
+        if self.loaded.state is LoadState.READY and self.loaded != self.warmed:
+            await self.warm_up(self.loaded)
+
+    def differs(self) -> bool:
+        """Tell whether the engine has something else than the last order says."""
+        order, known = self.order, self.loaded
+        if order is None or known.state not in (LoadState.READY, LoadState.EMPTY):
+            return False
+        return (known.models, known.version) != (order.models, order.version)
+
+    async def ask_engine(self) -> Loaded:
+        """Return what the engine has loaded; engines without the page take no orders."""
+        try:
+            async with curio.timeout_after(defaults.CONNECT_TIMEOUT):
+                status, _, data = await self.env.client.fetch(
+                    self.address, self.port, "GET", PATH
+                )
+        except LOST:
+            return Loaded(LoadState.LOADING)
+        if status != 200:
+            return Loaded(LoadState.FIXED)
+        try:
+            state = msgspec.json.decode(data, type=EngineState)
+            return Loaded(LoadState(state.state), tuple(state.models), state.version)
+        except (msgspec.DecodeError, ValueError):
+            return Loaded(LoadState.FIXED)
+
+    async def warm_up(self, loaded: Loaded) -> None:
+        """Let the engine run one token on each model before it takes traffic."""
+        for model in loaded.models:
+            message = {"role": "user", "content": "warm-up"}
+            body = msgspec.json.encode({"model": model, "messages": [message], "max_tokens": 1})
+            try:
+                async with curio.timeout_after(defaults.ORDER_TIMEOUT):
+                    status, _, _ = await self.env.client.fetch(
+                        self.address, self.port, "POST", "/v1/chat/completions", (), body
+                    )
+            except LOST:
+                return
+            if status != 200:
+                return
+        self.warmed = loaded
+
+    def warm(self) -> bool:
+        """Tell whether the endpoint has its models loaded and warmed."""
+        if self.loaded.state is LoadState.FIXED:
+            return True
+        endpoint = self.endpoint()
+        if endpoint is None or self.loaded.state is not LoadState.READY:
+            return False
+        return self.loaded == self.warmed and set(endpoint.models) <= set(self.loaded.models)
