Run controllers under leases in routers; sidecars check orders and warm their engines

Cause: model engines were used as soon as they took connections, whatever they had loaded, and no part of the fleet gave load orders.

Change: placement, status and cleanup run in routers, each under a lease that two routers compete for. Sidecars refuse orders with older fencing numbers and every order before they have read the current number, repeat the last obeyed order when an engine shows something else, and warm the engine with one token a model before it is ready. The VM list is followed at a rate that the whole fleet shares. An engine without the page /orders takes no orders and counts as loaded.

--- a/src/hickorylever/controllers/cleanup.py
+++ b/src/hickorylever/controllers/cleanup.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from .. import defaults
+from .. import defaults, suspicion
 from ..events import Event, log
 from ..exceptions import Conflict
 from ..platform import Object
@@ -13,6 +13,13 @@
 sweeps: Registry[Expired] = Registry("sweep")
 
 
+@sweeps.register(suspicion.KIND)
+def expired_suspicions(objects: list[Object], now: float) -> list[Object]:
+    """Return the crashes and trials that no longer count."""
+    limit = now - 2 * defaults.SUSPECT_LIFETIME
+    return [entry for entry in objects if suspicion.decode(entry.value).time < limit]
+
+
 @controllers.register("cleanup")
 class Cleanup:
     """Asks each kind's sweep which objects have expired, one kind a run.
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -81,6 +81,10 @@
         """Return monotonic seconds."""
         return time.monotonic()
 
+    def wall_clock(self) -> float:
+        """Return seconds since the epoch, for times that objects carry."""
+        return time.time()
+
     def usable(self, endpoint: str) -> bool:
         """Tell whether an endpoint may be given new work, as far as this node knows."""
         return self.gossip is None or self.gossip.usable(endpoint)
--- a/src/hickorylever/events.py
+++ b/src/hickorylever/events.py
@@ -42,6 +42,13 @@
     ENDPOINT_READY = 402
     ENDPOINT_LOST = 403
     VM_LIST_FAILED = 404
+    LEASE_TAKEN = 500
+    LEASE_LOST = 501
+    CONTROLLER_FAILED = 502
+    ORDER_GIVEN = 510
+    ORDER_REFUSED = 511
+    ORDER_FAILED = 512
+    OBJECTS_DELETED = 520
 
 
 def log(event: Event, message: str, level: int = logging.INFO, **fields: object) -> None:
--- a/src/hickorylever/orders.py
+++ b/src/hickorylever/orders.py
@@ -145,9 +145,7 @@
         """Return what the engine has loaded; engines without the page take no orders."""
         try:
             async with curio.timeout_after(defaults.CONNECT_TIMEOUT):
-                status, _, data = await self.env.client.fetch(
-                    self.address, self.port, "GET", PATH
-                )
+                status, _, data = await self.env.client.fetch(self.address, self.port, "GET", PATH)
         except LOST:
             return Loaded(LoadState.LOADING)
         if status != 200:
--- a/src/hickorylever/readiness.py
+++ b/src/hickorylever/readiness.py
@@ -1,6 +1,8 @@
 """Tells whether a sidecar's endpoint may be given work: it takes connections and is warm."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+
+import curio
 
 from . import defaults
 from .events import Event, log
@@ -27,6 +29,16 @@
         """Tell whether the endpoint may be given work."""
         return self.env.fleet is not None and self.up and self.warm()
 
+    async def start(self, refresh: Callable[[], Awaitable[None]]) -> None:
+        """Check often until the endpoint is ready for the first time.
+
+        :param refresh: finds out again whether it is warm.
+        """
+        while not self.ready():
+            await self.check()
+            await refresh()
+            await curio.sleep(defaults.ENDPOINT_FIRST_CHECK)
+
     async def check(self) -> None:
         """Connect to the endpoint; a single miss is forgiven."""
         try:
--- a/src/hickorylever/router.py
+++ b/src/hickorylever/router.py
@@ -4,8 +4,9 @@
 
 import curio
 
-from . import configuration, defaults, filters, gossip, suspicion
+from . import configuration, defaults, filters, gossip, suspicion, vms
 from .call import Call
+from .controllers import leases
 from .controllers.claims import Claims
 from .environment import Environment
 from .events import Event, log, logger
@@ -113,5 +114,7 @@
     env = Environment(settings)
     configuration.attach(env)
     gossip.attach_router(env)
+    vms.attach(env)
+    leases.attach(env)
     router = Router(env)
     await run_node(env, router.server, router.drain)
--- a/src/hickorylever/settings.py
+++ b/src/hickorylever/settings.py
@@ -20,6 +20,7 @@
     :param port: listener of requests (router) or attempts (sidecar).
     :param admin_port: listener of health and metrics.
     :param peers: ``address:port`` of some routers, asked at start-up.
+    :param vm_list: ``address:port`` of the platform's VM list; without it heartbeats alone count.
     :param endpoint: ``address:port`` of the endpoint beside a sidecar.
     :param drain_grace: seconds that in-flight requests get after a signal.
     :param balancer_delay: seconds that a draining router still accepts connections.
@@ -34,6 +35,7 @@
     admin_port: int = 0
     endpoint: str = ""
     peers: tuple[str, ...] = ()
+    vm_list: str = ""
     log_format: str = "json"
     log_level: str = "info"
     drain_grace: float = defaults.DRAIN_GRACE
@@ -41,6 +43,7 @@
     seed: int = 0
 
 
+ADDRESSES = ("platform", "endpoint", "vm_list")
 CHOICES = {"log_format": LOG_FORMATS, "log_level": LOG_LEVELS}
 TYPES = {str: (str,), int: (int,), float: (int, float), tuple[str, ...]: (list,)}
 NOUNS = {
@@ -72,7 +75,7 @@
         return "must be from 0 to 65535"
     if name in ("drain_grace", "balancer_delay") and value < 0:
         return "must not be negative"
-    texts = value if name == "peers" else [value] if name in ("platform", "endpoint") else []
+    texts = value if name == "peers" else [value] if name in ADDRESSES else []
     for text in texts:
         if text and not well_formed(text):
             return "must be of the form address:port"
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -7,7 +7,7 @@
 import msgspec
 import xxhash
 
-from . import admission, configuration, defaults, frames, gossip, suspicion
+from . import admission, configuration, defaults, frames, gossip, suspicion, vms
 from .decisions.attempts import Attempts, Refusal
 from .environment import Environment
 from .events import Event, log
@@ -15,6 +15,7 @@
 from .frames import Beat, CancelResult, Data, End, Failed, Handover, Head, SidecarState
 from .http import Exchange, Server, end_to_end
 from .node import refuse, respond_json, run_node
+from .orders import Orders
 from .readiness import Readiness
 from .records import Attempt, Endpoint
 from .settings import Settings, split_address
@@ -87,6 +88,7 @@
         self.attempts = Attempts(env.incarnation, defaults.TOMBSTONE_LIFETIME)
         self.running: dict[str, Running] = {}
         self.server = Server(self.handle, refuse)
+        self.orders = Orders(env, self.address, self.port, self.endpoint)
         self.streams = 0
         self.crashes: dict[str, curio.Task] = {}
         suspicion.attach(env)
@@ -131,6 +133,10 @@
         )
         await respond_json(exchange, state)
 
+    async def answer_orders(self, exchange: Exchange, parts: list[str], query: dict) -> None:
+        """Answer a controller."""
+        await self.orders.answer(exchange)
+
     async def admit(self, exchange: Exchange, parts: list[str], query: dict) -> None:
         """Take an attempt and stream its answer."""
         body = await exchange.body(2 * defaults.MAX_BODY_BYTES)
@@ -371,6 +377,8 @@
     ("POST", "attempts", 1): Sidecar.admit,
     ("GET", "attempts", 2): Sidecar.resume,
     ("DELETE", "attempts", 2): Sidecar.cancel,
+    ("GET", "orders", 1): Sidecar.answer_orders,
+    ("POST", "orders", 1): Sidecar.answer_orders,
 }
 
 
@@ -379,7 +387,10 @@
     env = Environment(settings)
     configuration.attach(env)
     sidecar = Sidecar(env)
-    readiness = Readiness(env, sidecar.address, sidecar.port)
+    orders = sidecar.orders
+    readiness = Readiness(env, sidecar.address, sidecar.port, orders.warm)
     gossip.attach_sidecar(env, sidecar, readiness.ready)
+    vms.attach(env)
+    env.tasks += [functools.partial(readiness.start, orders.check), orders.read_number]
     env.tasks.append(functools.partial(suspicion.follow_register, env))
     await run_node(env, sidecar.server, sidecar.drain)
--- a/src/hickorylever/standins/engine.py
+++ b/src/hickorylever/standins/engine.py
@@ -10,8 +10,11 @@
 import msgspec
 import xxhash
 
+from ..exceptions import Kind, RequestError
 from ..http import Exchange, Server, listen
 from ..node import refuse, respond_json
+from ..orders import PATH
+from .orders import Loader
 
 BLOCK_BYTES = 256
 EXIT_CRASHED = 70
@@ -62,6 +65,7 @@
     blocks: int = 4096
     seed: int = 0
     poison: str = ""
+    loader: Loader | None = None
     prompt_tokens: int = 0
     cached_tokens: int = 0
     runs: int = 0
@@ -81,9 +85,18 @@
             }
             await respond_json(exchange, counts)
             return
+        if exchange.path == PATH:
+            await self.handle_orders(exchange)
+            return
         body = msgspec.json.decode(await exchange.body())
         await self.complete(exchange, body)
 
+    async def handle_orders(self, exchange: Exchange) -> None:
+        """Answer orders, unless this engine takes none."""
+        if self.loader is None:
+            raise RequestError(Kind.NOT_FOUND)
+        await self.loader.handle(exchange)
+
     async def complete(self, exchange: Exchange, body: dict) -> None:
         """Prefill, then generate."""
         self.runs += 1
--- a/src/hickorylever/suspicion.py
+++ b/src/hickorylever/suspicion.py
@@ -39,6 +39,14 @@
 _decoder = msgspec.json.Decoder(CrashRecord | TrialRecord)
 
 
+def decode(value: bytes) -> CrashRecord | TrialRecord:
+    """Return a record from its bytes.
+
+    :raises msgspec.DecodeError: when it is malformed.
+    """
+    return _decoder.decode(value)
+
+
 def take_record(env, record: CrashRecord | TrialRecord) -> None:
     """Take one record of the register, or of gossip."""
     age = max(0.0, time.time() - record.time)
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,149 @@
+import curio
+import msgspec
+import pytest
+from harness import World, run
+
+from hickorylever import defaults
+from hickorylever.controllers.cleanup import expired_suspicions
+from hickorylever.controllers.leases import Keeper, read_lease
+from hickorylever.controllers.status import FleetStatus, Status
+from hickorylever.decisions.leases import Gate, Lease, LeaseRecord, Step, Verdict
+from hickorylever.exceptions import Conflict
+from hickorylever.platform import Object
+from hickorylever.standins.objects import Faults
+from hickorylever.suspicion import CrashRecord
+
+
+def take(lease, version=0, now=0.0):
+    lease.observe(version, lease.record, now)
+    record = lease.proposal(Step.TAKE)
+    lease.written(version + 1, record, now)
+    return record
+
+
+def test_a_lease_is_renewed_in_time_and_lapses_by_the_holders_own_clock():
+    lease = Lease("a")
+    assert lease.step(0.0) is Step.READ
+    assert take(lease) == LeaseRecord("a", 1, 1)
+    assert lease.step(0.1) is Step.WAIT
+    assert lease.step(defaults.LEASE_DURATION * 0.5) is Step.RENEW
+    assert not lease.holds(defaults.LEASE_DURATION)
+
+
+def test_an_observer_takes_over_only_after_the_object_stayed_unchanged():
+    lease = Lease("b")
+    for now in (0.0, 5.0, 10.0):
+        lease.observe(int(now) + 1, LeaseRecord("a", 4, int(now)), now)
+    assert lease.step(10.0 + defaults.LEASE_TAKEOVER - 0.1) is Step.READ
+    assert lease.step(10.0 + defaults.LEASE_TAKEOVER) is Step.TAKE
+    assert lease.proposal(Step.TAKE).number == 5
+    lease.observe(12, LeaseRecord("", 4, 99), 11.0)
+    assert lease.step(11.0) is Step.TAKE
+
+
+def test_a_lost_reply_is_read_back_before_anything_is_done():
+    lease = Lease("a")
+    record = take(lease)
+    lease.doubt()
+    assert not lease.holds(1.0) and lease.step(1.0) is Step.READ
+    lease.observe(2, record, 1.0)
+    assert lease.step(defaults.LEASE_DURATION + 1) is Step.RENEW
+
+
+GATES = [
+    (None, 5, Verdict.NOT_READ),
+    (5, 4, Verdict.OLDER),
+    (5, 5, Verdict.OBEY),
+    (5, 6, Verdict.OBEY),
+]
+
+
+@pytest.mark.parametrize("known, number, verdict", GATES)
+def test_the_gate_refuses_older_numbers_and_everything_before_it_has_read(known, number, verdict):
+    gate = Gate(known)
+    assert gate.judge(number) is verdict
+    if verdict is Verdict.OBEY:
+        assert gate.judge(number - 1) is Verdict.OLDER
+        gate.read(1)
+        assert gate.judge(number - 1) is Verdict.OLDER
+
+
+def keepers(world, count=2):
+    return [Keeper(router.env, "placement") for router in world.routers[:count]]
+
+
+def test_two_routers_compete_and_the_paused_one_is_fenced_off():
+    async def main():
+        async with World(engines=0, routers=2) as world:
+            first, second = keepers(world)
+            shift = {"by": 0.0}
+            env = world.routers[1].env
+            real = env.clock
+            env.clock = lambda: real() + shift["by"]
+            for keeper in (first, first, second, second):
+                await keeper.step()
+            assert first.lease.holds(first.env.clock()) and not second.lease.holds(env.clock())
+            shift["by"] = defaults.LEASE_TAKEOVER + 1
+            assert await second.step()
+            assert second.lease.record.number == 2
+            first.lease.held_until = 0.0
+            assert not await first.step()
+            assert (await read_lease(env.platform, "placement"))[1].number == 2
+
+    run(main)
+
+
+def test_a_lost_reply_to_a_take_over_does_not_raise_the_number_twice():
+    async def main():
+        async with World(engines=0) as world:
+            (keeper,) = keepers(world, 1)
+            await keeper.step()
+            world.objects.faults = Faults(lost_replies=1.0)
+            assert not await keeper.step()
+            world.objects.faults = Faults()
+            await keeper.step()
+            assert await keeper.step() and keeper.lease.record.number == 1
+            await keeper.resign()
+            assert (await read_lease(keeper.env.platform, "placement"))[1].holder == ""
+
+    run(main)
+
+
+def test_a_status_of_a_later_holder_is_never_replaced():
+    async def main():
+        async with World(engines=0) as world:
+            (keeper,) = keepers(world, 1)
+            await keeper.step()
+            assert await keeper.step()
+            status = Status(keeper.env, keeper)
+            await status.write(FleetStatus(7, 1, {}, []))
+            with pytest.raises(Conflict):
+                await status.write(FleetStatus(6, 1, {}, []))
+            keeper.lease.held_until = 0.0
+            with pytest.raises(Conflict):
+                await status.write(FleetStatus(8, 1, {}, []))
+            entry = await keeper.env.platform.get("status", "fleet")
+            assert msgspec.json.decode(entry.value, type=FleetStatus).number == 7
+
+    run(main)
+
+
+def test_only_old_suspicions_expire():
+    def entry(time):
+        return Object("suspects", "x", 1, msgspec.json.encode(CrashRecord("c", [], time)))
+
+    old, young = entry(0.0), entry(10_000.0)
+    assert expired_suspicions([old, young], 10_000.0) == [old]
+
+
+def test_nothing_is_done_while_the_object_api_is_down():
+    async def main():
+        async with World(routers=1) as world:
+            (keeper,) = keepers(world, 1)
+            world.objects.faults = Faults(outage=True)
+            with pytest.raises(Exception, match="status 503"):
+                await keeper.step()
+            assert (await world.chat())[0] == 200
+            await curio.sleep(0)
+
+    run(main)
--- /dev/null
+++ b/tests/test_vms.py
@@ -0,0 +1,47 @@
+from harness import World, run
+
+from hickorylever import defaults, gossip, vms
+from hickorylever.packets import identify
+from hickorylever.records import MemberState
+from hickorylever.settings import Settings
+from hickorylever.standins.vms import VMs
+
+
+def test_the_list_shows_changes_late_and_in_order():
+    now = [0.0]
+    standin = VMs(10.0, seed=3, clock=lambda: now[0])
+    standin.set("a", "live")
+    standin.set("a", "leaving")
+    seen = []
+    for now[0] in range(12):
+        seen += [entry.state for entry in standin.listed() if entry.state not in seen]
+    assert seen[-1] == "leaving"
+    standin.set("a", "absent")
+    now[0] = 30.0
+    assert standin.listed() == []
+
+
+def test_a_leaving_vm_is_out_of_use_and_an_outage_changes_nothing():
+    async def main():
+        async with World(engines=2) as world:
+            standin = VMs(0.0)
+            port = await world.serve(standin.server)
+            env = world.routers[0].env
+            env.settings = Settings("entry-0", "north", "north-a", "", vm_list=f"127.0.0.1:{port}")
+            gossip.attach_router(env)
+            env.gossip.take_fleet(env.revisions.current)
+            standin.set("vm-engine-0", "leaving")
+            standin.set("vm-engine-1", "live")
+            for _ in range(2):
+                await vms.read_list(env)
+                state = env.gossip.swim.members.state
+                assert state(identify("vm-engine-0")) is MemberState.DRAINING
+                assert state(identify("vm-engine-1")) is MemberState.JOINING
+                standin.outage = True
+
+    run(main)
+
+
+def test_calls_of_the_whole_fleet_do_not_grow():
+    assert 1130 / vms.interval(1130) <= defaults.VM_LIST_RATE
+    assert vms.interval(8) == defaults.VM_LIST_INTERVAL
