Build one file that runs every role as one process; bench the path in processes

A launcher in C unpacks PyInstaller's folder once and replaces itself by the program, so that no child is started.

make bench-path starts stand-in, sidecar and router from the shell.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SECONDS_ ?= $(or $(SECONDS),60)
 SEED ?= 1
 
-.PHONY: test demo lint format clean
+.PHONY: test demo lint format bench-path binary clean
 
 .venv/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -25,5 +25,22 @@
 demo: .venv/ready
 	PATH="$(CURDIR)/$(BIN):$$PATH" sh examples/demo.sh
 
+.venv-binary/ready: requirements-binary.lock
+	$(PYTHON) -m venv .venv-binary
+	.venv-binary/bin/pip install --quiet --disable-pip-version-check -r requirements-binary.lock
+	touch .venv-binary/ready
+
+binary: .venv-binary/ready
+	.venv-binary/bin/pyinstaller --noconfirm --onedir --strip --log-level ERROR \
+	    --name hickorylever --paths src --collect-submodules hickorylever \
+	    --exclude-module numpy --exclude-module matplotlib --exclude-module tkinter \
+	    --distpath build/binary --workpath build/work --specpath build packaging/entry.py
+	cc -O2 -Wall -Wextra -o build/launcher packaging/launcher.c
+	strip build/launcher
+	.venv-binary/bin/python packaging/pack.py build/launcher build/binary/hickorylever dist/hickorylever
+
+bench-path: .venv/ready
+	PATH="$(CURDIR)/$(BIN):$$PATH" sh examples/bench-path.sh --seed $(SEED)
+
 clean:
-	rm -rf .venv .demo build dist
+	rm -rf .venv .venv-binary .demo .bench build dist
--- /dev/null
+++ b/packaging/entry.py
@@ -0,0 +1,7 @@
+"""Entry point of the binary."""
+
+import sys
+
+from hickorylever.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/packaging/pack.py
@@ -0,0 +1,32 @@
+"""Append a folder to the launcher: ``pack.py LAUNCHER FOLDER OUTPUT``."""
+
+import hashlib
+import shutil
+import struct
+import sys
+from pathlib import Path
+
+
+def entry(folder: Path, path: Path) -> bytes:
+    """Return one file as the launcher reads it."""
+    name = str(path.relative_to(folder)).encode()
+    content = path.read_bytes()
+    head = struct.pack("<IIQ", len(name), path.stat().st_mode & 0o700, len(content))
+    return head + name + content
+
+
+def main(launcher: str, folder: str, output: str) -> None:
+    """Write the launcher, the folder's files, their size and their digest."""
+    root = Path(folder)
+    files = sorted(path for path in root.rglob("*") if path.is_file())
+    payload = b"".join(entry(root, path) for path in files)
+    digest = hashlib.sha256(payload).hexdigest()[:16].encode()
+    target = Path(output)
+    target.parent.mkdir(exist_ok=True)
+    shutil.copy(launcher, target)
+    with target.open("ab") as file:
+        file.write(payload + struct.pack("<Q", len(payload)) + digest)
+    target.chmod(0o755)
+
+
+main(*sys.argv[1:])
--- a/src/hickorylever/commands/roles.py
+++ b/src/hickorylever/commands/roles.py
@@ -48,6 +48,8 @@
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--latency", type=float, default=0.0, help="of the object API, seconds")
     parser.add_argument("--lost-replies", type=float, default=0.0, help="share from 0 to 1")
+    parser.add_argument("--token", type=float, default=0.005, help="seconds a token of an engine")
+    parser.add_argument("--prefill", type=float, default=20000.0, help="prompt tokens a second")
     parser.add_argument("--poison", default="", help="a prompt with this text crashes the engine")
 
 
@@ -61,7 +63,8 @@
         faults = objects.Faults(latency=arguments.latency, lost_replies=arguments.lost_replies)
         curio.run(objects.main, address, port, arguments.seed, faults)
     elif arguments.kind == "engine":
-        made = engine.Engine(arguments.name, seed=arguments.seed, poison=arguments.poison)
+        speed = engine.Speed(arguments.prefill, arguments.token)
+        made = engine.Engine(arguments.name, speed, seed=arguments.seed, poison=arguments.poison)
         curio.run(engine.main, made, address, port)
     else:
         curio.run(engine.main, engine.Service(arguments.name), address, port)
--- a/src/hickorylever/standins/engine.py
+++ b/src/hickorylever/standins/engine.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import random
+import time
 from dataclasses import dataclass, field
 
 import curio
@@ -140,7 +141,8 @@
         for word in words:
             await curio.sleep(self.speed.token)
             choice = {"delta": {"content": word}, "text": word, "finish_reason": None}
-            data = self.chunk(body, "chat.completion.chunk", choice)
+            stamp = {"sent": time.monotonic()} if body.get("stamp") else {}
+            data = self.chunk(body, "chat.completion.chunk", choice, **stamp)
             await exchange.write(b"data: " + data + b"\n\n")
         last = {"delta": {}, "text": "", "finish_reason": "stop"}
         data = self.chunk(body, "chat.completion.chunk", last, usage=usage)
