Plan, apply, roll back and audit configurations; status by node

Cause: apply overwrote without showing what changes, and could not say after a lost reply or an outage whether the change was accepted. Change: plan prints the difference in words and the base revision; apply takes that base, repeats a write whose reply was lost until the outcome is certain, prints the other operator's change when it lost a race, and waits for every router on request; rollback is a new revision; audit verifies the chain and says where it breaks; status lists the nodes that lag.

--- a/src/hickorylever/cli.py
+++ b/src/hickorylever/cli.py
@@ -4,19 +4,18 @@
 import sys
 
 from . import defaults
-from .commands import commands
+from .commands import EXIT_FAILED, EXIT_USAGE, commands
 from .exceptions import HickoryleverError, SettingsError
 
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser with every subcommand."""
     parser = argparse.ArgumentParser(
         prog="hickorylever",
         description="A router fleet for model engines and plain services.",
-        epilog="exit codes: 0 done, 1 failed, 2 wrong usage or invalid settings",
+        epilog="exit codes: 0 done, 1 failed or not accepted, 2 wrong usage, settings or fleet "
+        "directory, 3 another change was accepted first, 4 not known whether accepted, "
+        "5 accepted but not yet in force everywhere",
     )
     parser.add_argument("--version", action="version", version=f"hickorylever {defaults.VERSION}")
     subparsers = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
--- a/src/hickorylever/commands/__init__.py
+++ b/src/hickorylever/commands/__init__.py
@@ -7,6 +7,12 @@
 from ..exceptions import SettingsError
 from ..registry import Registry
 
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_RACED = 3
+EXIT_UNKNOWN = 4
+EXIT_LAGGING = 5
+
 Command = Callable[[argparse.Namespace], int | None]
 commands: Registry[tuple[str, Callable, Command]] = Registry("command")
 
@@ -39,6 +45,17 @@
     )
 
 
+def add_ports(parser: argparse.ArgumentParser) -> None:
+    """Add the port on which nodes are asked for their state."""
+    parser.add_argument(
+        "--admin-port",
+        type=int,
+        default=defaults.ADMIN_PORT,
+        metavar="PORT",
+        help="admin listener of every node (default: %(default)s)",
+    )
+
+
 def make_platform(text: str):
     """Return a client of the object API at ``address:port``."""
     from ..http import Client
@@ -53,4 +70,4 @@
     return Platform(address, port, Client(), Metrics())
 
 
-from . import bench, configuration, demo, roles  # noqa: E402, F401
+from . import audit, bench, configuration, demo, roles, status  # noqa: E402, F401
--- /dev/null
+++ b/src/hickorylever/commands/audit.py
@@ -0,0 +1,48 @@
+"""The command that shows who changed the configuration, when, why and what."""
+
+import argparse
+import sys
+
+import curio
+
+from . import EXIT_FAILED, add_platform, command, make_platform
+
+
+def add_audit(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``audit``."""
+    add_platform(parser)
+    parser.add_argument("--since", type=int, default=1, metavar="N", help="the oldest revision")
+    parser.add_argument("--object", default="", metavar="NAME", help="only changes of an object")
+
+
+@command("audit", "show and verify the chain of accepted revisions", add_audit)
+def audit(arguments: argparse.Namespace) -> int:
+    """Print the audit trail from the newest on, and where its chain breaks."""
+    return curio.run(show, arguments)
+
+
+async def show(arguments: argparse.Namespace) -> int:
+    """Print the trail and return the exit code."""
+    from ..exceptions import ContentError
+    from ..fleet import audit as trail
+    from ..fleet import heads, plan
+
+    platform = make_platform(arguments.platform)
+    count = 0
+    try:
+        head = await heads.read_head(platform)
+        async for revision in trail.read_back(platform, head.chain, max(1, arguments.since)):
+            count += 1
+            if not arguments.object or plan.touches(revision.changes, arguments.object):
+                print(format_revision(revision))
+    except ContentError as error:
+        print(f"BROKEN: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    print(f"{count} revisions, the chain of digests holds")
+    return 0
+
+
+def format_revision(revision) -> str:
+    """Return a revision as text."""
+    head = f"revision {revision.number}  {revision.time}  {revision.author}  {revision.reason}"
+    return "\n".join([head, *(f"    {line}" for line in revision.changes)])
--- a/src/hickorylever/fleet/heads.py
+++ b/src/hickorylever/fleet/heads.py
@@ -1,5 +1,6 @@
 """Accepting a configuration: one conditional write on the base that the operator saw."""
 
+import contextlib
 import datetime
 import uuid
 from dataclasses import dataclass
@@ -13,7 +14,7 @@
 from ..platform import Object, Platform
 from ..records import Fleet, Revision
 from . import audit, store
-from .content import Content, encode
+from .content import Content, decode, encode
 
 KIND = "configuration"
 HEAD = "head"
@@ -86,6 +87,16 @@
     return Head(record.revision, entry.version, record.links, record.oldest)
 
 
+async def read_fleet(platform: Platform, revision: Revision | None) -> Fleet:
+    """Return a revision's configuration; an empty one before the first.
+
+    :raises ContentError: when it is not kept any more, or damaged.
+    """
+    if revision is None:
+        return Fleet("")
+    return decode(await store.read_content(platform, revision))
+
+
 def next_revision(
     current: Revision | None,
     content: Content,
@@ -194,5 +205,6 @@
     except LostReply:
         await settle(platform, value, revision, base)
     except Conflict as conflict:
-        await store.remove_bundle(platform, store.bundle_name(revision), revision.parts)
+        with contextlib.suppress(PlatformError):
+            await store.remove_bundle(platform, store.bundle_name(revision), revision.parts)
         raise Raced(await read_head(platform)) from conflict
--- a/src/hickorylever/fleet/store.py
+++ b/src/hickorylever/fleet/store.py
@@ -103,10 +103,13 @@
     if base is None:
         return whole
     name, pieces = bundle_name(base), base.parts
-    before = await read_bundle(platform, name, pieces)
-    if before.snapshot:
-        name, pieces = before.snapshot, before.pieces
+    try:
         before = await read_bundle(platform, name, pieces)
+        if before.snapshot:
+            name, pieces = before.snapshot, before.pieces
+            before = await read_bundle(platform, name, pieces)
+    except ContentError:
+        return whole
     stored = frozenset(part.key for part in before.parts)
     difference = msgspec.msgpack.encode(Bundle(content.changed(stored), name, pieces))
     return difference if len(difference) <= defaults.MAX_DIFFERENCE_BYTES else whole
--- a/src/hickorylever/offers.py
+++ b/src/hickorylever/offers.py
@@ -1,5 +1,7 @@
 """Peers ask each other for the configuration in force, over the admin listener."""
 
+from collections.abc import Sequence
+
 import curio
 import msgspec
 
@@ -9,8 +11,9 @@
 from .exceptions import ConnectionLost, ContentError, Kind, RequestError
 from .fleet.content import Content
 from .fleet.deltas import Answer, Ask
-from .http import Exchange
+from .http import Client, Exchange
 from .node import pages, respond_json
+from .records import VM
 from .settings import split_address
 
 PATH = "/configuration"
@@ -56,6 +59,36 @@
     await exchange.respond(200, [(b"content-type", b"application/msgpack")], body)
 
 
+async def ask_state(client: Client, address: str, port: int) -> State | None:
+    """Return a node's state, or None when it does not answer."""
+    try:
+        async with curio.timeout_after(defaults.PULL_TIMEOUT):
+            status, _, data = await client.fetch(address, port, "GET", PATH, fresh=True)
+        return msgspec.json.decode(data, type=State) if status == 200 else None
+    except (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError):
+        return None
+
+
+async def ask_states(client: Client, vms: Sequence[VM], port: int) -> dict[str, State | None]:
+    """Return the state of each VM's process, a bounded number at a time."""
+    states: dict[str, State | None] = {}
+    waiting = iter(vms)
+
+    async def work() -> None:
+        for vm in waiting:
+            states[vm.name] = await ask_state(client, vm.address, port)
+
+    async with curio.TaskGroup() as group:
+        for _ in range(min(len(vms), defaults.MAX_ASKED_AT_ONCE)):
+            await group.spawn(work)
+    return states
+
+
+def lagging(state: State | None, number: int) -> bool:
+    """Tell whether a node does not have a revision in force."""
+    return state is None or state.revision < number
+
+
 def address_of(env: Environment, source: str) -> tuple[str, int]:
     """Return where a member's admin listener is.
 
