Model and fuzz how configurations are accepted and spread

Change: spec/revisions.py models two operators with lost, delayed and repeated writes, and three nodes with a paused watcher, a stale peer and a restart; traces of the real apply and of the real decision objects must be steps of the models; a hypothesis state machine drives six nodes with loss, delay, partition, restart and outage against the list of accepted heads. Conclusion: settling a lost reply must repeat the write and look through the whole chain: reading once, or only the newest head, tells an operator 'not accepted' of an accepted change.

--- /dev/null
+++ b/tests/test_revisions.py
@@ -0,0 +1,542 @@
+"""Model checks, traces of the program against the models, and a fuzzer of many nodes."""
+
+import collections
+import dataclasses
+import random
+
+import curio
+import hypothesis.stateful as stateful
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from minicheck import check_safety
+
+from hickorylever import defaults
+from hickorylever.decisions.revisions import (
+    PLATFORM,
+    Offer,
+    Pull,
+    Revisions,
+    Start,
+    Verdict,
+    link,
+    watchers,
+)
+from hickorylever.exceptions import Conflict, LostReply, PlatformError
+from hickorylever.fleet import heads
+from hickorylever.fleet.content import Content, encode
+from hickorylever.fleet.deltas import Ask, Desk
+from hickorylever.platform import Object
+from hickorylever.records import ClientAccount, Fleet, Member, MemberState, Revision
+from spec import revisions as spec
+
+MODELS = [spec.acceptance, spec.spread]
+BROKEN = [
+    (spec.acceptance, "overwrite", "no_lost_update"),
+    (spec.acceptance, "read_only", "told_truth"),
+    (spec.acceptance, "newest_only", "told_truth"),
+    (spec.spread, "any_offer", "never_back"),
+    (spec.spread, "any_head", "never_back"),
+    (spec.spread, "first_answer", "never_back"),
+]
+
+
+@pytest.mark.parametrize("model", MODELS)
+def test_models_hold(model):
+    result = check_safety(model())
+    assert result["exhaustive"]
+    assert all(found["holds"] is True for found in result["properties"].values())
+
+
+@pytest.mark.parametrize("model, variant, invariant", BROKEN)
+def test_broken_variants_yield_a_counterexample(model, variant, invariant):
+    result = check_safety(model(variant), max_states=20_000)
+    assert result["properties"][invariant]["holds"] is False
+
+
+def revision(number, parent=None, digest="d", nonce="n"):
+    return Revision(number, digest, link(parent) if parent else "", "a", "r", "t", nonce)
+
+
+def make_chain(count):
+    chain = []
+    for number in range(1, count + 1):
+        chain.append(revision(number, chain[-1] if chain else None))
+    return tuple(chain)
+
+
+CHAIN = make_chain(5)
+FORK = (*CHAIN[:2], revision(3, CHAIN[1], nonce="other"))
+OFFERS = [
+    (3, Offer("p", CHAIN[3], CHAIN[:3]), Verdict.ADOPT),
+    (3, Offer("p", CHAIN[3], CHAIN[1:3]), Verdict.ADOPT),
+    (3, Offer("p", CHAIN[3]), Verdict.ADOPT),
+    (3, Offer("p", CHAIN[2], CHAIN[:2]), Verdict.SAME),
+    (3, Offer("p", CHAIN[1], CHAIN[:1]), Verdict.OLDER),
+    (3, Offer(PLATFORM, CHAIN[1], CHAIN[:1]), Verdict.OLDER),
+    (3, Offer("p", None), Verdict.OLDER),
+    (3, Offer("p", FORK[2], FORK[:2]), Verdict.FORKED),
+    (3, Offer("p", revision(4, FORK[2]), FORK), Verdict.FORKED),
+    (3, Offer("p", CHAIN[4], (CHAIN[3], CHAIN[2])), Verdict.BROKEN),
+    (3, Offer("p", CHAIN[4], CHAIN[:3]), Verdict.BROKEN),
+    (2, Offer("p", CHAIN[4]), Verdict.UNLINKED),
+    (2, Offer(PLATFORM, CHAIN[4]), Verdict.ADOPT),
+    (0, Offer("p", CHAIN[4]), Verdict.ADOPT),
+]
+
+
+@pytest.mark.parametrize("held, offer, verdict", OFFERS)
+def test_verdicts(held, offer, verdict):
+    node = Revisions()
+    if held:
+        node.adopt(Offer(PLATFORM, CHAIN[held - 1], CHAIN[: held - 1]), "d")
+    assert node.adopt(offer, "d") is verdict
+    assert node.number == (offer.number if verdict is Verdict.ADOPT else held)
+
+
+def test_content_with_another_digest_is_corrupt():
+    node = Revisions()
+    assert node.adopt(Offer("p", CHAIN[0]), "other") is Verdict.CORRUPT
+    assert node.current is None
+
+
+def test_pulls_go_to_who_told_the_highest_one_at_a_time():
+    node = Revisions()
+    assert node.on_revision_heard("a", 2) == []
+    assert node.begin() == [Pull("a")]
+    assert node.on_revision_heard("b", 3) == []
+    assert node.on_pull_ended("a") == [Pull("b")]
+    assert node.on_pull_ended("b") == []
+    assert node.behind()
+    assert node.on_tick(defaults.BEHIND_POLL, ["c"])
+
+
+def test_polls_of_the_platform_do_not_grow_with_the_members():
+    for members in (8, 370):
+        node = Revisions(random.Random(1))
+        node.begin()
+        peers = [f"p{number}" for number in range(members)]
+        polls = collections.Counter()
+        for now in range(0, 60 * 2000, 60):
+            for pull in node.on_tick(1e6 * now, peers):
+                polls[pull.source == PLATFORM] += 1
+                node.on_pull_ended(pull.source)
+        assert polls[True] * members < 3 * polls.total()
+
+
+def member(name, domain="d", state=MemberState.READY):
+    return Member(name, "127.0.0.1", 1, "router", "r", domain, "i", state)
+
+
+def test_watchers_are_few_per_domain_and_move_little():
+    members = [member(f"m{number}", f"d{number % 5}") for number in range(100)]
+    chosen = {domain: watchers(members, domain) for domain in ("d0", "d1", "d2", "d3", "d4")}
+    assert all(len(names) == defaults.WATCHERS_PER_DOMAIN for names in chosen.values())
+    lost = chosen["d0"][0]
+    members = [entry for entry in members if entry.name != lost]
+    assert watchers(members, "d1") == chosen["d1"]
+    assert chosen["d0"][1] in watchers(members, "d0")
+    assert watchers([member("m", state=MemberState.DRAINING)], "d") == ()
+
+
+class SpreadReplay:
+    """Real decision objects that take the steps of the model of spread."""
+
+    def __init__(self):
+        self.chain = list(make_chain(spec.HIGHEST))
+        self.nodes = [Revisions() for _ in range(3)]
+        for node in self.nodes:
+            self.adopt(node, self.offer(PLATFORM, 1))
+        self.heads = [0] * 3
+        self.offers = [0] * 3
+        self.start = None
+
+    def offer(self, source, number):
+        return Offer(source, self.chain[number - 1], tuple(self.chain[: number - 1]), number)
+
+    def adopt(self, node, offer):
+        node.adopt(offer, offer.revision.digest)
+
+    def do(self, label, state):
+        name, *words = label.split()
+        numbers = [int(word) for word in words]
+        getattr(self, f"do_{name}", lambda state: None)(state, *numbers)
+
+    def do_read_head(self, state, node, number):
+        self.heads[node] = number
+
+    def do_take_head(self, state, node):
+        self.adopt(self.nodes[node], self.offer(PLATFORM, self.heads[node]))
+
+    def do_ask_offer(self, state, node, peer):
+        self.offers[node] = self.nodes[peer].number
+
+    def do_adopt(self, state, node):
+        self.adopt(self.nodes[node], self.offer("peer", self.offers[node]))
+
+    def do_restart(self, state):
+        self.nodes[spec.RESTARTING] = Revisions()
+        self.start = Start(("1", "2"), 0.0)
+
+    def do_on_offer(self, state, source):
+        number = state[1] if source == 0 else self.nodes[source - 1].number
+        self.start.on_offer(self.offer(str(source) if source else PLATFORM, number))
+
+    def do_settled(self, state):
+        self.adopt(self.nodes[spec.RESTARTING], self.start.best())
+        self.start = None
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_decisions_take_the_steps_of_the_model_of_spread(seed):
+    chance = random.Random(seed)
+    model = spec.spread()
+    state = model.initial
+    replay = SpreadReplay()
+    for _ in range(200):
+        steps = model.transitions(state)
+        if replay.start is not None:
+            enabled = any(label == "settled" for label, _ in steps)
+            assert replay.start.settled(0.0) == enabled
+        label, after = chance.choice(steps)
+        replay.do(label, state)
+        state = after
+        assert [node.number for node in replay.nodes] == [node[0] for node in state[2]]
+
+
+class Store:
+    """An object API that records what its calls mean to the model of acceptance."""
+
+    def __init__(self, seed):
+        self.chance = random.Random(seed)
+        self.objects = {}
+        self.version = 0
+        self.up = True
+        self.flying = {}
+        self.labels = []
+        self.wrote = set()
+        self.read = set()
+
+    async def turn(self, operator):
+        """Let time pass: other tasks, outages, and late copies of writes."""
+        for _ in range(self.chance.randrange(4)):
+            await curio.sleep(0)
+        if self.chance.random() < 0.15:
+            self.up = not self.up
+            self.labels.append("platform_up" if self.up else "platform_down")
+        for other, (value, base) in list(self.flying.items()):
+            if self.chance.random() < 0.3:
+                del self.flying[other]
+                self.labels.append(f"land {other}")
+                self.write(heads.KIND, heads.HEAD, value, base)
+
+    def write(self, kind, name, value, base):
+        held = self.objects.get((kind, name))
+        if (held.version if held else 0) != base:
+            return None
+        self.version += 1
+        self.objects[kind, name] = Object(kind, name, self.version, value)
+        return self.objects[kind, name]
+
+
+@dataclasses.dataclass
+class Operator:
+    """One operator's client of the store."""
+
+    store: Store
+    number: int
+
+    async def get(self, kind, name):
+        store = self.store
+        await store.turn(self.number)
+        if not store.up:
+            raise PlatformError("outage")
+        if name == heads.HEAD and self.number not in store.read:
+            store.read.add(self.number)
+            store.labels.append(f"read_head {self.number}")
+        elif name == heads.HEAD and self.number in store.wrote:
+            store.labels.append(f"repeat_write {self.number}")
+        return store.objects.get((kind, name), Object(kind, name, 0, b""))
+
+    async def put(self, kind, name, value, base):
+        store = self.store
+        await store.turn(self.number)
+        if kind != heads.KIND:
+            if not store.up:
+                raise PlatformError("outage")
+            return store.write(kind, name, value, base)
+        verb = "repeat_write" if self.number in store.wrote else "write_head"
+        if not store.up or store.chance.random() < 0.3:
+            store.wrote.add(self.number)
+            store.flying[self.number] = (value, base)
+            store.labels.append(f"{verb}_delayed {self.number}")
+            raise LostReply("delayed")
+        written = store.write(kind, name, value, base)
+        if store.chance.random() < 0.4:
+            store.wrote.add(self.number)
+            store.labels.append(f"{verb}_reply_lost {self.number}")
+            raise LostReply("reply lost")
+        if written is None:
+            if verb == "write_head":
+                store.labels.append(f"{verb} {self.number}")
+            raise Conflict("moved")
+        store.labels.append(f"{verb} {self.number}")
+        return written
+
+    async def delete(self, kind, name, base):
+        self.store.objects.pop((kind, name), None)
+
+
+async def operate(operator):
+    """Apply a change as the command does and return the phase that the operator is told."""
+    entry = Fleet("f", client_accounts=(ClientAccount(f"a{operator.number}", ()),))
+    try:
+        base = await heads.read_head(operator)
+        await heads.apply(operator, entry, base, str(operator.number), "r")
+    except heads.Raced:
+        return spec.REFUSED
+    except heads.Unsettled:
+        operator.store.labels.append(f"give_up {operator.number}")
+        return spec.UNKNOWN
+    except PlatformError:
+        return None
+    return spec.ACCEPTED
+
+
+def test_apply_takes_the_steps_of_the_model_of_acceptance(monkeypatch):
+    monkeypatch.setattr(defaults, "SETTLE_PAUSE", 0)
+    model = spec.acceptance()
+    told = collections.Counter()
+
+    async def main(store):
+        tasks = [await curio.spawn(operate, Operator(store, n)) for n in spec.OPERATORS]
+        return [await task.join() for task in tasks]
+
+    for seed in range(150):
+        store = Store(seed)
+        phases = curio.run(main, store)
+        state = model.initial
+        for label in store.labels:
+            steps = dict(model.transitions(state))
+            assert label in steps, (seed, label, store.labels)
+            state = steps[label]
+        head = heads.parse_head(
+            store.objects.get((heads.KIND, heads.HEAD), Object("", "", 0, b""))
+        )
+        assert [int(e.author) for e in head.chain] == [author for author, _ in state[1]]
+        for number, phase in enumerate(phases):
+            told[phase] += 1
+            if phase is None:
+                assert number not in [author for author, _ in state[1]]
+            else:
+                assert state[2][number][0] == phase, (seed, store.labels)
+    print(dict(told))
+    assert all(told[phase] > 5 for phase in (spec.ACCEPTED, spec.REFUSED, spec.UNKNOWN, None))
+
+
+NAMES = ("n0", "n1", "n2", "n3", "n4", "n5")
+COUNTS = collections.Counter()
+
+
+class Credulous(Revisions):
+    """A broken node that takes whatever it is offered."""
+
+    def judge(self, offer):
+        return Verdict.ADOPT if offer.revision else Verdict.OLDER
+
+
+@dataclasses.dataclass
+class Node:
+    """One node's decision objects, its content, and the lowest number it may have."""
+
+    revisions: Revisions
+    content: Content = dataclasses.field(default_factory=lambda: Content({}))
+    desk: Desk = dataclasses.field(default_factory=Desk)
+    start: Start | None = None
+    lowest: int = 0
+
+
+class Spread(stateful.RuleBasedStateMachine):
+    """Many nodes; messages are lost, delayed and reordered; oracle: the accepted heads."""
+
+    make_revisions = Revisions
+
+    def __init__(self):
+        super().__init__()
+        self.accepted = []
+        self.contents = []
+        self.up = True
+        self.messages = []
+        self.parted = set()
+        self.nodes = {}
+        for name in NAMES:
+            self.nodes[name] = Node(self.make_revisions(random.Random(1)))
+            self.nodes[name].revisions.begin()
+
+    @stateful.initialize()
+    def begin(self):
+        self.accept("a")
+        self.accept("b")
+
+    @stateful.rule(name=st.sampled_from("abcdefgh"))
+    def accept(self, name):
+        if not self.up:
+            return
+        known = (
+            set(a.name for a in self.contents[-1][0].client_accounts) if self.contents else set()
+        )
+        names = known ^ {name}
+        fleet = Fleet("f", client_accounts=tuple(ClientAccount(n, ()) for n in sorted(names)))
+        content = encode(fleet)
+        parent = self.accepted[-1] if self.accepted else None
+        self.accepted.append(heads.next_revision(parent, content, "a", "r"))
+        self.contents.append((fleet, content))
+        COUNTS["accepted"] += 1
+
+    @stateful.rule()
+    def outage(self):
+        self.up = not self.up
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def part(self, name):
+        self.parted ^= {name}
+
+    @stateful.rule(name=st.sampled_from(NAMES), back=st.integers(0, 2))
+    def read_head(self, name, back):
+        """A watcher reads the head; a paused one takes it late, a stale store answers old."""
+        if self.up and self.accepted and name not in self.parted:
+            index = max(0, len(self.accepted) - 1 - back)
+            offer = Offer(PLATFORM, self.accepted[index], tuple(self.accepted[:index]), index + 1)
+            self.messages.append((PLATFORM, name, offer, self.contents[index][1]))
+
+    @stateful.rule(origin=st.sampled_from(NAMES), name=st.sampled_from(NAMES))
+    def tell(self, origin, name):
+        self.messages.append((origin, name, self.nodes[origin].revisions.number, None))
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def tick(self, name):
+        node = self.nodes[name]
+        peers = [other for other in NAMES if other != name]
+        self.ask(name, node.revisions.on_tick(1e9 * (1 + node.revisions.next_poll), peers))
+
+    def ask(self, name, pulls):
+        """Run a pull: the answer is on its way, or the source can't be reached."""
+        node = self.nodes[name]
+        while pulls:
+            source = pulls[0].source
+            reached = name not in self.parted and source not in self.parted
+            if source == PLATFORM:
+                self.read_head(name, 0)
+            elif reached and self.nodes[source].revisions.current:
+                self.answer(source, name)
+            pulls = node.revisions.on_pull_ended(source)
+
+    def answer(self, source, name):
+        """A peer answers with a difference, as its desk makes it."""
+        node, peer = self.nodes[name], self.nodes[source]
+        held = node.content.digest if node.content.parts else ""
+        ask = Ask(node.revisions.number, held)
+        answer = peer.desk.answer(peer.revisions, peer.content, ask)
+        base = node.content if answer.difference else Content({})
+        offer = Offer(source, answer.revision, answer.links, answer.heard)
+        self.messages.append((source, name, offer, base.replace(answer.parts)))
+
+    @stateful.precondition(lambda self: self.messages)
+    @stateful.rule(pick=st.integers(0, 1000), lost=st.integers(0, 3), again=st.booleans())
+    def deliver(self, pick, lost, again):
+        source, name, what, content = self.messages.pop(pick % len(self.messages))
+        if again:
+            self.messages.append((source, name, what, content))
+        if lost == 3 or name in self.parted or source in self.parted:
+            COUNTS["lost"] += 1
+            return
+        COUNTS["delivered"] += 1
+        node = self.nodes[name]
+        if isinstance(what, int):
+            self.ask(name, node.revisions.on_revision_heard(source, what))
+        elif node.start is None:
+            self.adopt(node, what, content)
+
+    def adopt(self, node, offer, content):
+        if node.revisions.adopt(offer, content.digest) is Verdict.ADOPT:
+            node.content = content
+            node.desk.note(content)
+            COUNTS["adopted"] += 1
+
+    @stateful.rule(name=st.sampled_from(NAMES), first=st.integers(0, len(NAMES) - 1))
+    def restart(self, name, first):
+        """A node comes back empty and asks the platform and three peers."""
+        others = [other for other in NAMES if other != name]
+        peers = [others[(first + step) % len(others)] for step in range(defaults.START_PEERS)]
+        reached = [peer for peer in peers if name not in self.parted and peer not in self.parted]
+        node = self.nodes[name]
+        node.start = Start(peers, 0.0)
+        found = max((self.nodes[peer].revisions.number for peer in reached), default=0)
+        node.lowest = min(max(node.lowest, node.revisions.number), found)
+        node.revisions = self.make_revisions(random.Random(2))
+        node.content, node.desk = Content({}), Desk()
+        COUNTS["restarted"] += 1
+
+    @stateful.rule(name=st.sampled_from(NAMES))
+    def settle(self, name):
+        """A starting node asks what is missing and begins when it may."""
+        node = self.nodes[name]
+        if node.start is None or name in self.parted:
+            return
+        for source in node.start.missing():
+            if source == PLATFORM and self.up and self.accepted:
+                chain = tuple(self.accepted)
+                node.start.on_offer(Offer(PLATFORM, chain[-1], chain[:-1], len(chain)))
+            elif source != PLATFORM and source not in self.parted:
+                peer = self.nodes[source].revisions
+                node.start.on_offer(Offer(source, peer.current, peer.links, peer.heard))
+        if node.start.settled(0.0) and node.start.best().revision:
+            best = node.start.best()
+            self.adopt(node, best, self.contents[best.number - 1][1])
+            node.revisions.begin()
+            node.start = None
+            COUNTS["started"] += 1
+
+    @stateful.invariant()
+    def only_accepted_and_never_back(self):
+        COUNTS["steps"] += 1
+        for node in self.nodes.values():
+            number = node.revisions.number
+            if not number:
+                continue
+            assert node.revisions.current == self.accepted[number - 1]
+            assert node.content.digest == self.accepted[number - 1].digest
+            if node.start is None:
+                assert number >= node.lowest
+                node.lowest = number
+
+    def teardown(self):
+        """Everyone gets the newest once all is well again."""
+        self.up, self.parted, self.messages = True, set(), []
+        for _ in range(40 if self.accepted else 0):
+            for name in NAMES:
+                self.settle(name)
+                self.tick(name)
+            while self.messages:
+                self.deliver(0, 0, False)
+        for node in self.nodes.values():
+            assert node.revisions.number == len(self.accepted)
+
+
+FUZZ = settings(max_examples=80, stateful_step_count=50)
+
+
+def test_fuzz_many_nodes():
+    COUNTS.clear()
+    stateful.run_state_machine_as_test(Spread, settings=FUZZ)
+    print(dict(COUNTS))
+    assert COUNTS["adopted"] > 100 and COUNTS["started"] > 20
+
+
+def test_fuzz_finds_a_credulous_node():
+    class Broken(Spread):
+        make_revisions = Credulous
+
+    quick = settings(FUZZ, phases=[Phase.generate], report_multiple_bugs=False)
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(Broken, settings=quick)
