--- a/src/hickorylever/commands/__init__.py
+++ b/src/hickorylever/commands/__init__.py
@@ -70,4 +70,4 @@
     return Platform(address, port, Client(), Metrics())
 
 
-from . import audit, bench, configuration, demo, roles, status  # noqa: E402, F401
+from . import audit, bench, claims, configuration, demo, roles, status  # noqa: E402, F401
--- a/src/hickorylever/commands/status.py
+++ b/src/hickorylever/commands/status.py
@@ -19,7 +19,14 @@
     add_platform(parser)
     add_ports(parser)
     parser.add_argument("--fleet", metavar="DIR", help="inventory to use during an outage")
-    parser.add_argument("--section", choices=tuple(sections), help="only this section")
+    parser.add_argument("--section", metavar="NAME", help="only this section")
+    parser.add_argument(
+        "--unresolved",
+        action="store_const",
+        const="unresolved",
+        dest="section",
+        help="only guarded requests with an unknown end",
+    )
 
 
 @command("status", "show what is in force on each node, and what needs attention", add_status)
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -1,16 +1,17 @@
 """One attempt as the router sees it: hand over, receive, resume, and tell what is known."""
 
+import dataclasses
 import uuid
 
 import curio
 import h11
 import msgspec
 
-from . import admission, defaults, frames
+from . import admission, defaults, frames, suspicion
 from .decisions.outcomes import Facts
 from .events import Event, log
 from .exceptions import ConnectionLost, Kind, Ran
-from .frames import Beat, CancelResult, Data, End, Failed, Handover, Head
+from .frames import Beat, CancelResult, Data, End, Failed, Handover, Head, SidecarState
 from .http import Answer, Channel, end_to_end
 from .records import Attempt, Endpoint, Load, Stamp
 from .relay import BrokenAnswer, CallerGone, Relay
@@ -61,9 +62,36 @@
             stamp=stamp.time if known else 0.0,
             account=call.account.name,
             fingerprint=call.fingerprint,
+            trial=suspicion.trial_crashes(self.env, call),
             guarded=call.guarded,
         )
 
+    async def learn(self) -> None:
+        """Ask the sidecar for its incarnation and clock unless they were heard lately.
+
+        :raises ConnectionLost: when it does not answer.
+        """
+        name = self.endpoint.name
+        stamp = self.env.stamps.get(name)
+        now = self.env.clock()
+        if stamp is not None and now - stamp.heard < defaults.STAMP_REFRESH:
+            self.env.incarnations[name] = stamp.incarnation
+            return
+        address, port = self.endpoint.address, self.endpoint.sidecar_port
+        try:
+            async with curio.timeout_after(defaults.CONNECT_TIMEOUT):
+                _, _, body = await self.env.client.fetch(address, port, "GET", "/state")
+            state = msgspec.json.decode(body, type=SidecarState)
+        except (curio.TaskTimeout, msgspec.DecodeError, h11.ProtocolError) as error:
+            raise ConnectionLost(f"{name}: {error!r}") from None
+        self.env.incarnations[name] = state.incarnation
+        self.env.stamps[name] = Stamp(state.incarnation, state.time, now)
+
+    def renew(self, attempt: Attempt) -> Attempt:
+        """Return an attempt with the time that is left now."""
+        budget = self.call.deadline - self.env.clock()
+        return dataclasses.replace(attempt, budget=budget)
+
     async def run_once(self, attempt: Attempt) -> Failed | None:
         """Make one attempt."""
         self.attempt = attempt
@@ -111,6 +139,7 @@
             channel = await self.acquire(fresh=False)
         except ConnectionLost as error:
             kind = Kind.ANSWER_LOST if self.facts.handed_over else Kind.NO_ENDPOINT
+            self.env.note_refusal(self.endpoint.name, Kind.NO_ENDPOINT)
             return self.failed(kind, str(error))
         tries = 0
         while True:
@@ -228,6 +257,7 @@
         if not self.matched:
             raise ConnectionLost("data without a head")
         await self.relay.take_data(frame)
+        self.call.tail = (self.call.tail + frame.body)[-defaults.ANSWER_TAIL_BYTES :]
 
     async def take_end(self, frame: End) -> End:
         """Release a whole answer."""
@@ -242,6 +272,7 @@
         self.facts = self.facts.tell(Ran(frame.ran))
         self.env.incarnations[self.endpoint.name] = frame.incarnation
         self.note(frame, frame.incarnation)
+        self.env.note_refusal(self.endpoint.name, Kind(frame.kind))
         return msgspec.structs.replace(frame, ran=self.facts.ran().value)
 
     def check(self, attempt: str) -> None:
--- a/src/hickorylever/events.py
+++ b/src/hickorylever/events.py
@@ -30,10 +30,18 @@
     ATTEMPT_LOST = 210
     ATTEMPT_RESUMED = 211
     ATTEMPT_FAILED = 212
+    CLAIMS_FAILED = 250
+    ENDPOINT_CRASHED = 260
+    REGISTER_FAILED = 261
     CONFIGURATION_ADOPTED = 300
     CONFIGURATION_REJECTED = 301
     SOURCE_FAILED = 302
     PLATFORM_FAILED = 310
+    NEWS_REJECTED = 400
+    SUPERSEDED = 401
+    ENDPOINT_READY = 402
+    ENDPOINT_LOST = 403
+    VM_LIST_FAILED = 404
 
 
 def log(event: Event, message: str, level: int = logging.INFO, **fields: object) -> None:
--- a/src/hickorylever/http.py
+++ b/src/hickorylever/http.py
@@ -161,6 +161,8 @@
     def finish_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
         """Add ``Connection: close`` when the connection ends after this answer."""
         result = list(headers)
+        unread = self.channel.state.their_state is not h11.DONE
+        self.closing = self.closing or unread
         if self.closing:
             result.append((b"connection", b"close"))
         return result
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -207,6 +207,7 @@
             west = await nodes.node("west", "w")
             await nodes.reached(1, "west")
             west.platform.port = 1
+            await curio.sleep(2 * defaults.WATCH_WAIT)
             for name in ("b", "c", "d"):
                 await nodes.apply(fleet("a", name))
             await nodes.reached(4, "east")
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -21,8 +21,13 @@
 
 async def learn(world):
     """Let the router hear every sidecar's incarnation and clock."""
-    for number in range(len(world.engines)):
+    stamps = world.routers[0].env.stamps
+    names = {engine.name for engine in world.engines}
+    for number in range(50):
+        if names <= stamps.keys():
+            return
         await world.chat(f"warm {number}", max_tokens=1)
+    raise AssertionError("a sidecar was not heard")
 
 
 # Fault of the hand-over's connection, and of the first resume.
