--- a/src/hickorylever/filters/parse.py
+++ b/src/hickorylever/filters/parse.py
@@ -1,6 +1,7 @@
 """Reads the body, and for models its JSON: model, stream, chat identity and expected work."""
 
 from collections.abc import Iterator
+from typing import Annotated
 
 import msgspec
 
@@ -9,8 +10,10 @@
 from ..decisions.suspects import fingerprint
 from ..exceptions import Kind, RequestError
 from ..http import header
+from ..nesting import nested_deeper
 from . import filters
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=defaults.MAX_TOKENS)]
 NOTHING = msgspec.Raw(b"")
 
 
@@ -26,8 +29,8 @@
 
     model: str
     stream: bool = False
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: Count | None = None
+    max_completion_tokens: Count | None = None
     messages: list[Message] = []
     prompt: msgspec.Raw = NOTHING
     priority: msgspec.Raw = NOTHING
@@ -43,11 +46,14 @@
     """
     try:
         body.decode()  # Raw members are not checked by the decoder.
-        return _decoder.decode(body)
+        completion = _decoder.decode(body)
     except RecursionError:
         raise RequestError(Kind.BAD_REQUEST, "the JSON is nested too deeply") from None
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise RequestError(Kind.BAD_REQUEST, f"the body: {error}") from None
+    if nested_deeper(body, defaults.MAX_JSON_DEPTH):
+        raise RequestError(Kind.BAD_REQUEST, "the JSON is nested too deeply")
+    return completion
 
 
 def leading(completion: Completion) -> Iterator[bytes]:
