--- a/src/hickorylever/router.py
+++ b/src/hickorylever/router.py
@@ -4,8 +4,9 @@
 
 import curio
 
-from . import configuration, defaults, filters, gossip, suspicion
+from . import configuration, defaults, filters, gossip, suspicion, vms
 from .call import Call
+from .controllers import leases
 from .controllers.claims import Claims
 from .environment import Environment
 from .events import Event, log, logger
@@ -103,7 +104,9 @@
         )
 
     async def drain(self) -> None:
-        """Return when no request is in flight."""
+        """Serve until the balancer has noticed, then return when no request is in flight."""
+        await curio.sleep(self.env.settings.balancer_delay)
+        await self.server.stop()
         while self.in_flight:
             await curio.sleep(DRAIN_POLL)
 
@@ -113,5 +116,7 @@
     env = Environment(settings)
     configuration.attach(env)
     gossip.attach_router(env)
+    vms.attach(env)
+    leases.attach(env)
     router = Router(env)
     await run_node(env, router.server, router.drain)
