--- a/src/hickorylever/configuration.py
+++ b/src/hickorylever/configuration.py
@@ -99,7 +99,8 @@
             await curio.sleep(defaults.WATCHER_CHECK)
             continue
         try:
-            version, changes = await env.platform.watch(heads.KIND, since)
+            wait = defaults.WATCH_WAIT
+            version, changes = await env.platform.watch(heads.KIND, since, wait)
             for entry in changes:
                 await take_head(env, heads.parse_head(entry))
             since = version
