--- /dev/null
+++ b/src/hickorylever/bench/capacity.py
@@ -0,0 +1,255 @@
+"""Slopes for docs/CAPACITY.md: each cost at several sizes, with a line through the points."""
+
+import gc
+import hashlib
+import random
+import socket
+import statistics
+import threading
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import curio
+import msgspec
+
+from ..decisions.affinity import Ask, View, policies
+from ..decisions.pools import Pool
+from ..environment import Environment
+from ..fleet import decode, encode
+from ..http import Client, Server, listen
+from ..node import refuse
+from ..records import Application, ClientAccount, Endpoint, Fleet
+from ..registry import Registry
+from ..settings import Settings
+from . import Report, benches, control, path
+
+OUTPUT = Path("bench")
+SHARES = (0.1, 0.25, 0.5, 1.0)
+SERVERS = 760
+ACCOUNTS = 2400
+MODELS = 31
+REPEATS = 20
+
+
+@dataclass
+class Slope:
+    """Points of one cost and the line through them.
+
+    :param unit: of the cost; the size's unit is `per`.
+    :param residual: root mean square distance of the points from the line.
+    """
+
+    name: str
+    unit: str
+    per: str
+    points: list[tuple[float, float]] = field(default_factory=list)
+    slope: float = 0.0
+    intercept: float = 0.0
+    residual: float = 0.0
+
+    def fit(self) -> "Slope":
+        """Put the line through the points."""
+        sizes, costs = zip(*self.points, strict=True)
+        self.slope, self.intercept = statistics.linear_regression(sizes, costs)
+        errors = [cost - self.at(size) for size, cost in self.points]
+        self.residual = statistics.fmean(error * error for error in errors) ** 0.5
+        return self
+
+    def at(self, size: float) -> float:
+        """Return the cost at a size."""
+        return self.intercept + self.slope * size
+
+
+Measure = Callable[[int, bool], list[Slope]]
+measures: Registry[Measure] = Registry("slope")
+
+
+def fleet_of(share: float) -> Fleet:
+    """Return a configuration of a share of the target's size."""
+    endpoints = tuple(
+        Endpoint(
+            name=f"server-{number:04d}",
+            vm=f"vm-{number:04d}",
+            address=f"10.{number >> 8}.{number & 255}.1",
+            port=8000,
+            sidecar_port=8470,
+            application="pool",
+            region="north",
+            failure_domain=f"north-{number % 5}",
+            capacity=8,
+            models=(f"model-{number % MODELS}",),
+        )
+        for number in range(int(SERVERS * share))
+    )
+    accounts = tuple(
+        ClientAccount(
+            f"account-{number}",
+            (hashlib.sha256(b"%d" % number).hexdigest(),),
+            ("pool",),
+            tuple(f"model-{model}" for model in range(MODELS)),
+        )
+        for number in range(int(ACCOUNTS * share))
+    )
+    applications = (Application("pool", "model"),)
+    return Fleet("target", (), endpoints, applications, accounts)
+
+
+def seconds_of(call: Callable[[], object], repeats: int = REPEATS) -> float:
+    """Return the median seconds of a call."""
+    times = []
+    for _ in range(repeats):
+        begun = time.perf_counter()
+        call()
+        times.append(time.perf_counter() - begun)
+    return statistics.median(times)
+
+
+@measures.register("configuration")
+def measure_configuration(seed: int, quick: bool) -> list[Slope]:
+    """Size of a configuration, and the time to decode it and to put it in force."""
+    size = Slope("configuration size", "kB", "share of the target")
+    adopt = Slope("configuration in force", "ms", "share of the target")
+    env = Environment(Settings("vm", "r", "d", "127.0.0.1:1", seed=seed))
+    for share in SHARES:
+        content = encode(fleet_of(share))
+        octets = sum(len(part.packed) for part in content.parts.values())
+        size.points.append((share, octets / 1000))
+        seconds = seconds_of(lambda c=content: env.put_in_force(decode(c)), 5)
+        adopt.points.append((share, 1000 * seconds))
+    return [size.fit(), adopt.fit()]
+
+
+@measures.register("choice")
+def measure_choice(seed: int, quick: bool) -> list[Slope]:
+    """Time to rank the endpoints of a model for one chat and take the first."""
+    slope = Slope("choice of an endpoint", "us", "endpoints of a model")
+    policy = policies[Fleet("").policy]
+    view = View(chance=random.Random(seed))
+    for share in SHARES:
+        endpoints = fleet_of(share).endpoints
+        chats = iter(range(10**9))
+
+        known = Pool("model", endpoints)
+
+        def choose(pool=known, chats=chats):
+            return next(iter(policy(Ask(f"chat-{next(chats)}", work=100.0), pool, view)))
+
+        slope.points.append((len(endpoints), 1e6 * seconds_of(choose, 200)))
+    return [slope.fit()]
+
+
+@measures.register("gossip")
+def measure_gossip(seed: int, quick: bool) -> list[Slope]:
+    """Control traffic, processor time and state of a node by the number of members."""
+    sizes = control.QUICK_SIZES if quick else control.SIZES
+    rows = [control.traffic(Report(), size, seed) for size in sizes]
+    columns = (("B/s p50", "B/s"), ("core max", "cores"), ("state KB", "KB"))
+    return [
+        Slope(
+            f"gossip {column}", unit, "members", [(row["members"], row[column]) for row in rows]
+        ).fit()
+        for column, unit in columns
+    ]
+
+
+@measures.register("connections")
+def measure_connections(seed: int, quick: bool) -> list[Slope]:
+    """Python objects of idle connections at a server."""
+    slope = Slope("idle connections", "kB", "connections")
+
+    async def answer(exchange) -> None:
+        await exchange.respond(200)
+
+    async def main() -> None:
+        server = Server(answer, refuse)
+        listener = listen(path.HOST, 0)
+        task = await curio.spawn(server.serve, listener, daemon=True)
+        address = listener.getsockname()
+        held = []
+        tracemalloc.start()
+        base, _ = tracemalloc.get_traced_memory()
+        for size in (100, 200, 400) if quick else (200, 400, 800, 1600):
+            held += [socket.create_connection(address) for _ in range(size - len(held))]
+            while server.connections < size:
+                await curio.sleep(0.01)
+            gc.collect()
+            now, _ = tracemalloc.get_traced_memory()
+            slope.points.append((size, (now - base) / 1000))
+        tracemalloc.stop()
+        for sock in held:
+            sock.close()
+        await task.cancel()
+
+    curio.run(main)
+    return [slope.fit()]
+
+
+def thread_seconds(thread: threading.Thread) -> float:
+    """Return the processor seconds of a thread."""
+    return time.clock_gettime(time.pthread_getcpuclockid(thread.ident))
+
+
+@measures.register("path")
+def measure_path(seed: int, quick: bool) -> list[Slope]:
+    """Processor time of router and sidecar together, by the tokens of a streamed answer.
+
+    The intercept is the cost of a request. The stand-in's own time is taken off.
+    """
+    slope = Slope("router and sidecar", "us", "tokens of an answer")
+    places, thread = path.start_parts()
+    count = 10 if quick else 40
+
+    async def spend(place, tokens: int) -> float:
+        client = Client()
+        await path.wait_ready(place, client)
+        begun = thread_seconds(thread)
+        for number in range(count):
+            await path.stream(client, place, number, tokens, path.Sample())
+        return (thread_seconds(thread) - begun) / count
+
+    for tokens in (25, 50, 100, 200):
+        routed = curio.run(spend, places.router, tokens)
+        direct = curio.run(spend, places.engine, tokens)
+        slope.points.append((tokens, 1e6 * (routed - direct)))
+    return [slope.fit()]
+
+
+def plot(slope: Slope, target: Path) -> None:
+    """Draw one slope's points and line. Needs matplotlib, a development dependency."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(5, 3.5))
+    sizes, costs = zip(*slope.points, strict=True)
+    axes.plot(sizes, costs, "o")
+    axes.plot(sizes, [slope.at(size) for size in sizes])
+    axes.set(xlabel=slope.per, ylabel=slope.unit, title=slope.name)
+    figure.tight_layout()
+    figure.savefig(target, dpi=80)
+    pyplot.close(figure)
+
+
+@benches.register("capacity")
+def capacity(seed: int, quick: bool) -> Report:
+    """Measure every slope, and write bench/capacity.json and a plot of each."""
+    report = Report()
+    slopes = [slope for name in measures for slope in measures[name](seed, quick)]
+    for slope in slopes:
+        row = {"slope": slope.name, "unit": slope.unit, "per": slope.per}
+        report.rows.append(
+            row | {"each": slope.slope, "fixed": slope.intercept, "residual": slope.residual}
+        )
+    OUTPUT.mkdir(exist_ok=True)
+    record = {"command": f"hickorylever bench capacity --seed {seed}", "slopes": slopes}
+    if quick:
+        record["command"] += " --quick"
+    text = msgspec.json.format(msgspec.json.encode(record), indent=1)
+    (OUTPUT / "capacity.json").write_bytes(text + b"\n")
+    for slope in slopes:
+        plot(slope, OUTPUT / f"{slope.name.replace(' ', '-').replace('/', '-')}.png")
+    return report
--- a/src/hickorylever/bench/path.py
+++ b/src/hickorylever/bench/path.py
@@ -97,13 +97,13 @@
     listeners = [listen(HOST, 0) for _ in range(3)]
     ports = [listener.getsockname()[1] for listener in listeners]
     fleet = make_fleet(ports[0], ports[1])
-    data = encode(fleet)
+    content = encode(fleet)
     servers = [engine.server]
     for vm, make in (("vm-1", Sidecar), ("entry-1", Router)):
         text = f"{HOST}:{ports[0]}"
         env = Environment(Settings(vm, "r", "d", f"{HOST}:1", endpoint=text, seed=1))
         node = make(env)
-        env.adopt(Revision(1, digest(data), "", "bench", "bench", "", "n"), data)
+        env.adopt(Revision(1, digest(content), "", "bench", "bench", "", "n"), content)
         servers.append(node.server)
     async with curio.TaskGroup() as group:
         for server, listener in zip(servers, listeners, strict=True):
@@ -111,11 +111,8 @@
         ready(Places((HOST, ports[2]), (HOST, ports[0])))
 
 
-def find_places() -> Places:
-    """Return the parts' places from the environment, or start the parts in a thread."""
-    text = os.environ.get(ADDRESSES)
-    if text:
-        return msgspec.json.decode(text, type=Places)
+def start_parts() -> tuple[Places, threading.Thread]:
+    """Run the parts in a thread; return their places and the thread."""
     found: list[Places] = []
     event = threading.Event()
 
@@ -123,9 +120,16 @@
         found.append(places)
         event.set()
 
-    threading.Thread(target=curio.run, args=(serve_parts, ready), daemon=True).start()
+    thread = threading.Thread(target=curio.run, args=(serve_parts, ready), daemon=True)
+    thread.start()
     event.wait()
-    return found[0]
+    return found[0], thread
+
+
+def find_places() -> Places:
+    """Return the parts' places from the environment, or start the parts in a thread."""
+    text = os.environ.get(ADDRESSES)
+    return msgspec.json.decode(text, type=Places) if text else start_parts()[0]
 
 
 def request_body(seed: int, tokens: int, stream: bool) -> bytes:
--- a/src/hickorylever/demo.py
+++ b/src/hickorylever/demo.py
@@ -6,21 +6,42 @@
 import dataclasses
 import os
 import random
+import re
 import signal
+import socket
 import sys
+import time
 from pathlib import Path
 
 import curio
 import msgspec
 
-from . import defaults
+from . import defaults, settings
 from .exceptions import ConnectionLost, HickoryleverError
 from .fleet import compile_fleet
 from .http import Client
 from .records import VM, Endpoint, Fleet
+from .settings import split_address
 
 READY_TRIES = 150
 READY_PAUSE = 0.2
+GUARDED_SPREAD = 4.0
+GUARDED_TRIES = 8
+GUARDED_PAUSE = 0.5
+OUTAGE = 1.5
+LATENCY = 0.005
+CONTROL_BYTES = re.compile(rb"^hickorylever_control_bytes_total\{.*\} (\S+)$", re.MULTILINE)
+COLUMNS = (
+    "requests",
+    "whole",
+    "not run",
+    "unknown",
+    "cut",
+    "reuse",
+    "skew",
+    "ctl B/s",
+    "ran/keys",
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,6 +54,7 @@
     unknown: int = 0
     cut: int = 0
     guarded: int = 0
+    ran: int = 0
     broken: list[str] = dataclasses.field(default_factory=list)
 
 
@@ -55,6 +77,19 @@
     return "\n".join(lines) + "\n"
 
 
+def check_free(address: str, port: int) -> None:
+    """Refuse to start when something listens already.
+
+    :raises HickoryleverError: with the address and port in use.
+    """
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((address, port))
+        except OSError as error:
+            raise HickoryleverError(f"{address}:{port} can't be used: {error}") from None
+
+
 def prepare(directory: str, platform: str, output: Path) -> list[str]:
     """Write settings files for a fleet and return the commands that start its processes.
 
@@ -67,6 +102,8 @@
     lines = []
     for vm in fleet.vms:
         endpoint = by_vm.get(vm.name)
+        for port in [defaults.ADMIN_PORT, *([endpoint.port] if endpoint else [])]:
+            check_free(vm.address, port)
         path = output / f"{vm.name}.toml"
         path.write_text(settings_text(vm, platform, endpoint, fleet.drain_grace))
         if endpoint is None:
@@ -171,11 +208,17 @@
         service = self.services[0]
         rule = self.fleet.guards[0]
         names = [a.name for a in self.fleet.client_accounts if service.name in a.applications]
+        account = self.chance.choice(names)
         key = f"posting-{number}"
-        self.keys[key] = service.name
         self.tally.guarded += 1
         extra = [(b"idempotency-key", key.encode())]
-        await self.post(self.chance.choice(names), rule.path, {"posting": number}, extra)
+        await curio.sleep(self.chance.uniform(0, GUARDED_SPREAD))
+        for _ in range(GUARDED_TRIES):
+            status, content = await self.post(account, rule.path, {"posting": number}, extra)
+            self.keys[key] = told(status, content)
+            if self.keys[key] == "yes":
+                return
+            await curio.sleep(GUARDED_PAUSE)
 
     async def signal(self, name: str, number: int) -> None:
         """Send a signal to a process that the shell has started."""
@@ -192,8 +235,18 @@
             models = [e for e in self.fleet.endpoints if e.models]
             await self.signal(models[0].vm, signal.SIGTERM)
             await self.signal(f"{models[1].name}.endpoint", signal.SIGKILL)
+            await self.set_outage(True)
+            await curio.sleep(OUTAGE)
+            await self.set_outage(False)
         await self.check_guarded()
 
+    async def set_outage(self, outage: bool) -> None:
+        """Switch an outage of the object API on or off."""
+        path = self.pids / self.fleet.name / f"{self.fleet.vms[0].name}.toml"
+        address, port = split_address(settings.load(path).platform)
+        body = msgspec.json.encode({"outage": outage, "latency": LATENCY})
+        await self.client.fetch(address, port, "PUT", "/faults", body=body, fresh=True)
+
     async def check_guarded(self) -> None:
         """Ask every plain service how often each key ran."""
         runs: dict[str, int] = {}
@@ -205,13 +258,17 @@
             )
             for key, count in msgspec.json.decode(content).items():
                 runs[key] = runs.get(key, 0) + count
-        for key, count in runs.items():
+        self.tally.ran = sum(runs.values())
+        for key, answer in self.keys.items():
+            count = runs.get(key, 0)
             if count > 1:
                 self.tally.broken.append(f"{key} ran {count} times")
+            if (answer, count) in (("no", 1), ("yes", 0)):
+                self.tally.broken.append(f"{key} ran {count} times, its caller was told {answer}")
 
-    async def reuse(self) -> float:
-        """Return the share of prompt tokens that live engines found cached."""
-        prompt = cached = 0
+    async def engine_counts(self) -> list[dict]:
+        """Return the counts of every engine that still lives."""
+        found = []
         for endpoint in self.fleet.endpoints:
             if not endpoint.models:
                 continue
@@ -221,29 +278,63 @@
                 )
             except ConnectionLost:
                 continue
-            counts = msgspec.json.decode(content)
-            prompt += counts["prompt_tokens"]
-            cached += counts["cached_tokens"]
-        return cached / prompt if prompt else 0.0
+            found.append(msgspec.json.decode(content))
+        return found
+
+    async def control_bytes(self) -> float:
+        """Return the control bytes that all live nodes have sent and received."""
+        total = 0.0
+        for vm in self.fleet.vms:
+            try:
+                _, _, content = await self.client.fetch(
+                    vm.address, defaults.ADMIN_PORT, "GET", "/metrics", fresh=True
+                )
+            except ConnectionLost:
+                continue
+            total += sum(float(value) for value in CONTROL_BYTES.findall(content))
+        return total
+
+
+def told(status: int, content: bytes) -> str:
+    """Return what an answer says about the run: yes, no or unknown."""
+    if status == 0:
+        return "unknown"
+    if status < 400:
+        return "yes"
+    return msgspec.json.decode(content).get("ran", "unknown")
+
+
+def summary(driver: Driver, counts: list[dict], control: float, seconds: float) -> list[str]:
+    """Return the cells of a fleet's row.
+
+    Skew compares the prompt tokens that the engines which live to the end have computed.
+    """
+    tally = driver.tally
+    prompts = [count["prompt_tokens"] for count in counts if count["prompt_tokens"]]
+    cached = sum(count["cached_tokens"] for count in counts)
+    skew = max(prompts) * len(prompts) / sum(prompts)
+    rate = control / seconds / len(driver.fleet.vms)
+    cells = (tally.requests, tally.whole, tally.not_run, tally.unknown, tally.cut)
+    figures = (f"{cached / sum(prompts):.2f}", f"{skew:.2f}", f"{rate:.0f}")
+    return [str(cell) for cell in cells] + [*figures, f"{tally.ran}/{tally.guarded}"]
 
 
 async def drive(directories: list[str], pids: Path, seed: int) -> int:
     """Drive every fleet, print a table and return the exit code."""
     broken = []
-    columns = ("requests", "whole", "not run", "unknown", "cut", "reuse")
-    print(f"{'fleet':<12}" + "".join(f"{column:>9}" for column in columns))
+    print(f"{'fleet':<12}" + "".join(f"{column:>10}" for column in COLUMNS))
     for directory in directories:
         driver = Driver(compile_fleet(directory), pids, seed)
+        print(f"{directory}: waiting until every node is ready", file=sys.stderr)
         await driver.wait_ready()
-        print(f"{directory}: ready, sending", file=sys.stderr)
+        print(f"{directory}: sending; drain, kill and outage under way", file=sys.stderr)
+        before = await driver.control_bytes()
+        begun = time.monotonic()
         await driver.run(chats=40, turns=4, guarded=40)
-        tally = driver.tally
-        reuse = await driver.reuse()
-        print(
-            f"{driver.fleet.name:<12}{tally.requests:>9}{tally.whole:>9}{tally.not_run:>9}"
-            f"{tally.unknown:>9}{tally.cut:>9}{reuse:>9.2f}"
-        )
-        broken += tally.broken
+        control = await driver.control_bytes() - before
+        cells = summary(driver, await driver.engine_counts(), control, time.monotonic() - begun)
+        print(f"{driver.fleet.name:<12}" + "".join(f"{cell:>10}" for cell in cells))
+        broken += driver.tally.broken
     for line in broken:
         print(f"BROKEN: {line}")
     return 1 if broken else 0
