--- a/src/hickorylever/bench/__init__.py
+++ b/src/hickorylever/bench/__init__.py
@@ -37,3 +37,4 @@
 
 Bench = Callable[[int, bool], Report]
 benches: Registry[Bench] = Registry("bench")
+from . import routing  # noqa: E402, F401
--- /dev/null
+++ b/src/hickorylever/bench/routing.py
@@ -0,0 +1,182 @@
+"""The routing bench: policies against baselines and an oracle, surges, and time a decision."""
+
+import dataclasses
+import random
+import time
+
+from .. import defaults
+from ..decisions.affinity import Ask, View, policies
+from ..decisions.pools import Pool
+from ..records import Endpoint, Load
+from . import Report, benches
+from .workloads import (
+    BLOCK_TOKENS,
+    CHURN,
+    REYKJANES,
+    STOYANOV,
+    Request,
+    Shape,
+    add_surge,
+    make_requests,
+)
+from .world import Figures, Ways, World
+
+WAYS = (
+    Ways("oracle", "oracle"),
+    Ways("bounded", "bounded"),
+    Ways("hinted", "hinted"),
+    Ways("summaries", "hinted", summaries=True),
+    Ways("zoned", "zoned"),
+    Ways("rendezvous", "rendezvous"),
+    Ways("consistent", "consistent", bounded=False),
+    Ways("least_load", "least_load", bounded=False),
+    Ways("round_robin", "round_robin", bounded=False),
+    Ways("random", "random", bounded=False),
+)
+SURGE = dataclasses.replace(REYKJANES, name="surge", weights=(1.0,) * 10, seconds=180.0)
+SURGE_FACTOR = 20.0
+LENGTHS = tuple(length // (4 * BLOCK_TOKENS) for length in defaults.PREFIX_LENGTHS)
+
+LEAST_REUSE = 0.95
+MOST_WAIT = 1.2
+MOST_DECISION = 50e-6
+QUICK = 1 / 6
+
+
+def quantile(values: list[float], part: float) -> float:
+    """Return a quantile of some values, 0 of none."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
+
+
+def shorten(shape: Shape, quick: bool) -> Shape:
+    """Return a workload, shorter for a quick run."""
+    return dataclasses.replace(shape, seconds=shape.seconds * QUICK) if quick else shape
+
+
+def reuse(figures: Figures) -> float:
+    """Return the share of prompt tokens that were found cached."""
+    return figures.cached / max(1, figures.prompt)
+
+
+def run(shape: Shape, ways: Ways, requests: list[Request], seed: int) -> Figures:
+    """Run one workload with one way of choosing."""
+    return World(shape, ways, requests, seed).run()
+
+
+def compare(report: Report, shape: Shape, seed: int, quick: bool) -> None:
+    """Add a row for each way of choosing under one workload."""
+    shape = shorten(shape, quick)
+    requests = make_requests(shape, seed, LENGTHS)
+    best = 0.0
+    for ways in WAYS:
+        figures = run(shape, ways, requests, seed)
+        best = best or reuse(figures)
+        report.rows.append(row(shape, ways, figures, best))
+        if ways.name == "bounded":
+            part = reuse(figures) / best
+            held = part >= LEAST_REUSE
+            report.expect(held, f"{shape.name}: {part:.3f} of the oracle's reuse, not 0.95")
+        if ways.bounded:
+            many = f"{shape.name} {ways.name}: {figures.broken} admissions above the bound"
+            report.expect(not figures.broken, many)
+
+
+def row(shape: Shape, ways: Ways, figures: Figures, best: float) -> dict:
+    """Return the figures of one run as a row."""
+    skews = [skew for skew, work in figures.skews if work > shape.floor]
+    waits = [wait for _, _, wait in figures.waits]
+    return {
+        "workload": shape.name,
+        "policy": ways.name,
+        "requests": len(figures.waits),
+        "refused": figures.refused,
+        "reuse": reuse(figures),
+        "of_oracle": reuse(figures) / best,
+        "skew_p50": quantile(skews, 0.5),
+        "skew_p99": quantile(skews, 0.99),
+        "skew_max": max(skews, default=0.0),
+        "over_bound": figures.broken,
+        "true_p99": quantile(figures.excess, 0.99),
+        "true_max": max(figures.excess, default=0.0),
+        "spilled": figures.spilled / max(1, len(figures.waits)),
+        "wait_p99": quantile(waits, 0.99),
+    }
+
+
+def surge(report: Report, seed: int, quick: bool) -> None:
+    """Compare the other accounts' waits in a surge with those of a quiet run."""
+    shape = shorten(SURGE, quick)
+    quiet = make_requests(shape, seed, LENGTHS)
+    loud = add_surge(shape, quiet, SURGE_FACTOR)
+    begin, end = shape.seconds / 3, 2 * shape.seconds / 3
+    loud_accounts = {f"account-{number}" for number in (8, 9)}
+
+    def others(figures: Figures) -> float:
+        waits = [
+            wait
+            for arrival, account, wait in figures.waits
+            if begin <= arrival <= end and account not in loud_accounts
+        ]
+        return quantile(waits, 0.99)
+
+    for ways in (Ways("bounded", "bounded"), Ways("one line", "bounded", fair=False)):
+        before = others(run(shape, ways, quiet, seed))
+        figures = run(shape, ways, loud, seed)
+        ratio = others(figures) / before
+        report.rows.append(
+            {
+                "workload": "surge",
+                "queue": ways.name,
+                "requests": len(figures.waits),
+                "refused": figures.refused,
+                "quiet_p99": before,
+                "surge_p99": others(figures),
+                "ratio": ratio,
+            }
+        )
+        if ways.fair:
+            report.expect(ratio <= MOST_WAIT, f"surge: others wait {ratio:.2f} x, not 1.2 x")
+
+
+def time_decisions(report: Report, seed: int, quick: bool) -> None:
+    """Measure the time of one decision for pools of three sizes."""
+    for name in policies:
+        times = {size: decision(name, size, seed, 200 if quick else 2000) for size in (6, 76, 760)}
+        columns = {f"us_{size}": seconds * 1e6 for size, seconds in times.items()}
+        growth = times[760] / times[76]
+        report.rows.append({"workload": "decision", "policy": name, **columns, "growth": growth})
+        if name == "bounded":
+            report.expect(times[760] < MOST_DECISION, "a decision takes 50 us or more at 760")
+            report.expect(growth < 10, "the time of a decision does not grow below linear")
+
+
+def decision(name: str, size: int, seed: int, count: int) -> float:
+    """Return the mean seconds of one decision: the first candidate of a pool of a size."""
+    chance = random.Random(seed)
+    members = [
+        Endpoint(f"e{n}", f"vm{n}", "", 1, 1, "llm", "r", f"d{n % 5}", 8) for n in range(size)
+    ]
+    pool = Pool("model", members)
+    view = View(chance=chance, failure_domain="d1")
+    view.loads.arrange({pool.name: pool.names})
+    for member in pool:
+        view.loads.note(Load(member.name, chance.uniform(5e4, 1.5e5), 1, 8, time=0.0))
+    asks = [Ask(f"chat {number}", "", 500.0, 1.0) for number in range(count)]
+    policy = policies[name]
+    next(policy(asks[0], pool, view))
+    begin = time.perf_counter()
+    for ask in asks:
+        next(policy(ask, pool, view))
+    return (time.perf_counter() - begin) / count
+
+
+@benches.register("routing")
+def measure(seed: int, quick: bool) -> Report:
+    """Run every part of the routing bench."""
+    report = Report()
+    time_decisions(report, seed, quick)
+    for shape in (REYKJANES, STOYANOV, CHURN):
+        compare(report, shape, seed, quick)
+    surge(report, seed, quick)
+    return report
--- /dev/null
+++ b/src/hickorylever/bench/workloads.py
@@ -0,0 +1,180 @@
+"""Workloads of the routing bench, shaped on the two users: chats that return after pauses."""
+
+import random
+from dataclasses import dataclass
+
+from ..decisions.chats import Identity
+from ..standins.engine import BLOCK_BYTES
+
+BLOCK_TOKENS = BLOCK_BYTES // 4
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request of a chat.
+
+    :param time: of arrival in virtual seconds.
+    :param keys: the prompt's blocks, each named after the text up to its end.
+    :param output: tokens that the engine will generate.
+    """
+
+    time: float
+    account: str
+    identity: Identity
+    keys: tuple[int, ...]
+    output: int
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """What a workload looks like.
+
+    :param rate: of requests a second.
+    :param seconds: of virtual time.
+    :param weights: of the client accounts in the traffic.
+    :param system: blocks that every chat begins with.
+    :param dossier: least and most blocks of a dossier; chats share it in groups of `sharers`.
+    :param turns: least and most requests of a chat.
+    :param pause: mean seconds between two requests of a chat.
+    :param growth: least and most blocks that a turn adds.
+    :param output: least and most tokens of an answer.
+    :param blocks: that an engine caches.
+    """
+
+    name: str
+    endpoints: int
+    routers: int
+    rate: float
+    seconds: float
+    weights: tuple[float, ...]
+    system: int
+    dossier: tuple[int, int]
+    sharers: int
+    turns: tuple[int, int]
+    pause: float
+    growth: tuple[int, int]
+    output: tuple[int, int]
+    blocks: int
+    floor: float
+    churn: float = 0.0
+    surge: float = 1.0
+
+
+REYKJANES = Shape(
+    name="reykjanes",
+    endpoints=6,
+    routers=3,
+    rate=36.0,
+    seconds=300.0,
+    weights=(5.0, *(0.6,) * 9),
+    system=8,
+    dossier=(0, 0),
+    sharers=1,
+    turns=(2, 8),
+    pause=40.0,
+    growth=(2, 6),
+    output=(60, 300),
+    blocks=4096,
+    floor=8192.0,
+)
+STOYANOV = Shape(
+    name="stoyanov",
+    endpoints=5,
+    routers=3,
+    rate=2.5,
+    seconds=7200.0,
+    weights=(3.0, 3.0, *(0.5,) * 8),
+    system=4,
+    dossier=(100, 300),
+    sharers=3,
+    turns=(2, 6),
+    pause=1500.0,
+    growth=(2, 8),
+    output=(100, 500),
+    blocks=65536,
+    floor=16384.0,
+)
+CHURN = Shape(
+    name="churn",
+    endpoints=20,
+    routers=5,
+    rate=60.0,
+    seconds=300.0,
+    weights=(3.0, 3.0, *(0.5,) * 8),
+    system=8,
+    dossier=(20, 80),
+    sharers=3,
+    turns=(2, 8),
+    pause=40.0,
+    growth=(2, 6),
+    output=(60, 300),
+    blocks=16384,
+    floor=8192.0,
+    churn=60.0,
+)
+
+
+class Blocks:
+    """Makes prompts as sequences of blocks, each with a number of its own."""
+
+    def __init__(self):
+        self.next = 0
+
+    def make(self, count: int) -> tuple[int, ...]:
+        """Return the keys of new text."""
+        self.next += count
+        return tuple(range(self.next - count, self.next))
+
+
+def prefixes(keys: tuple[int, ...], lengths: tuple[int, ...]) -> tuple[str, ...]:
+    """Return the identities of a text's prefixes at the lengths in blocks that it reaches."""
+    return tuple(f"{keys[length - 1]}" for length in lengths if length <= len(keys))
+
+
+def make_requests(shape: Shape, seed: int, lengths: tuple[int, ...]) -> list[Request]:
+    """Return a workload's requests in order of arrival.
+
+    :param lengths: the prefix lengths that identities have, in blocks.
+    """
+    chance = random.Random(f"{shape.name} {seed}")
+    blocks = Blocks()
+    system = blocks.make(shape.system)
+    accounts = [f"account-{number}" for number in range(len(shape.weights))]
+    mean_turns = sum(shape.turns) / 2
+    requests = []
+    dossier: tuple[int, ...] = ()
+    for number in range(int(shape.rate * shape.seconds / mean_turns)):
+        if number % shape.sharers == 0:
+            dossier = blocks.make(chance.randint(*shape.dossier))
+            account = chance.choices(accounts, shape.weights)[0]
+        leading = system + dossier + blocks.make(1)
+        identity = Identity(f"chat-{number}", prefixes(leading, lengths))
+        keys = leading
+        time = chance.uniform(-shape.pause * mean_turns, shape.seconds)
+        for _ in range(chance.randint(*shape.turns)):
+            if 0 <= time <= shape.seconds:
+                output = chance.randint(*shape.output)
+                requests.append(Request(time, account, identity, keys, output))
+            keys += blocks.make(chance.randint(*shape.growth))
+            time += chance.expovariate(1 / shape.pause)
+    return sorted(requests, key=lambda request: request.time)
+
+
+def add_surge(shape: Shape, requests: list[Request], factor: float) -> list[Request]:
+    """Return the requests with the last two accounts' traffic times `factor` in the middle third.
+
+    The further requests are chats of their own.
+    """
+    accounts = [f"account-{number}" for number in range(len(shape.weights))][-2:]
+    begin, end = shape.seconds / 3, 2 * shape.seconds / 3
+    extra = []
+    for request in requests:
+        if request.account not in accounts or not begin <= request.time <= end:
+            continue
+        for copy in range(1, int(factor)):
+            name = f"{request.identity.chat}-{copy}"
+            keys = (*request.keys[:-1], -copy * 1_000_000 - request.keys[-1])
+            identity = Identity(name, request.identity.prefixes)
+            time = request.time + copy / factor
+            extra.append(Request(time, request.account, identity, keys, request.output))
+    return sorted((*requests, *extra), key=lambda request: request.time)
--- /dev/null
+++ b/src/hickorylever/bench/world.py
@@ -0,0 +1,396 @@
+"""Routers, sidecars and engines of the routing bench: the real decisions in virtual time."""
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+from .. import admission, defaults
+from ..decisions.affinity import Ask, View, policies
+from ..decisions.attempts import Attempts
+from ..decisions.chats import Popularity, choose_prefix
+from ..decisions.fairness import Changes, Queue, Waiter
+from ..decisions.loads import Estimates, Loads, PromptDetails, Usage
+from ..decisions.pools import Pool, load_groups
+from ..records import VM, Attempt, Endpoint, Load
+from ..standins.engine import BLOCK_BYTES, PrefixCache, Speed
+from .driver import Driver
+from .workloads import BLOCK_TOKENS, Request, Shape
+
+HOP = 0.003
+REPORT_PERIOD = 1.0
+REPORT_DELAY = 2.0
+LIST_DELAY = 5.0
+REVIEW_PERIOD = 0.5
+ABSENCE = 20.0
+LOST_EVENTS = 0.1
+SPEED = Speed(prefill=20000.0, token=0.02)
+
+
+@dataclass(frozen=True, slots=True)
+class Ways:
+    """Which ways of choosing are measured.
+
+    :param policy: its name in the registry, or ``oracle``.
+    :param bounded: whether sidecars enforce the load bound.
+    :param fair: whether accounts have queues of their own.
+    :param summaries: whether hints come from the endpoints' cache events, late and gapped.
+    """
+
+    name: str
+    policy: str
+    bounded: bool = True
+    fair: bool = True
+    summaries: bool = False
+
+
+@dataclass(slots=True)
+class Job:
+    """One request under way."""
+
+    request: Request
+    router: "Router"
+    waiter: Waiter
+    candidates: Iterator[Endpoint] | None = None
+    home: str = ""
+    tries: int = 0
+    cached: int = 0
+    attempt: Attempt | None = None
+
+
+@dataclass(slots=True)
+class Figures:
+    """What one run has counted.
+
+    :param waits: seconds from arrival to the start of the prefill, by account.
+    :param skews: largest work over the mean at each instant, and the mean.
+    :param excess: work over the true mean of each admission beyond the floor.
+    :param broken: admissions beyond the bound as it is defined.
+    """
+
+    prompt: int = 0
+    cached: int = 0
+    done: int = 0
+    refused: int = 0
+    spilled: int = 0
+    refusals: int = 0
+    broken: int = 0
+    waits: list[tuple[float, str, float]] = field(default_factory=list)
+    skews: list[tuple[float, float]] = field(default_factory=list)
+    excess: list[float] = field(default_factory=list)
+
+
+class Engine:
+    """A continuously batching engine: prefill by priority, one prompt at a time; then tokens."""
+
+    def __init__(self, driver: Driver, blocks: int):
+        self.driver = driver
+        self.cache = PrefixCache(blocks)
+        self.queue: list[tuple[int, int, Job]] = []
+        self.numbers = itertools.count()
+        self.busy = False
+
+    def run(self, job: Job, priority: int, started, finished) -> None:
+        """Run a request; `started` is called at its prefill, `finished` at its last token."""
+        entry = (-priority, next(self.numbers), (job, started, finished))
+        heapq.heappush(self.queue, entry)
+        if not self.busy:
+            self.prefill()
+
+    def prefill(self) -> None:
+        """Begin the next prompt."""
+        self.busy = bool(self.queue)
+        if not self.queue:
+            return
+        _, _, (job, started, finished) = heapq.heappop(self.queue)
+        keys = job.request.keys
+        job.cached = self.cache.touch(keys)
+        started(job)
+        seconds = (len(keys) - job.cached) * BLOCK_TOKENS / SPEED.prefill
+        self.driver.after(seconds, self.prefill)
+        self.driver.after(seconds + job.request.output * SPEED.token, finished, job)
+
+
+class Sidecar:
+    """The real admission before one engine."""
+
+    def __init__(self, world: "World", endpoint: Endpoint):
+        self.world = world
+        self.endpoint = endpoint
+        self.engine = Engine(world.driver, world.shape.blocks)
+        self.attempts = Attempts(endpoint.name, defaults.TOMBSTONE_LIFETIME)
+        self.loads = Loads()
+        self.loads.arrange(load_groups([world.pool], endpoint.vm))
+        self.env = SimpleNamespace(clock=world.driver.clock, loads=self.loads, view=world.limits)
+        self.heard: dict[str, tuple[float, float]] = {}
+
+    def load(self) -> Load:
+        """Return this endpoint's load as it is."""
+        table, name = self.attempts, self.endpoint.name
+        return Load(name, table.work, table.running, 1, time=self.world.driver.now)
+
+    def cap(self) -> float:
+        """Return the largest work that may be held, without limit where no bound is enforced."""
+        if not self.world.ways.bounded:
+            return math.inf
+        return admission.cap(self.env, self.endpoint, self.attempts.work, self.attempts.running)
+
+    def admit(self, job: Job) -> bool:
+        """Admit a request's attempt and run it, or refuse."""
+        before, known = self.attempts.work, self.known_mean()
+        if self.attempts.admit(job.attempt, self.cap(), self.world.driver.now) is not None:
+            return False
+        self.attempts.start(job.attempt.id, self.world.driver.now)
+        self.world.judge(before, job.attempt.work, known)
+        priority = 0 if job.waiter.in_share else -1
+        self.engine.run(job, priority, self.world.started, self.finish)
+        return True
+
+    def finish(self, job: Job) -> None:
+        """End a request."""
+        self.attempts.finish(job.attempt.id, self.world.driver.now)
+        self.attempts.entries.pop(job.attempt.id)
+        self.world.driver.after(HOP, job.router.finish, job, self.load())
+
+    def hear(self, load: Load) -> None:
+        """Take a peer's report."""
+        if load.endpoint != self.endpoint.name:
+            admission.take_load(self.env, load)
+            self.heard[load.endpoint] = (load.time, load.work)
+
+    def known_mean(self) -> float:
+        """Return the mean that the bound is defined by, from a record of its own."""
+        oldest = self.world.driver.now - defaults.MAX_LOAD_AGE
+        works = [work for time, work in self.heard.values() if time >= oldest]
+        return (sum(works) + self.attempts.work) / (len(works) + 1)
+
+
+class Router:
+    """The real queue and choice of one router."""
+
+    def __init__(self, world: "World", number: int):
+        self.world = world
+        self.gone: set[str] = set()
+        self.places: dict[str, str] = {}
+        self.loads = Loads()
+        self.loads.arrange(load_groups([world.pool], ""))
+        self.view = View(
+            loads=self.loads,
+            floor=world.shape.floor,
+            failure_domain=f"domain-{number % 3}",
+            chance=random.Random(number),
+            places=world.events if world.ways.summaries else self.places,
+            usable=self.usable,
+        )
+        self.estimates = Estimates()
+        self.popularity = Popularity()
+        self.queue = Queue(lambda account: 1.0)
+        vms = [VM(str(n), "", "", "", "entry") for n in range(world.shape.routers)]
+        self.env = SimpleNamespace(
+            clock=world.driver.clock,
+            loads=self.loads,
+            view=self.view,
+            usable=self.usable,
+            fleet=SimpleNamespace(vms=vms),
+        )
+        self.jobs: dict[Waiter, Job] = {}
+        self.review()
+
+    def usable(self, name: str) -> bool:
+        """Tell whether an endpoint stands in this router's list."""
+        return name not in self.gone
+
+    def review(self) -> None:
+        """Set the queue's limit and refuse what will be too late."""
+        room = admission.room(self.env, self.world.pool, self.queue.running)
+        self.apply(self.queue.review(room, self.world.driver.now))
+
+    def submit(self, request: Request) -> None:
+        """Take a request of a caller."""
+        now = self.world.driver.now
+        size = len(request.keys) * BLOCK_BYTES
+        work = self.estimates.expect(request.account, "model", size, None)
+        account = request.account if self.world.ways.fair else "all"
+        waiter = Waiter(account, work, now + defaults.REQUEST_TIMEOUT)
+        self.jobs[waiter] = Job(request, self, waiter)
+        self.popularity.note(request.identity.prefixes, work, now)
+        self.apply(self.queue.submit(waiter, now))
+
+    def apply(self, changes: Changes) -> None:
+        """Hand over what was granted and count what was refused."""
+        for waiter in changes.granted:
+            self.choose(self.jobs[waiter])
+        for waiter in changes.refused:
+            del self.jobs[waiter]
+            self.world.figures.refused += 1
+
+    def choose(self, job: Job) -> None:
+        """Rank the endpoints and try the first."""
+        identity = job.request.identity
+        prefix = choose_prefix(identity, self.popularity, len(self.world.pool)).prefix
+        ask = Ask(identity.chat, prefix, job.waiter.work, self.world.driver.now)
+        job.candidates = self.world.rank(ask, job, self.view)
+        job.home = next(policies["bounded"](Ask(ask.chat, prefix), self.world.pool, View())).name
+        self.try_next(job)
+
+    def try_next(self, job: Job) -> None:
+        """Send a request to its next endpoint."""
+        endpoint = next(job.candidates, None)
+        job.tries += 1
+        if endpoint is None or job.tries > defaults.MAX_HANDOVERS:
+            self.world.figures.refused += 1
+            self.release(job)
+            return
+        self.world.driver.after(HOP, self.arrive, job, endpoint)
+
+    def arrive(self, job: Job, endpoint: Endpoint) -> None:
+        """Let a sidecar decide; a refusal comes back with its load."""
+        sidecar = self.world.sidecars[endpoint.name]
+        name = f"{id(job)}-{job.tries}"
+        now = self.world.driver.now
+        job.attempt = Attempt(name, endpoint.name, endpoint.name, 60.0, job.waiter.work, stamp=now)
+        if sidecar.admit(job):
+            self.loads.note(sidecar.load())
+            self.places[job.request.identity.chat] = endpoint.name
+            self.world.figures.spilled += endpoint.name != job.home
+            self.world.tell_place(job.request.identity.chat, endpoint.name)
+            return
+        self.world.figures.refusals += 1
+        self.loads.note(sidecar.load())
+        self.world.driver.after(HOP, self.try_next, job)
+
+    def finish(self, job: Job, load: Load) -> None:
+        """Learn from a finished request and let the next one go."""
+        prompt = len(job.request.keys) * BLOCK_TOKENS
+        details = PromptDetails(job.cached * BLOCK_TOKENS)
+        usage = Usage(prompt, job.request.output, details)
+        size = len(job.request.keys) * BLOCK_BYTES
+        self.estimates.learn(job.request.account, "model", size, usage)
+        self.loads.note(load)
+        self.world.figures.done += 1
+        self.release(job)
+
+    def release(self, job: Job) -> None:
+        """Give a request's place in the queue back."""
+        del self.jobs[job.waiter]
+        self.apply(self.queue.finish(job.waiter, self.world.driver.now))
+
+
+class World:
+    """One run of one workload with one way of choosing."""
+
+    def __init__(self, shape: Shape, ways: Ways, requests: list[Request], seed: int):
+        self.shape = shape
+        self.ways = ways
+        self.requests = requests
+        self.driver = Driver(seed)
+        self.figures = Figures()
+        self.limits = View(floor=shape.floor)
+        self.events: dict[str, str] = {}
+        names = range(shape.endpoints)
+        self.pool = Pool("model", [self.endpoint(number) for number in names])
+        self.sidecars = {endpoint.name: Sidecar(self, endpoint) for endpoint in self.pool}
+        self.routers = [Router(self, number) for number in range(shape.routers)]
+
+    def endpoint(self, number: int) -> Endpoint:
+        """Return an endpoint of the pool."""
+        domain = f"domain-{number % 3}"
+        return Endpoint(f"e{number}", f"vm{number}", "", 1, 1, "llm", "r", domain, 1, ("model",))
+
+    def run(self) -> Figures:
+        """Run the whole workload and return its figures."""
+        driver = self.driver
+        for request in self.requests:
+            driver.at(request.time, driver.chance.choice(self.routers).submit, request)
+        for sidecar in self.sidecars.values():
+            driver.every(REPORT_PERIOD, self.report, sidecar)
+        for router in self.routers:
+            driver.every(REVIEW_PERIOD, router.review)
+        driver.every(1.0, self.sample)
+        if self.shape.churn:
+            driver.every(self.shape.churn, self.leave)
+        driver.run(self.shape.seconds)
+        return self.figures
+
+    def report(self, sidecar: Sidecar) -> None:
+        """Send a load report, which arrives late."""
+        if not sidecar.attempts.draining:
+            self.driver.after(REPORT_DELAY, self.hear, sidecar.load())
+
+    def hear(self, load: Load) -> None:
+        """Let everyone take a report."""
+        for router in self.routers:
+            admission.take_load(router.env, load)
+        for sidecar in self.sidecars.values():
+            sidecar.hear(load)
+
+    def tell_place(self, chat: str, name: str) -> None:
+        """Publish a cache event, which arrives late or not at all."""
+        if self.driver.chance.random() >= LOST_EVENTS:
+            self.driver.after(REPORT_DELAY, self.events.__setitem__, chat, name)
+
+    def leave(self) -> None:
+        """Let one endpoint drain, and come back later with an empty cache."""
+        sidecar = self.sidecars[self.driver.chance.choice(self.pool).name]
+        sidecar.attempts.draining = True
+        for router in self.routers:
+            name = sidecar.endpoint.name
+            self.driver.after(self.driver.chance.uniform(0, LIST_DELAY), router.gone.add, name)
+        self.driver.after(ABSENCE, self.join, sidecar)
+
+    def join(self, sidecar: Sidecar) -> None:
+        """Let an endpoint come back."""
+        sidecar.attempts.draining = False
+        sidecar.engine.cache.entries.clear()
+        for router in self.routers:
+            name = sidecar.endpoint.name
+            self.driver.after(self.driver.chance.uniform(0, LIST_DELAY), router.gone.discard, name)
+
+    def rank(self, ask: Ask, job: Job, view: View) -> Iterator[Endpoint]:
+        """Return the endpoints in the order of the way that is measured."""
+        if self.ways.policy == "oracle":
+            return iter(self.oracle(ask, job))
+        return policies[self.ways.policy](ask, self.pool, view)
+
+    def oracle(self, ask: Ask, job: Job) -> list[Endpoint]:
+        """Rank by what is cached, with every cache and every load known as it is."""
+
+        def rank(endpoint: Endpoint) -> tuple:
+            sidecar = self.sidecars[endpoint.name]
+            table = sidecar.attempts
+            full = table.draining or (table.running and table.work + ask.work > sidecar.cap())
+            return (bool(full), -sidecar.engine.cache.count(job.request.keys), table.work)
+
+        return sorted(self.pool, key=rank)
+
+    def started(self, job: Job) -> None:
+        """Count a request at its prefill."""
+        self.figures.prompt += len(job.request.keys)
+        self.figures.cached += job.cached
+        wait = self.driver.now - job.request.time
+        self.figures.waits.append((job.request.time, job.request.account, wait))
+
+    def works(self) -> list[float]:
+        """Return the true work of every endpoint that takes part."""
+        tables = [sidecar.attempts for sidecar in self.sidecars.values()]
+        return [table.work for table in tables if not table.draining]
+
+    def judge(self, before: float, work: float, known: float) -> None:
+        """Check an admission against the bound as defined, and against the true mean."""
+        after = before + work
+        if not before or after <= self.shape.floor:
+            return
+        works = self.works()
+        mean = (sum(works) - work) / max(1, len(works))
+        self.figures.excess.append(after / mean)
+        self.figures.broken += after > defaults.LOAD_MULTIPLE * known + 1e-6
+
+    def sample(self) -> None:
+        """Note the skew at this instant."""
+        works = self.works()
+        mean = sum(works) / max(1, len(works))
+        if mean:
+            self.figures.skews.append((max(works) / mean, max(works)))
--- a/src/hickorylever/standins/engine.py
+++ b/src/hickorylever/standins/engine.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import random
+from collections.abc import Hashable, Sequence
 from dataclasses import dataclass, field
 
 import curio
@@ -34,21 +35,28 @@
 
     def lookup(self, prompt: bytes) -> int:
         """Return how many leading bytes are cached, and cache the whole prompt."""
-        found = 0
-        hit = True
+        keys = []
         state = xxhash.xxh3_64()
         for start in range(0, len(prompt), BLOCK_BYTES):
-            block = prompt[start : start + BLOCK_BYTES]
-            state.update(block)
-            key = state.intdigest()
-            hit = hit and key in self.entries
-            found += len(block) if hit else 0
+            state.update(prompt[start : start + BLOCK_BYTES])
+            keys.append(state.intdigest())
+        return min(len(prompt), self.touch(keys) * BLOCK_BYTES)
+
+    def touch(self, keys: Sequence[Hashable]) -> int:
+        """Return how many leading blocks are cached, and cache all of them, the last first out."""
+        found = self.count(keys)
+        for key in reversed(keys):
             self.entries[key] = None
             self.entries.move_to_end(key)
-            if len(self.entries) > self.blocks:
-                self.entries.popitem(last=False)
+        while len(self.entries) > self.blocks:
+            self.entries.popitem(last=False)
         return found
 
+    def count(self, keys: Sequence[Hashable]) -> int:
+        """Return how many leading blocks are cached."""
+        missing = (number for number, key in enumerate(keys) if key not in self.entries)
+        return next(missing, len(keys))
+
 
 @dataclass
 class Engine:
