--- a/src/hickorylever/admission.py
+++ b/src/hickorylever/admission.py
@@ -4,8 +4,9 @@
 
 from . import defaults
 from .decisions import loads
+from .decisions.fairness import Room
 from .decisions.pools import Pool, peer_group
-from .records import Endpoint, Load
+from .records import Attempt, Endpoint, Load
 
 
 def take_load(env, load: Load) -> None:
@@ -17,27 +18,36 @@
         env.loads.note(load)
 
 
-def cap(env, endpoint: Endpoint, work: float, running: int) -> float:
-    """Return the largest work in tokens that an endpoint may hold now.
+def cap(env, endpoint: Endpoint, work: float, running: int, attempt: Attempt) -> float:
+    """Return the largest work in tokens that an endpoint may hold after one more attempt.
 
-    The mean is over the reports that are young enough, and the endpoint's own work as it is.
+    The mean is over the reports that are young enough, and the endpoint's own work as it is. An
+    endpoint that is not above the mean may take one request of any size. What an account borrows
+    beyond its share must leave room for the others.
     """
     own = Load(endpoint.name, work, running, endpoint.capacity, time=env.clock())
     env.loads.note(own)
     mean = env.loads.mean(peer_group(endpoint), own.time)
-    return loads.cap(mean, endpoint.capacity, env.view.multiple, env.view.floor)
+    multiple, floor = env.view.multiple, env.view.floor
+    if attempt.borrowed:
+        multiple, floor = defaults.BORROWED_MULTIPLE, floor * defaults.BORROWED_PART
+    limit = loads.cap(mean, endpoint.capacity, multiple, floor)
+    if work <= mean * endpoint.capacity and not attempt.borrowed:
+        return max(limit, work + attempt.work)
+    return limit
 
 
-def room(env, pool: Pool, held: float) -> float:
+def room(env, pool: Pool, held: float) -> Room:
     """Return the work in tokens that this router may have at a pool.
 
     :param held: work of this router's own requests there, which the reports count too.
     """
     capacity = sum(entry.capacity for entry in pool if env.usable(entry.name))
-    whole = env.view.floor * capacity
+    whole = defaults.ROOM_MULTIPLE * env.view.floor * capacity
     routers = sum(vm.role == "entry" for vm in env.fleet.vms)
     others = max(0.0, env.loads.total(pool.name, env.clock()).work - held)
-    return max(whole / max(1, routers), whole - others)
+    part = whole / max(1, routers)
+    return Room(max(part, whole - others), part)
 
 
 def retry_after(seconds: float) -> float:
--- a/src/hickorylever/call.py
+++ b/src/hickorylever/call.py
@@ -22,6 +22,7 @@
     :param suspected: an endpoint has crashed under it, or refuses it for that.
     :param trial: version of the object that allows a suspect's one further run, or 0.
     :param priority: higher goes first at the endpoint.
+    :param borrowed: the account is beyond its share.
     :param tail: last bytes of the answer, where engines report usage.
     :param candidates: endpoints in order of preference, produced on demand.
     :param ran: the strongest claim about execution that is known so far.
@@ -42,6 +43,7 @@
     prompt_bytes: int = 0
     work: float = 0.0
     priority: int = 0
+    borrowed: bool = False
     tail: bytes = b""
     key: str = ""
     guarded: bool = False
--- a/src/hickorylever/commands/__init__.py
+++ b/src/hickorylever/commands/__init__.py
@@ -53,4 +53,4 @@
     return Platform(address, port, Client(), Metrics())
 
 
-from . import bench, claims, configuration, demo, roles  # noqa: E402, F401
+from . import bench, claims, configuration, demo, explain, roles  # noqa: E402, F401
--- /dev/null
+++ b/src/hickorylever/commands/explain.py
@@ -0,0 +1,23 @@
+"""The command that explains what the fleet does with a request."""
+
+import argparse
+
+from . import add_directory, command
+
+
+def add_explain(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``explain``."""
+    add_directory(parser)
+    parser.add_argument("--account", required=True, help="client account")
+    parser.add_argument("--model", default="", help="model that is asked for")
+    parser.add_argument("--path", default="", help="path of the request")
+    parser.add_argument("--method", default="POST", help="method (default: %(default)s)")
+
+
+@command("explain", "tell what the fleet does with a request, and which line says so", add_explain)
+def run_explain(arguments: argparse.Namespace) -> None:
+    """Print the explanation."""
+    from ..fleet.explain import Explainer, Question
+
+    question = Question(arguments.account, arguments.model, arguments.path, arguments.method)
+    print("\n".join(Explainer(arguments.directory).explain(question)))
--- a/src/hickorylever/decisions/affinity.py
+++ b/src/hickorylever/decisions/affinity.py
@@ -80,11 +80,12 @@
 
     Only the first few are looked at; those without room follow by their load.
     """
-    limit = cap(view.loads.mean(pool.name, ask.now), 1, view.multiple, view.floor)
+    mean = view.loads.mean(pool.name, ask.now)
+    limit = cap(mean, 1, view.multiple, view.floor)
     passed = []
     for endpoint in itertools.islice(endpoints, defaults.MAX_WALK):
         work = work_of(endpoint, view)
-        if work and work + ask.work / endpoint.capacity > limit:
+        if work > mean and work + ask.work / endpoint.capacity > limit:
             passed.append((work, endpoint))
         else:
             yield endpoint
--- a/src/hickorylever/decisions/attempts.py
+++ b/src/hickorylever/decisions/attempts.py
@@ -121,8 +121,8 @@
         state = TRANSITIONS[action][entry.state]
         self.entries[attempt] = replace(entry, state=state, time=now)
         if state not in LIVE:
-            self.work -= entry.work
             self.running -= 1
+            self.work = self.work - entry.work if self.running else 0.0
         return True
 
     def expire(self, now: float) -> list[str]:
--- a/src/hickorylever/decisions/fairness.py
+++ b/src/hickorylever/decisions/fairness.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import math
+import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -32,6 +33,18 @@
     retry_after: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Work in tokens that a router may have at a pool.
+
+    :param limit: in all, with what the other routers leave.
+    :param part: its part of the whole, which accounts' shares are of.
+    """
+
+    limit: float = math.inf
+    part: float = math.inf
+
+
 @dataclass(slots=True)
 class Changes:
     """What an event did to waiting requests, the caller's own among them."""
@@ -100,7 +113,7 @@
     def __init__(self, weight: Callable[[str], float], max_waiting: int = defaults.MAX_WAITING):
         self.weight = weight
         self.max_waiting = max_waiting
-        self.limit = math.inf
+        self.room = Room()
         self.accounts: dict[str, Account] = {}
         self.heads: list[tuple[float, int, str]] = []
         self.numbers = itertools.count()
@@ -150,10 +163,10 @@
         self.grant(changes)
         return changes
 
-    def review(self, limit: float, now: float) -> Changes:
-        """Set the limit in tokens, grant what fits, and refuse what will be too late."""
+    def review(self, room: Room, now: float) -> Changes:
+        """Set the room, grant what fits, and refuse what will be too late."""
         changes = Changes()
-        self.limit = limit
+        self.room = room
         self.forget_idle(now)
         self.whole = sum(map(self.weight, self.accounts))
         self.grant(changes)
@@ -215,8 +228,8 @@
         heapq.heappush(self.heads, (waiter.start, next(self.numbers), waiter.account))
 
     def share(self, name: str) -> float:
-        """Return an account's share of the limit among the accounts seen of late."""
-        return self.limit * self.weight(name) / self.whole
+        """Return an account's share of this router's part, among the accounts seen of late."""
+        return self.room.part * self.weight(name) / self.whole
 
     def fits(self, waiter: Waiter) -> bool:
         """Tell whether a request may be granted now."""
@@ -224,12 +237,12 @@
             return True
         waiter.in_share = self.accounts[waiter.account].running < self.share(waiter.account)
         part = 1.0 if waiter.in_share else defaults.BORROWED_PART
-        return self.running + waiter.work <= self.limit * part
+        return self.running + waiter.work <= self.room.limit * part
 
     def grant(self, changes: Changes) -> None:
         """Grant what fits, by start; an account that must wait lets others pass."""
         passed = []
-        while self.heads and (self.running < self.limit or not self.holders):
+        while self.heads and (self.running < self.room.limit or not self.holders):
             entry = heapq.heappop(self.heads)
             waiter = self.head(entry)
             if waiter is None:
@@ -282,6 +295,20 @@
             del self.accounts[name]
 
 
+def overload_pause(rounds: int, left: float, chance: random.Random) -> float | None:
+    """Return the seconds to wait before a request is offered again that found no room.
+
+    :param rounds: how often it was offered.
+    :param left: seconds to its deadline.
+    :returns: None when it is to be refused now.
+    """
+    if rounds > defaults.OVERLOAD_ROUNDS:
+        return None
+    longest = defaults.OVERLOAD_PAUSE * 2 ** min(rounds, defaults.OVERLOAD_DOUBLINGS)
+    pause = chance.uniform(longest / 2, longest)
+    return pause if pause < left else None
+
+
 class Use:
     """Each account's recent work at this router and, by gossip, at the others."""
 
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -62,6 +62,7 @@
             stamp=stamp.time if known else 0.0,
             account=call.account.name,
             fingerprint=call.fingerprint,
+            borrowed=call.borrowed,
             trial=suspicion.trial_crashes(self.env, call),
             guarded=call.guarded,
         )
--- a/src/hickorylever/filters/choose.py
+++ b/src/hickorylever/filters/choose.py
@@ -2,8 +2,11 @@
 
 import functools
 
+import curio
+
 from ..decisions.affinity import Ask, order, policies
-from ..exceptions import Kind, RequestError
+from ..decisions.fairness import overload_pause
+from ..exceptions import Kind, Ran, RequestError
 from . import filters
 from .parse import with_priority
 
@@ -12,13 +15,31 @@
 
 @filters.register("choose")
 async def choose(env, call, proceed) -> None:
-    """Set the call's candidates in order of preference."""
+    """Set the call's candidates in order of preference.
+
+    A call that finds no room is offered again a few times before it is refused.
+    """
     if not any(env.usable(endpoint.name) for endpoint in call.endpoints):
         raise RequestError(Kind.NO_ENDPOINT, "no endpoint is ready")
+    if call.model:
+        call.body = with_priority(call.body, call.priority)
+    rounds = 1
+    while True:
+        rank(env, call)
+        try:
+            await proceed()
+            return
+        except RequestError as error:
+            pause = overload_pause(rounds, call.deadline - env.clock(), env.chance)
+            if error.kind is not Kind.OVERLOADED or error.ran is not Ran.NO or pause is None:
+                raise
+        rounds += 1
+        await curio.sleep(pause)
+
+
+def rank(env, call) -> None:
+    """Rank the endpoints by what is known now."""
     policy = policies[env.fleet.policy if call.model else SERVICE_POLICY]
     ask = Ask(call.chat, call.prefix, call.work, env.clock())
     call.agreed = functools.partial(order, ask, call.endpoints)
     call.candidates = policy(ask, call.endpoints, env.view)
-    if call.model:
-        call.body = with_priority(call.body, call.priority)
-    await proceed()
--- a/src/hickorylever/records.py
+++ b/src/hickorylever/records.py
@@ -155,6 +155,8 @@
     :param budget: remaining time in seconds.
     :param work: estimated tokens.
     :param stamp: the sidecar's clock in seconds, as the router last heard it.
+    :param trial: crashes that the request is a suspect for, when this is its one further run.
+    :param borrowed: the account is beyond its share, so others go before it.
     """
 
     id: str
@@ -167,6 +169,7 @@
     fingerprint: str = ""
     guarded: bool = False
     trial: tuple[str, ...] = ()
+    borrowed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -98,12 +98,13 @@
         vm = self.env.settings.vm
         return next((entry for entry in self.env.fleet.endpoints if entry.vm == vm), None)
 
-    def cap(self) -> float:
-        """Return the largest work in tokens that may be admitted now."""
+    def cap(self, attempt: Attempt) -> float:
+        """Return the largest work in tokens that may be held with an attempt."""
         endpoint = self.endpoint()
         if endpoint is None:
             return self.env.view.floor
-        return admission.cap(self.env, endpoint, self.attempts.work, self.attempts.running)
+        table = self.attempts
+        return admission.cap(self.env, endpoint, table.work, table.running, attempt)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request of a router."""
@@ -153,7 +154,7 @@
         now = self.env.clock()
         reason = suspicion.refuse_attempt(self.env, attempt, self.live())
         if reason is None:
-            return self.attempts.admit(attempt, self.cap(), now)
+            return self.attempts.admit(attempt, self.cap(attempt), now)
         self.attempts.cancel(attempt.id, now, attempt.stamp)
         return Refusal(*reason)
 
