--- a/src/hickorylever/bench/__init__.py
+++ b/src/hickorylever/bench/__init__.py
@@ -37,4 +37,5 @@
 
 Bench = Callable[[int, bool], Report]
 benches: Registry[Bench] = Registry("bench")
-from . import routing  # noqa: E402, F401
+
+from . import control, routing  # noqa: E402, F401
--- a/src/hickorylever/events.py
+++ b/src/hickorylever/events.py
@@ -24,7 +24,7 @@
     TIMER_FAILED = 110
     INTERNAL_ERROR = 111
     CONNECTIONS_REFUSED = 112
-    CALLER_STALLED = 113
+    TASK_FAILED = 113
     REQUEST_DONE = 200
     REQUEST_REFUSED = 201
     ATTEMPT_LOST = 210
@@ -37,6 +37,18 @@
     CONFIGURATION_REJECTED = 301
     SOURCE_FAILED = 302
     PLATFORM_FAILED = 310
+    NEWS_REJECTED = 400
+    SUPERSEDED = 401
+    ENDPOINT_READY = 402
+    ENDPOINT_LOST = 403
+    VM_LIST_FAILED = 404
+    LEASE_TAKEN = 500
+    LEASE_LOST = 501
+    CONTROLLER_FAILED = 502
+    ORDER_GIVEN = 510
+    ORDER_REFUSED = 511
+    ORDER_FAILED = 512
+    OBJECTS_DELETED = 520
 
 
 def log(event: Event, message: str, level: int = logging.INFO, **fields: object) -> None:
--- a/src/hickorylever/fleet/explain.py
+++ b/src/hickorylever/fleet/explain.py
@@ -142,8 +142,8 @@
         return [
             f"{self.setting('load_multiple')}: no endpoint takes it above "
             f"{fleet.load_multiple:g} x the mean of its peers once it holds more than "
-            f"{fleet.load_floor:g} tokens for each unit of weight ({self.setting('load_floor')}); else it waits, or is refused with "
-            "Retry-After, not run."
+            f"{fleet.load_floor:g} tokens for each unit of weight ({self.setting('load_floor')}); "
+            "else it waits, or is refused with Retry-After, not run."
         ]
 
     def explain_share(self, account: ClientAccount) -> list[str]:
--- a/src/hickorylever/suspicion.py
+++ b/src/hickorylever/suspicion.py
@@ -39,6 +39,14 @@
 _decoder = msgspec.json.Decoder(CrashRecord | TrialRecord)
 
 
+def decode(value: bytes) -> CrashRecord | TrialRecord:
+    """Return a record from its bytes.
+
+    :raises msgspec.DecodeError: when it is malformed.
+    """
+    return _decoder.decode(value)
+
+
 def take_record(env, record: CrashRecord | TrialRecord) -> None:
     """Take one record of the register, or of gossip."""
     age = max(0.0, time.time() - record.time)
@@ -117,6 +125,8 @@
     name = f"{env.incarnation}-{env.clock():.6f}"
     record = CrashRecord(name, fingerprints, time.time())
     take_record(env, record)
+    if env.gossip is not None:
+        env.gossip.tell("suspect", msgspec.json.encode(record))
     log(Event.ENDPOINT_CRASHED, f"{len(fingerprints)} requests are suspects", crash=name)
     if not await write_crash(env, record):
         await curio.spawn(keep_writing, env, record, daemon=True)
