Fuzz the decisions on attempts and claims in a fake world, and mend what it found

Cause: the flow of a guarded call lived in its filter, where only socket tests reached it.

Change: decisions/guarded.py decides every step (propose, settle, run, attach, take over, what to tell); the filter only carries the steps out. bench/world.py puts fakes around the real decisions, with lost, duplicated and reordered messages, lost replies, outages, crashes and restarts; bench/chaos.py takes random actions in it for benches, tests/machine.py lets hypothesis choose. Table.ask joins the incarnation check with the cancel, so sidecar and fakes share it.

Found: a second delivery of an admitted attempt that had not started was refused with ran=no, and the attempt started later. An admitted attempt now counts as unknown until it is cancelled.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 SECONDS_ ?= $(or $(SECONDS),60)
 SEED ?= 1
 
-.PHONY: test demo lint format clean
+# make fuzz SECONDS=60 SEED=1
+.PHONY: fuzz test demo lint format clean
 
 .venv/ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -22,6 +23,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+fuzz: .venv/ready
+	$(BIN)/python tests/machine.py $(SECONDS_) $(SEED)
+
 demo: .venv/ready
 	PATH="$(CURDIR)/$(BIN):$$PATH" sh examples/demo.sh
 
--- /dev/null
+++ b/src/hickorylever/bench/world.py
@@ -0,0 +1,373 @@
+"""Fakes at the interfaces around the decisions on attempts and claims, with every fault.
+
+Benches and the fuzzer choose what happens next; the decisions are the ones that the processes run.
+"""
+
+import collections
+import random
+
+import msgspec
+
+from ..decisions.claims import Action, Change, Claim
+from ..decisions.guarded import Ended, Flow, Step
+from ..decisions.outcomes import Facts, State
+from ..exceptions import Kind, Ran
+from ..records import Attempt
+from .actors import Call, Flight, Message, Router, Sidecar, Store
+
+CAP = 50.0
+
+
+class World:
+    """Routers, sidecars, a store and what is between them; time is given.
+
+    :param violations: every broken promise that was seen.
+    :param counts: how often each action was taken.
+    """
+
+    def __init__(self, chance: random.Random, routers: int = 2, endpoints: int = 2):
+        self.chance = chance
+        self.now = 1000.0
+        self.store = Store()
+        self.serial = 0
+        self.routers = [Router(f"router-{n}") for n in range(routers)]
+        self.sidecars = [Sidecar(f"endpoint-{n}", self.name("i")) for n in range(endpoints)]
+        self.calls: list[Call] = []
+        self.messages: list[Message] = []
+        self.writes: list[Flight] = []
+        self.executed: dict[str, Call] = {}
+        self.runs: collections.Counter[bytes] = collections.Counter()
+        self.denied: set[str] = set()
+        self.tolds: collections.Counter[str] = collections.Counter()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.violations: list[str] = []
+
+    def name(self, prefix: str) -> str:
+        """Return a new name."""
+        self.serial += 1
+        return f"{prefix}{self.serial}"
+
+    def sidecar(self, name: str) -> Sidecar:
+        """Return a sidecar by its endpoint's name."""
+        return next(entry for entry in self.sidecars if entry.name == name)
+
+    # What callers do.
+
+    def submit(self, router: Router, key: bytes, guarded: bool) -> Call:
+        """Send a request to a router."""
+        self.counts["submit"] += 1
+        call = Call(router, key, Flow(key, key) if guarded else None)
+        self.calls.append(call)
+        if call.flow is None:
+            call.attempt = self.new_attempt(call)
+            self.hand_over(call)
+        else:
+            self.follow(call, call.flow.begin())
+        return call
+
+    def follow(self, call: Call, step: Step) -> None:
+        """Take steps of a call's flow until it has to wait."""
+        while step is Step.PROPOSE:
+            call.proposals += 1
+            attempt = self.new_attempt(call) if call.proposals <= 4 else None
+            call.proposal = attempt
+            step = call.flow.on_attempt(attempt)
+        if step is Step.SETTLE:
+            call.router.waiting.append(call)
+        elif step is Step.RUN:
+            call.attempt = call.proposal
+            self.hand_over(call)
+        elif step is Step.ATTACH:
+            call.attempt = self.attempt_of(call.flow.current)
+            call.facts = Facts(addressed=True, handed_over=True)
+            call.tried.add(call.attempt.id)
+            self.ask(call)
+        elif step is Step.ANSWERED:
+            self.tell(call, Ran.YES)
+        elif step is Step.REFUSE:
+            self.tell(call, call.flow.error.ran)
+
+    def new_attempt(self, call: Call) -> Attempt:
+        """Return an attempt at some endpoint, by what the router knows of it."""
+        endpoint = self.chance.choice(self.sidecars).name
+        incarnation, stamp = call.router.known.get(endpoint, ("", 0.0))
+        guarded = call.flow is not None
+        return Attempt(self.name("a"), endpoint, incarnation, 1.0, 1.0, stamp, guarded=guarded)
+
+    def attempt_of(self, claim: Claim) -> Attempt:
+        """Return the attempt that a claim names."""
+        return Attempt(
+            claim.attempt, claim.endpoint, claim.incarnation, 0.0, 0.0, claim.stamp, guarded=True
+        )
+
+    def tell(self, call: Call, ran: Ran) -> None:
+        """Tell the caller, and compare with what has happened."""
+        call.told = ran
+        self.calls.remove(call)
+        self.tolds[ran.value] += 1
+        flow = call.flow
+        if flow is not None and flow.outcome is not None:
+            call.router.waiting.append(call)
+        if ran is Ran.NO:
+            self.denied |= call.tried
+            if call.tried & self.executed.keys():
+                self.violations.append(f"{call.key!r} was told not run, and had run")
+        if ran is Ran.YES and not self.runs[call.key]:
+            self.violations.append(f"{call.key!r} was told run, and had not")
+
+    # The hop between routers and sidecars.
+
+    def learn(self, router: Router, sidecar: Sidecar) -> None:
+        """Let a router hear a sidecar's incarnation and clock."""
+        self.counts["learn"] += 1
+        router.known[sidecar.name] = (sidecar.table.incarnation, self.now)
+
+    def hand_over(self, call: Call) -> None:
+        """Send a call's attempt."""
+        call.facts = Facts(addressed=bool(call.attempt.incarnation)).hand_over()
+        call.tried.add(call.attempt.id)
+        self.send("hand_over", call)
+
+    def ask(self, call: Call) -> None:
+        """Ask on a fresh connection what became of a call's attempt."""
+        self.send("ask", call)
+
+    def send(self, kind: str, call: Call) -> None:
+        """Send on a new connection; replies on older ones are dropped from now on."""
+        call.connection += 1
+        self.messages.append(Message(kind, call, call.attempt, call.connection))
+
+    def lose(self, message: Message) -> None:
+        """Lose a message."""
+        self.counts["lose"] += 1
+        self.messages.remove(message)
+
+    def duplicate(self, message: Message) -> None:
+        """Deliver a message once more later."""
+        self.counts["duplicate"] += 1
+        twin = Message(message.kind, message.call, message.attempt, 0, True, message.reply)
+        self.messages.append(twin)
+
+    def deliver(self, message: Message) -> None:
+        """Deliver a message, in any order."""
+        self.counts[f"deliver_{message.kind}"] += 1
+        self.messages.remove(message)
+        DELIVER[message.kind](self, message)
+
+    def deliver_hand_over(self, message: Message) -> None:
+        """Let a sidecar admit or refuse an attempt."""
+        sidecar = self.sidecar(message.attempt.endpoint)
+        refusal = sidecar.table.admit(message.attempt, CAP, self.now)
+        if refusal is None:
+            sidecar.live[message.attempt.id] = message
+            sidecar.waiting[message.attempt.id].append(message)
+        else:
+            self.reply(message, Ended(refusal.kind, refusal.ran, refusal.detail, True))
+
+    def deliver_ask(self, message: Message) -> None:
+        """Let a sidecar send the answer, wait for it or tell why there is none."""
+        attempt = message.attempt
+        sidecar = self.sidecar(attempt.endpoint)
+        same = attempt.incarnation == sidecar.table.incarnation
+        if same and attempt.id in sidecar.live:
+            sidecar.waiting[attempt.id].append(message)
+        elif same and attempt.id in sidecar.kept:
+            self.reply(message, None)
+        else:
+            refusal = sidecar.table.ask(
+                attempt.id, attempt.incarnation, self.now, stamp=attempt.stamp
+            )
+            self.reply(message, Ended(refusal.kind, refusal.ran, refusal.detail, True))
+
+    def reply(self, message: Message, ended: Ended | None) -> None:
+        """Answer a message; None stands for the whole answer."""
+        if message.copy:
+            return
+        back = Message("reply", message.call, message.attempt, message.connection, reply=ended)
+        self.messages.append(back)
+
+    def deliver_reply(self, message: Message) -> None:
+        """Give a reply to its call, unless that waits for another one by now."""
+        call = message.call
+        if call.told is not None or message.copy or message.connection != call.connection:
+            return
+        if message.reply is None:
+            self.answered(call, message)
+        else:
+            self.hear(call, message)
+            call.facts = call.facts.tell(message.reply.ran)
+            self.ended(call, message.reply)
+
+    def answered(self, call: Call, message: Message) -> None:
+        """Take a whole answer."""
+        source = self.executed.get(message.attempt.id)
+        if source is None or source.key != call.key:
+            self.violations.append(f"{call.key!r} got an answer that is not its own")
+        if call.flow is None:
+            self.tell(call, Ran.YES)
+        else:
+            self.follow(call, call.flow.on_answer())
+
+    def hear(self, call: Call, message: Message) -> None:
+        """Let a failure's frame carry incarnation and clock."""
+        self.learn(call.router, self.sidecar(message.attempt.endpoint))
+
+    def ended(self, call: Call, ended: Ended) -> None:
+        """Take an end without an answer."""
+        if call.flow is None:
+            self.tell(call, call.facts.ran())
+        else:
+            final = Ended(ended.kind, call.facts.ran(), ended.detail, ended.final)
+            self.follow(call, call.flow.on_end(final))
+
+    def give_up(self, call: Call) -> None:
+        """Let a router end a call whose sidecar can't be asked."""
+        self.counts["give_up"] += 1
+        call.connection += 1
+        self.ended(call, Ended(Kind.ANSWER_LOST, call.facts.ran()))
+
+    # What happens behind a sidecar.
+
+    def run(self, sidecar: Sidecar, attempt: str) -> None:
+        """Start an admitted attempt, or finish a running one."""
+        state = sidecar.table.entries[attempt].state
+        if state is State.ADMITTED:
+            self.start(sidecar, attempt)
+        elif state is State.RUNNING:
+            self.counts["finish"] += 1
+            sidecar.table.finish(attempt, self.now)
+            sidecar.kept.add(attempt)
+            self.release(sidecar, attempt, None)
+        else:
+            self.release(sidecar, attempt, Ended(Kind.CANCELLED, Ran.NO, final=True))
+
+    def start(self, sidecar: Sidecar, attempt: str) -> None:
+        """Send an attempt's request to the endpoint, which executes it."""
+        self.counts["start"] += 1
+        if not sidecar.table.start(attempt, self.now):
+            return
+        call = sidecar.live[attempt].call
+        self.executed[attempt] = call
+        self.runs[call.key] += 1
+        if call.flow is not None and self.runs[call.key] > 1:
+            self.violations.append(f"{call.key!r} ran {self.runs[call.key]} times")
+        if attempt in self.denied:
+            self.violations.append(f"{call.key!r} was told not run, and ran later")
+
+    def crash(self, sidecar: Sidecar, attempt: str) -> None:
+        """Let the endpoint fail under an attempt."""
+        self.counts["crash"] += 1
+        sidecar.table.move(attempt, "cancel", self.now)
+        sidecar.table.crash(attempt, self.now)
+        ran = sidecar.table.ran(attempt)
+        self.release(sidecar, attempt, Ended(Kind.ENDPOINT_FAILED, ran, final=True))
+
+    def release(self, sidecar: Sidecar, attempt: str, ended: Ended | None) -> None:
+        """Answer everybody who waits for an attempt."""
+        del sidecar.live[attempt]
+        for message in sidecar.waiting.pop(attempt, ()):
+            self.reply(message, ended)
+
+    def drop_kept(self, sidecar: Sidecar) -> None:
+        """Forget the kept answers."""
+        self.counts["drop_kept"] += 1
+        sidecar.kept.clear()
+
+    def restart_sidecar(self, sidecar: Sidecar) -> None:
+        """Restart a sidecar: its attempts are lost, its connections close."""
+        self.counts["restart_sidecar"] += 1
+        sidecar.restart(self.name("i"))
+
+    def restart_router(self, router: Router) -> None:
+        """Kill a router: its callers get nothing, what it sent is still under way."""
+        self.counts["restart_router"] += 1
+        for call in [call for call in self.calls if call.router is router]:
+            call.connection += 1
+            self.calls.remove(call)
+        router.restart()
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass; tables forget what is old."""
+        self.counts["pass_time"] += 1
+        self.now += seconds
+        for sidecar in self.sidecars:
+            sidecar.table.expire(self.now)
+
+    # The hop between routers and the store.
+
+    def begin_write(self, router: Router) -> None:
+        """Let a router decide and send what waits, or refuse it in an outage."""
+        calls, router.waiting = router.waiting, []
+        self.counts["begin_write"] += 1
+        if not router.shard.known():
+            if self.store.outage:
+                self.refuse_claims(calls)
+                return
+            self.store.load(router.shard, self.now)
+        write = router.shard.begin([self.change(call) for call in calls], self.now)
+        flight = Flight(router, write, calls)
+        if not write.needed:
+            self.settle(flight)
+            return
+        router.flight = flight
+        self.writes.append(flight)
+
+    def change(self, call: Call) -> Change:
+        """Return what a waiting call wants to be committed."""
+        flow = call.flow
+        if call.told is None:
+            return flow.change
+        done = msgspec.structs.replace(flow.current, outcome=flow.outcome.value)
+        return Change(Action.RECORD.value, done)
+
+    def refuse_claims(self, calls: list[Call]) -> None:
+        """Refuse calls that get no claim."""
+        self.counts["claims_unavailable"] += 1
+        for call in calls:
+            if call.told is None and call in self.calls:
+                self.tell(call, Ran.NO)
+
+    def land(self, flight: Flight, lose_reply: bool) -> None:
+        """Let a write reach the store, in any order."""
+        self.writes.remove(flight)
+        if self.store.outage:
+            self.counts["outage"] += 1
+            return
+        self.counts["land"] += 1
+        stored = self.store.put(flight.write)
+        router = flight.router
+        if lose_reply:
+            self.counts["lose_reply"] += 1
+        if lose_reply or router.flight is not flight:
+            return
+        router.flight = None
+        if stored:
+            router.shard.commit(flight.write, self.store.version, self.now)
+            self.settle(flight)
+        else:
+            self.counts["conflict"] += 1
+            self.again(router, flight)
+
+    def time_out(self, router: Router) -> None:
+        """Let a router take a write's reply for lost; the write may still land."""
+        self.counts["time_out"] += 1
+        flight, router.flight = router.flight, None
+        self.again(router, flight)
+
+    def again(self, router: Router, flight: Flight) -> None:
+        """Read and decide again."""
+        router.shard.forget()
+        router.waiting = flight.calls + router.waiting
+
+    def settle(self, flight: Flight) -> None:
+        """Give every call the claim that is in force."""
+        for call, claim in zip(flight.calls, flight.write.results, strict=True):
+            if call.told is None and call in self.calls:
+                self.follow(call, call.flow.on_claim(claim))
+
+
+DELIVER = {
+    "hand_over": World.deliver_hand_over,
+    "ask": World.deliver_ask,
+    "reply": World.deliver_reply,
+}
--- a/src/hickorylever/decisions/attempts.py
+++ b/src/hickorylever/decisions/attempts.py
@@ -98,6 +98,15 @@
         """Return what is known of a remembered attempt."""
         return RAN[self.entries[attempt].state]
 
+    def ask(self, attempt: str, incarnation: str, now: float, stamp: float) -> Refusal:
+        """Cancel an attempt of some incarnation and return why there is no answer of it."""
+        if incarnation != self.incarnation:
+            detail = "the sidecar was restarted"
+            return Refusal(Kind.WRONG_INCARNATION, detail, Ran.UNKNOWN)
+        ran = self.cancel(attempt, now, stamp)
+        kind = Kind.CANCELLED if ran is Ran.NO else Kind.ANSWER_LOST
+        return Refusal(kind, "no answer is kept", ran)
+
     def cancel(self, attempt: str, now: float, stamp: float) -> Ran:
         """Cancel an attempt and return whether it ran.
 
--- a/src/hickorylever/decisions/outcomes.py
+++ b/src/hickorylever/decisions/outcomes.py
@@ -20,7 +20,7 @@
 # What is true of the request's execution in each state. REFUSED and CANCELLED are tombstones.
 RAN = {
     State.REFUSED: Ran.NO,
-    State.ADMITTED: Ran.NO,
+    State.ADMITTED: Ran.UNKNOWN,
     State.RUNNING: Ran.UNKNOWN,
     State.FINISHED: Ran.YES,
     State.CANCELLED: Ran.NO,
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -151,30 +151,26 @@
         Asking for an unknown attempt cancels it: it will be refused if it arrives later.
         """
         attempt = parts[1]
-        if query.get("incarnation") != self.env.incarnation:
-            detail = "the sidecar was restarted"
-            refusal = Refusal(Kind.WRONG_INCARNATION, detail, Ran.UNKNOWN)
-            await self.answer_failed(exchange, attempt, refusal)
-            return
         running = self.running.get(attempt)
-        if running is not None:
+        if running is not None and query.get("incarnation") == self.env.incarnation:
             await self.stream(exchange, running, int(number(query, "offset")))
             return
-        ran = self.attempts.cancel(attempt, self.env.clock(), number(query, "stamp"))
-        kind = Kind.CANCELLED if ran is Ran.NO else Kind.ANSWER_LOST
-        await self.answer_failed(exchange, attempt, Refusal(kind, "no answer is kept", ran))
+        await self.answer_failed(exchange, attempt, self.ask(attempt, query))
+
+    def ask(self, attempt: str, query: dict) -> Refusal:
+        """Return what the table knows of an attempt that was asked for."""
+        incarnation = query.get("incarnation", "")
+        return self.attempts.ask(attempt, incarnation, self.env.clock(), number(query, "stamp"))
 
     async def cancel(self, exchange: Exchange, parts: list[str], query: dict) -> None:
         """Cancel an attempt and tell whether it ran. A guarded one that runs goes on."""
         attempt = parts[1]
-        if query.get("incarnation") != self.env.incarnation:
-            await respond_json(exchange, CancelResult(Ran.UNKNOWN.value))
-            return
-        ran = self.attempts.cancel(attempt, self.env.clock(), number(query, "stamp"))
+        refusal = self.ask(attempt, query)
         running = self.running.get(attempt)
-        if running is not None and not running.handover.attempt.guarded and running.end is None:
+        known = running is not None and refusal.kind is not Kind.WRONG_INCARNATION
+        if known and running.end is None and not running.handover.attempt.guarded:
             await running.task.cancel(blocking=False)
-        await respond_json(exchange, CancelResult(ran.value))
+        await respond_json(exchange, CancelResult(refusal.ran.value))
 
     def failed(self, attempt: str, kind: Kind, ran: Ran, detail: str) -> Failed:
         """Return a failure with this sidecar's incarnation and load."""
--- /dev/null
+++ b/tests/test_machine.py
@@ -0,0 +1,89 @@
+import random
+
+import machine
+import pytest
+from hypothesis import Phase
+
+from hickorylever.bench.actors import Store
+from hickorylever.bench.chaos import WEIGHTS, Chaos
+from hickorylever.bench.world import World
+from hickorylever.decisions import claims, guarded, outcomes
+from hickorylever.decisions.attempts import Attempts
+from hickorylever.decisions.outcomes import Facts, State
+from hickorylever.exceptions import Ran
+
+SEED = 3
+STEPS = 40000
+
+
+def test_promises_hold():
+    machine.TOTALS.clear()
+    machine.fuzz(100, SEED)
+    print(machine.report())
+    assert all(machine.TOTALS[fault] for fault in machine.FAULTS)
+    assert all(machine.TOTALS[f"told {ran.value}"] for ran in Ran)
+
+
+def cancel_without_tombstone(self, attempt, now, stamp):
+    if attempt in self.entries:
+        self.move(attempt, "cancel", now)
+        return self.ran(attempt)
+    return Ran.NO
+
+
+put = Store.put
+
+
+def put_unconditionally(self, write):
+    self.version = write.base
+    return put(self, write)
+
+
+BROKEN = {
+    "no tombstone": (Attempts, "cancel", cancel_without_tombstone),
+    "silence means not run": (Facts, "ran", lambda self: self.told or Ran.NO),
+    "admitted means not run": (outcomes.RAN, State.ADMITTED, Ran.NO),
+    "take over without a tombstone": (
+        guarded.ON_END,
+        Ran.UNKNOWN,
+        lambda flow, ended: flow.settle(),
+    ),
+    "claim again": (claims.RULES, claims.Action.CLAIM, lambda current, change: True),
+    "unconditional write": (Store, "put", put_unconditionally),
+}
+
+
+def break_decision(monkeypatch, name):
+    target, attribute, broken = BROKEN[name]
+    change = monkeypatch.setitem if isinstance(target, dict) else monkeypatch.setattr
+    change(target, attribute, broken)
+
+
+def chaos():
+    world = World(random.Random(SEED), routers=3, endpoints=3)
+    actions = Chaos(world, WEIGHTS, keys=400)
+    for _ in range(STEPS):
+        actions.step()
+        if world.violations:
+            break
+    return world
+
+
+def test_chaos_breaks_no_promise():
+    world = chaos()
+    print(f"{STEPS} steps: {dict(world.counts)}, told {dict(world.tolds)}")
+    assert not world.violations
+    assert all(world.tolds[ran.value] > 100 for ran in Ran)
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_chaos_finds_the_broken_variant(name, monkeypatch):
+    break_decision(monkeypatch, name)
+    assert chaos().violations
+
+
+@pytest.mark.parametrize("name", ["silence means not run", "claim again"])
+def test_machine_finds_the_broken_variant(name, monkeypatch):
+    break_decision(monkeypatch, name)
+    with pytest.raises(AssertionError, match="told not run|ran 2 times"):
+        machine.fuzz(3000, SEED, phases=[Phase.generate])
