--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -7,7 +7,7 @@
 import h11
 import msgspec
 
-from . import admission, defaults, frames
+from . import admission, defaults, frames, suspicion
 from .decisions.outcomes import Facts
 from .events import Event, log
 from .exceptions import ConnectionLost, Kind, Ran
@@ -62,6 +62,7 @@
             stamp=stamp.time if known else 0.0,
             account=call.account.name,
             fingerprint=call.fingerprint,
+            trial=suspicion.trial_crashes(self.env, call),
             guarded=call.guarded,
         )
 
@@ -138,6 +139,7 @@
             channel = await self.acquire(fresh=False)
         except ConnectionLost as error:
             kind = Kind.ANSWER_LOST if self.facts.handed_over else Kind.NO_ENDPOINT
+            self.env.note_refusal(self.endpoint.name, Kind.NO_ENDPOINT)
             return self.failed(kind, str(error))
         tries = 0
         while True:
@@ -270,6 +272,7 @@
         self.facts = self.facts.tell(Ran(frame.ran))
         self.env.incarnations[self.endpoint.name] = frame.incarnation
         self.note(frame, frame.incarnation)
+        self.env.note_refusal(self.endpoint.name, Kind(frame.kind))
         return msgspec.structs.replace(frame, ran=self.facts.ran().value)
 
     def check(self, attempt: str) -> None:
--- a/src/hickorylever/filters/parse.py
+++ b/src/hickorylever/filters/parse.py
@@ -1,15 +1,19 @@
 """Reads the body, and for models its JSON: model, stream, chat identity and expected work."""
 
 from collections.abc import Iterator
+from typing import Annotated
 
 import msgspec
 
 from .. import defaults
 from ..decisions.chats import choose_prefix, identify
+from ..decisions.suspects import fingerprint
 from ..exceptions import Kind, RequestError
 from ..http import header
+from ..nesting import nested_deeper
 from . import filters
 
+Count = Annotated[int, msgspec.Meta(ge=0, le=defaults.MAX_TOKENS)]
 NOTHING = msgspec.Raw(b"")
 
 
@@ -25,8 +29,8 @@
 
     model: str
     stream: bool = False
-    max_tokens: int | None = None
-    max_completion_tokens: int | None = None
+    max_tokens: Count | None = None
+    max_completion_tokens: Count | None = None
     messages: list[Message] = []
     prompt: msgspec.Raw = NOTHING
     priority: msgspec.Raw = NOTHING
@@ -42,11 +46,14 @@
     """
     try:
         body.decode()  # Raw members are not checked by the decoder.
-        return _decoder.decode(body)
+        completion = _decoder.decode(body)
     except RecursionError:
         raise RequestError(Kind.BAD_REQUEST, "the JSON is nested too deeply") from None
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise RequestError(Kind.BAD_REQUEST, f"the body: {error}") from None
+    if nested_deeper(body, defaults.MAX_JSON_DEPTH):
+        raise RequestError(Kind.BAD_REQUEST, "the JSON is nested too deeply")
+    return completion
 
 
 def leading(completion: Completion) -> Iterator[bytes]:
@@ -60,6 +67,15 @@
             return
 
 
+def prompt(completion: Completion) -> Iterator[bytes]:
+    """Yield what an engine reads of a request: the model, and every message."""
+    yield completion.model.encode()
+    yield bytes(completion.prompt)
+    for message in completion.messages:
+        yield message.role.encode()
+        yield bytes(message.content)
+
+
 def prompt_bytes(completion: Completion) -> int:
     """Return the size of the prompt in bytes."""
     contents = (memoryview(message.content) for message in completion.messages)
@@ -89,6 +105,9 @@
     else:
         call.work = defaults.SERVICE_WORK
         call.chat = call.id
+        exchange = call.exchange
+        target = f"{exchange.method} {exchange.path}?{exchange.query}".encode()
+        call.fingerprint = fingerprint((call.application.name.encode(), target, call.body))
     await proceed()
 
 
@@ -108,6 +127,7 @@
     call.stream = completion.stream
     estimate_work(env, call, completion)
     recognise_chat(env, call, completion)
+    call.fingerprint = fingerprint(prompt(completion))
 
 
 def estimate_work(env, call, completion: Completion) -> None:
@@ -122,5 +142,7 @@
     given = header(call.exchange.headers, b"hickory-chat")
     identity = identify(call.account.name, call.model, given, leading(completion))
     env.popularity.note(identity.prefixes, call.work, env.clock())
+    choice = choose_prefix(identity, env.popularity, len(call.endpoints))
     call.chat = identity.chat
-    call.prefix = choose_prefix(identity, env.popularity, len(call.endpoints))
+    call.prefix = choice.prefix
+    call.doubtful = choice.doubtful
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -1,12 +1,13 @@
 """The sidecar: admits, runs and remembers the attempts of one endpoint."""
 
+import functools
 from urllib.parse import parse_qs
 
 import curio
 import msgspec
 import xxhash
 
-from . import admission, configuration, defaults, frames
+from . import admission, configuration, defaults, frames, gossip, suspicion, vms
 from .decisions.attempts import Attempts, Refusal
 from .environment import Environment
 from .events import Event, log
@@ -14,7 +15,9 @@
 from .frames import Beat, CancelResult, Data, End, Failed, Handover, Head, SidecarState
 from .http import Exchange, Server, end_to_end
 from .node import refuse, respond_json, run_node
-from .records import Endpoint
+from .orders import Orders
+from .readiness import Readiness
+from .records import Attempt, Endpoint
 from .settings import Settings, split_address
 
 DRAIN_POLL = 0.05
@@ -85,7 +88,10 @@
         self.attempts = Attempts(env.incarnation, defaults.TOMBSTONE_LIFETIME)
         self.running: dict[str, Running] = {}
         self.server = Server(self.handle, refuse)
+        self.orders = Orders(env, self.address, self.port, self.endpoint)
         self.streams = 0
+        self.crashes: dict[str, curio.Task] = {}
+        suspicion.attach(env)
         env.timers.subscribe("expire", 1.0, self.expire)
 
     def endpoint(self) -> Endpoint | None:
@@ -127,6 +133,10 @@
         )
         await respond_json(exchange, state)
 
+    async def answer_orders(self, exchange: Exchange, parts: list[str], query: dict) -> None:
+        """Answer a controller."""
+        await self.orders.answer(exchange)
+
     async def admit(self, exchange: Exchange, parts: list[str], query: dict) -> None:
         """Take an attempt and stream its answer."""
         body = await exchange.body(2 * defaults.MAX_BODY_BYTES)
@@ -135,7 +145,7 @@
         except msgspec.DecodeError as error:
             raise RequestError(Kind.BAD_REQUEST, str(error)) from None
         attempt = handover.attempt
-        refusal = self.attempts.admit(attempt, self.cap(), self.env.clock())
+        refusal = self.decide(attempt)
         if refusal is not None:
             await self.answer_failed(exchange, attempt.id, refusal)
             return
@@ -145,6 +155,19 @@
         running.task = await curio.spawn(self.execute, running, daemon=True)
         await self.stream(exchange, running, 0)
 
+    def decide(self, attempt: Attempt) -> Refusal | None:
+        """Admit an attempt, or return why not. Suspects are looked at first."""
+        now = self.env.clock()
+        reason = suspicion.refuse_attempt(self.env, attempt, self.live())
+        if reason is None:
+            return self.attempts.admit(attempt, self.cap(), now)
+        self.attempts.cancel(attempt.id, now, attempt.stamp)
+        return Refusal(*reason)
+
+    def live(self) -> list[Attempt]:
+        """Return the attempts whose answers are not whole yet."""
+        return [entry.handover.attempt for entry in self.running.values() if entry.end is None]
+
     async def resume(self, exchange: Exchange, parts: list[str], query: dict) -> None:
         """Stream an attempt's answer from an offset on.
 
@@ -247,6 +270,7 @@
             end = self.give_up(attempt.id, Kind.CANCELLED, "the attempt was cancelled")
         except ConnectionLost as error:
             end = self.give_up(attempt.id, Kind.ENDPOINT_FAILED, str(error))
+            await self.report_crash(attempt, Ran(end.ran))
         except Exception as error:  # A router waits for this attempt's end, whatever happened.
             end = self.give_up(attempt.id, Kind.INTERNAL, repr(error))
         running.ended = self.env.clock()
@@ -255,6 +279,17 @@
         self.env.metrics.attempts.inc({"result": result, "kind": getattr(end, "kind", "")})
         await running.wake()
 
+    async def report_crash(self, attempt: Attempt, ran: Ran) -> None:
+        """Register a crash under an attempt, and all that ran beside it, before it is told."""
+        if ran is Ran.NO or not attempt.fingerprint:
+            return
+        if attempt.id not in self.crashes:
+            live = [entry for entry in self.live() if self.attempts.ran(entry.id) is not Ran.NO]
+            prints = sorted({entry.fingerprint for entry in live if entry.fingerprint})
+            task = await curio.spawn(suspicion.register_crash, self.env, prints, daemon=True)
+            self.crashes = {entry.id: task for entry in live}
+        await self.crashes[attempt.id].wait()
+
     def give_up(self, attempt: str, kind: Kind, detail: str) -> Failed:
         """End an attempt without a whole answer."""
         now = self.env.clock()
@@ -293,6 +328,7 @@
         now = self.env.clock()
         self.attempts.finish(attempt, now)
         await client.release(self.address, self.port, channel)
+        self.env.suspects.clear(handover.attempt.fingerprint, handover.attempt.trial)
         digest = xxhash.xxh3_128_hexdigest(running.body)
         table = self.attempts
         return End(attempt, len(running.body), digest, table.work, table.running, now)
@@ -337,6 +373,8 @@
     ("POST", "attempts", 1): Sidecar.admit,
     ("GET", "attempts", 2): Sidecar.resume,
     ("DELETE", "attempts", 2): Sidecar.cancel,
+    ("GET", "orders", 1): Sidecar.answer_orders,
+    ("POST", "orders", 1): Sidecar.answer_orders,
 }
 
 
@@ -345,4 +383,10 @@
     env = Environment(settings)
     configuration.attach(env)
     sidecar = Sidecar(env)
+    orders = sidecar.orders
+    readiness = Readiness(env, sidecar.address, sidecar.port, orders.warm)
+    gossip.attach_sidecar(env, sidecar, readiness.ready)
+    vms.attach(env)
+    env.tasks += [functools.partial(readiness.start, orders.check), orders.read_number]
+    env.tasks.append(functools.partial(suspicion.follow_register, env))
     await run_node(env, sidecar.server, sidecar.drain)
