--- a/src/hickorylever/bench/routing.py
+++ b/src/hickorylever/bench/routing.py
@@ -10,6 +10,7 @@
 from ..records import Endpoint, Load
 from . import Report, benches
 from .figures import Figures, quantile, reuse
+from .serving import Ways, World
 from .workloads import (
     BLOCK_TOKENS,
     CHURN,
@@ -20,7 +21,6 @@
     add_surge,
     make_requests,
 )
-from .world import Ways, World
 
 WAYS = (
     Ways("oracle", "oracle"),
--- a/src/hickorylever/bench/world.py
+++ b/src/hickorylever/bench/world.py
@@ -1,384 +1,373 @@
-"""Routers, sidecars and engines of the routing bench: the real decisions in virtual time."""
+"""Fakes at the interfaces around the decisions on attempts and claims, with every fault.
 
-import itertools
-import math
-import random
-from collections.abc import Iterator
-from dataclasses import dataclass
-from types import SimpleNamespace
-
-from .. import admission, defaults
-from ..decisions.affinity import Ask, View, policies
-from ..decisions.attempts import Attempts
-from ..decisions.chats import Popularity, choose_prefix
-from ..decisions.fairness import Changes, Queue, Waiter, overload_pause
-from ..decisions.loads import Estimates, Loads, PromptDetails, Usage
-from ..decisions.pools import Pool, load_groups
-from ..records import VM, Attempt, Endpoint, Load
-from ..standins.engine import BLOCK_BYTES
-from .driver import Driver
-from .engines import Engine
-from .figures import Figures
-from .workloads import BLOCK_TOKENS, Request, Shape
-
-HOP = 0.003
-REPORT_PERIOD = 1.0
-REPORT_DELAY = 2.0
-LIST_DELAY = 5.0
-REVIEW_PERIOD = 0.5
-ABSENCE = 20.0
-LOST_EVENTS = 0.1
-WARM_UP = 0.25
-
-
-@dataclass(frozen=True, slots=True)
-class Ways:
-    """Which ways of choosing are measured.
-
-    :param policy: its name in the registry, or ``oracle``.
-    :param bounded: whether sidecars enforce the load bound.
-    :param fair: whether accounts have queues of their own.
-    :param summaries: whether hints come from the endpoints' cache events, late and gapped.
-    """
+Benches and the fuzzer choose what happens next; the decisions are the ones that the processes run.
+"""
 
-    name: str
-    policy: str
-    bounded: bool = True
-    fair: bool = True
-    summaries: bool = False
-
-
-@dataclass(slots=True)
-class Job:
-    """One request under way."""
-
-    request: Request
-    router: "Router"
-    waiter: Waiter
-    candidates: Iterator[Endpoint] | None = None
-    home: str = ""
-    tries: int = 0
-    rounds: int = 1
-    cached: int = 0
-    attempt: Attempt | None = None
-
-
-class Sidecar:
-    """The real admission before one engine."""
-
-    def __init__(self, world: "World", endpoint: Endpoint):
-        self.world = world
-        self.endpoint = endpoint
-        self.engine = Engine(world.driver, world.shape.blocks, world.started)
-        self.attempts = Attempts(endpoint.name, defaults.TOMBSTONE_LIFETIME)
-        self.loads = Loads()
-        self.loads.arrange(load_groups([world.pool], endpoint.vm))
-        self.env = SimpleNamespace(clock=world.driver.clock, loads=self.loads, view=world.limits)
-        self.heard: dict[str, tuple[float, float]] = {}
-
-    def load(self) -> Load:
-        """Return this endpoint's load as it is."""
-        table, name = self.attempts, self.endpoint.name
-        return Load(name, table.work, table.running, 1, time=self.world.driver.now)
-
-    def cap(self, attempt: Attempt) -> float:
-        """Return the largest work that may be held, without limit where no bound is enforced."""
-        if not self.world.ways.bounded:
-            return math.inf
-        table = self.attempts
-        return admission.cap(self.env, self.endpoint, table.work, table.running, attempt)
-
-    def admit(self, job: Job) -> bool:
-        """Admit a request's attempt and run it, or refuse."""
-        before = self.attempts.work if self.attempts.running else 0.0
-        known = self.known_mean()
-        if (
-            self.attempts.admit(job.attempt, self.cap(job.attempt), self.world.driver.now)
-            is not None
-        ):
-            return False
-        self.attempts.start(job.attempt.id, self.world.driver.now)
-        self.world.judge(before, job.attempt.work, known)
-        priority = 0 if job.waiter.in_share else -1
-        self.engine.run(job, priority, self.finish)
-        return True
-
-    def finish(self, job: Job) -> None:
-        """End a request."""
-        self.attempts.finish(job.attempt.id, self.world.driver.now)
-        self.attempts.entries.pop(job.attempt.id)
-        self.world.driver.after(HOP, job.router.finish, job, self.load())
-
-    def hear(self, load: Load) -> None:
-        """Take a peer's report."""
-        if load.endpoint != self.endpoint.name:
-            admission.take_load(self.env, load)
-            self.heard[load.endpoint] = (load.time, load.work)
-
-    def known_mean(self) -> float:
-        """Return the mean that the bound is defined by, from a record of its own."""
-        oldest = self.world.driver.now - defaults.MAX_LOAD_AGE
-        works = [work for time, work in self.heard.values() if time >= oldest]
-        return (sum(works) + self.attempts.work) / (len(works) + 1)
-
-
-class Router:
-    """The real queue and choice of one router."""
-
-    def __init__(self, world: "World", number: int):
-        self.world = world
-        self.gone: set[str] = set()
-        self.places: dict[str, str] = {}
-        self.loads = Loads()
-        self.loads.arrange(load_groups([world.pool], ""))
-        self.view = View(
-            loads=self.loads,
-            floor=world.shape.floor,
-            failure_domain=f"domain-{number % 3}",
-            chance=random.Random(number),
-            places=world.events if world.ways.summaries else self.places,
-            usable=self.usable,
-        )
-        self.estimates = Estimates()
-        self.popularity = Popularity()
-        self.queue = Queue(lambda account: 1.0)
-        vms = [VM(str(n), "", "", "", "entry") for n in range(world.shape.routers)]
-        self.env = SimpleNamespace(
-            clock=world.driver.clock,
-            loads=self.loads,
-            view=self.view,
-            usable=self.usable,
-            fleet=SimpleNamespace(vms=vms),
-        )
-        self.jobs: dict[Waiter, Job] = {}
-        self.review()
-
-    def usable(self, name: str) -> bool:
-        """Tell whether an endpoint stands in this router's list."""
-        return name not in self.gone
-
-    def review(self) -> None:
-        """Set the queue's limit and refuse what will be too late."""
-        room = admission.room(self.env, self.world.pool, self.queue.running)
-        self.apply(self.queue.review(room, self.world.driver.now))
-
-    def submit(self, request: Request) -> None:
-        """Take a request of a caller."""
-        now = self.world.driver.now
-        size = len(request.keys) * BLOCK_BYTES
-        work = self.estimates.expect(request.account, "model", size, None)
-        account = request.account if self.world.ways.fair else "all"
-        waiter = Waiter(account, work, now + defaults.REQUEST_TIMEOUT)
-        self.jobs[waiter] = Job(request, self, waiter)
-        self.popularity.note(request.identity.prefixes, work, now)
-        self.apply(self.queue.submit(waiter, now))
-
-    def apply(self, changes: Changes) -> None:
-        """Hand over what was granted and count what was refused."""
-        for waiter in changes.granted:
-            self.choose(self.jobs[waiter])
-        for waiter in changes.refused:
-            self.world.refuse(self.jobs.pop(waiter))
-
-    def choose(self, job: Job) -> None:
-        """Rank the endpoints and try the first."""
-        identity = job.request.identity
-        prefix = choose_prefix(identity, self.popularity, len(self.world.pool)).prefix
-        ask = Ask(identity.chat, prefix, job.waiter.work, self.world.driver.now)
-        job.candidates = self.world.rank(ask, job, self.view)
-        job.home = next(policies["bounded"](Ask(ask.chat, prefix), self.world.pool, View())).name
-        self.try_next(job)
-
-    def try_next(self, job: Job) -> None:
-        """Send a request to its next endpoint."""
-        endpoint = next(job.candidates, None)
-        job.tries += 1
-        if endpoint is None or job.tries > defaults.MAX_HANDOVERS:
-            self.offer_again(job)
-            return
-        self.world.driver.after(HOP, self.arrive, job, endpoint)
-
-    def offer_again(self, job: Job) -> None:
-        """Rank anew after a pause, or refuse."""
-        left = job.waiter.deadline - self.world.driver.now
-        pause = overload_pause(job.rounds, left, self.world.driver.chance)
-        job.rounds += 1
-        job.tries = 0
-        if pause is not None:
-            self.world.driver.after(pause, self.choose, job)
-            return
-        self.world.refuse(job)
-        self.release(job)
-
-    def arrive(self, job: Job, endpoint: Endpoint) -> None:
-        """Let a sidecar decide; a refusal comes back with its load."""
-        sidecar = self.world.sidecars[endpoint.name]
-        name = str(next(self.world.numbers))
-        job.attempt = self.attempt(job, name, endpoint)
-        if sidecar.admit(job):
-            self.loads.note(sidecar.load())
-            self.places[job.request.identity.chat] = endpoint.name
-            self.world.figures.spilled += endpoint.name != job.home
-            self.world.tell_place(job.request.identity.chat, endpoint.name)
-            return
-        self.world.figures.refusals += 1
-        self.loads.note(sidecar.load())
-        self.world.driver.after(HOP, self.try_next, job)
+import collections
+import random
 
-    def attempt(self, job: Job, name: str, endpoint: Endpoint) -> Attempt:
-        """Return a request's attempt at an endpoint."""
-        return Attempt(
-            name,
-            endpoint.name,
-            endpoint.name,
-            defaults.REQUEST_TIMEOUT,
-            job.waiter.work,
-            stamp=self.world.driver.now,
-            borrowed=not job.waiter.in_share,
-        )
+import msgspec
 
-    def finish(self, job: Job, load: Load) -> None:
-        """Learn from a finished request and let the next one go."""
-        prompt = len(job.request.keys) * BLOCK_TOKENS
-        details = PromptDetails(job.cached * BLOCK_TOKENS)
-        usage = Usage(prompt, job.request.output, details)
-        size = len(job.request.keys) * BLOCK_BYTES
-        self.estimates.learn(job.request.account, "model", size, usage)
-        self.loads.note(load)
-        self.world.figures.done += 1
-        self.release(job)
+from ..decisions.claims import Action, Change, Claim
+from ..decisions.guarded import Ended, Flow, Step
+from ..decisions.outcomes import Facts, State
+from ..exceptions import Kind, Ran
+from ..records import Attempt
+from .actors import Call, Flight, Message, Router, Sidecar, Store
 
-    def release(self, job: Job) -> None:
-        """Give a request's place in the queue back."""
-        del self.jobs[job.waiter]
-        self.apply(self.queue.finish(job.waiter, self.world.driver.now))
+CAP = 50.0
 
 
 class World:
-    """One run of one workload with one way of choosing."""
-
-    def __init__(self, shape: Shape, ways: Ways, requests: list[Request], seed: int):
-        self.shape = shape
-        self.ways = ways
-        self.requests = requests
-        self.driver = Driver(seed)
-        self.numbers = itertools.count()
-        self.figures = Figures()
-        self.limits = View(floor=shape.floor)
-        self.events: dict[str, str] = {}
-        names = range(shape.endpoints)
-        self.pool = Pool("model", [self.endpoint(number) for number in names])
-        self.sidecars = {endpoint.name: Sidecar(self, endpoint) for endpoint in self.pool}
-        self.routers = [Router(self, number) for number in range(shape.routers)]
-
-    def endpoint(self, number: int) -> Endpoint:
-        """Return an endpoint of the pool."""
-        domain = f"domain-{number % 3}"
-        return Endpoint(f"e{number}", f"vm{number}", "", 1, 1, "llm", "r", domain, 1, ("model",))
-
-    def run(self) -> Figures:
-        """Run the whole workload and return its figures."""
-        driver = self.driver
-        for request in self.requests:
-            driver.at(request.time, driver.chance.choice(self.routers).submit, request)
-        for sidecar in self.sidecars.values():
-            driver.every(REPORT_PERIOD, self.report, sidecar)
-        for router in self.routers:
-            driver.every(REVIEW_PERIOD, router.review)
-        driver.every(1.0, self.sample)
-        if self.shape.churn:
-            driver.every(self.shape.churn, self.leave)
-        driver.run(self.shape.seconds * WARM_UP)
-        self.figures = Figures()
-        driver.run(self.shape.seconds)
-        return self.figures
-
-    def report(self, sidecar: Sidecar) -> None:
-        """Send a load report, which arrives late."""
-        if not sidecar.attempts.draining:
-            self.driver.after(REPORT_DELAY, self.hear, sidecar.load())
-
-    def hear(self, load: Load) -> None:
-        """Let everyone take a report."""
-        for router in self.routers:
-            admission.take_load(router.env, load)
-        for sidecar in self.sidecars.values():
-            sidecar.hear(load)
-
-    def tell_place(self, chat: str, name: str) -> None:
-        """Publish a cache event, which arrives late or not at all."""
-        if self.driver.chance.random() >= LOST_EVENTS:
-            self.driver.after(REPORT_DELAY, self.events.__setitem__, chat, name)
-
-    def leave(self) -> None:
-        """Let one endpoint drain, and come back later with an empty cache."""
-        sidecar = self.sidecars[self.driver.chance.choice(self.pool).name]
-        sidecar.attempts.draining = True
-        for router in self.routers:
-            name = sidecar.endpoint.name
-            self.driver.after(self.driver.chance.uniform(0, LIST_DELAY), router.gone.add, name)
-        self.driver.after(ABSENCE, self.join, sidecar)
-
-    def join(self, sidecar: Sidecar) -> None:
-        """Let an endpoint come back."""
-        sidecar.attempts.draining = False
-        sidecar.engine.cache.entries.clear()
-        for router in self.routers:
-            name = sidecar.endpoint.name
-            self.driver.after(self.driver.chance.uniform(0, LIST_DELAY), router.gone.discard, name)
-
-    def rank(self, ask: Ask, job: Job, view: View) -> Iterator[Endpoint]:
-        """Return the endpoints in the order of the way that is measured."""
-        if self.ways.policy == "oracle":
-            return iter(self.oracle(ask, job))
-        return policies[self.ways.policy](ask, self.pool, view)
-
-    def oracle(self, ask: Ask, job: Job) -> list[Endpoint]:
-        """Rank by what is cached, with every cache and every load known as it is."""
-        attempt = job.router.attempt(job, "", self.pool[0])
-
-        def rank(endpoint: Endpoint) -> tuple:
-            sidecar = self.sidecars[endpoint.name]
-            table = sidecar.attempts
-            full = table.draining or (
-                table.running and table.work + ask.work > sidecar.cap(attempt)
+    """Routers, sidecars, a store and what is between them; time is given.
+
+    :param violations: every broken promise that was seen.
+    :param counts: how often each action was taken.
+    """
+
+    def __init__(self, chance: random.Random, routers: int = 2, endpoints: int = 2):
+        self.chance = chance
+        self.now = 1000.0
+        self.store = Store()
+        self.serial = 0
+        self.routers = [Router(f"router-{n}") for n in range(routers)]
+        self.sidecars = [Sidecar(f"endpoint-{n}", self.name("i")) for n in range(endpoints)]
+        self.calls: list[Call] = []
+        self.messages: list[Message] = []
+        self.writes: list[Flight] = []
+        self.executed: dict[str, Call] = {}
+        self.runs: collections.Counter[bytes] = collections.Counter()
+        self.denied: set[str] = set()
+        self.tolds: collections.Counter[str] = collections.Counter()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.violations: list[str] = []
+
+    def name(self, prefix: str) -> str:
+        """Return a new name."""
+        self.serial += 1
+        return f"{prefix}{self.serial}"
+
+    def sidecar(self, name: str) -> Sidecar:
+        """Return a sidecar by its endpoint's name."""
+        return next(entry for entry in self.sidecars if entry.name == name)
+
+    # What callers do.
+
+    def submit(self, router: Router, key: bytes, guarded: bool) -> Call:
+        """Send a request to a router."""
+        self.counts["submit"] += 1
+        call = Call(router, key, Flow(key, key) if guarded else None)
+        self.calls.append(call)
+        if call.flow is None:
+            call.attempt = self.new_attempt(call)
+            self.hand_over(call)
+        else:
+            self.follow(call, call.flow.begin())
+        return call
+
+    def follow(self, call: Call, step: Step) -> None:
+        """Take steps of a call's flow until it has to wait."""
+        while step is Step.PROPOSE:
+            call.proposals += 1
+            attempt = self.new_attempt(call) if call.proposals <= 4 else None
+            call.proposal = attempt
+            step = call.flow.on_attempt(attempt)
+        if step is Step.SETTLE:
+            call.router.waiting.append(call)
+        elif step is Step.RUN:
+            call.attempt = call.proposal
+            self.hand_over(call)
+        elif step is Step.ATTACH:
+            call.attempt = self.attempt_of(call.flow.current)
+            call.facts = Facts(addressed=True, handed_over=True)
+            call.tried.add(call.attempt.id)
+            self.ask(call)
+        elif step is Step.ANSWERED:
+            self.tell(call, Ran.YES)
+        elif step is Step.REFUSE:
+            self.tell(call, call.flow.error.ran)
+
+    def new_attempt(self, call: Call) -> Attempt:
+        """Return an attempt at some endpoint, by what the router knows of it."""
+        endpoint = self.chance.choice(self.sidecars).name
+        incarnation, stamp = call.router.known.get(endpoint, ("", 0.0))
+        guarded = call.flow is not None
+        return Attempt(self.name("a"), endpoint, incarnation, 1.0, 1.0, stamp, guarded=guarded)
+
+    def attempt_of(self, claim: Claim) -> Attempt:
+        """Return the attempt that a claim names."""
+        return Attempt(
+            claim.attempt, claim.endpoint, claim.incarnation, 0.0, 0.0, claim.stamp, guarded=True
+        )
+
+    def tell(self, call: Call, ran: Ran) -> None:
+        """Tell the caller, and compare with what has happened."""
+        call.told = ran
+        self.calls.remove(call)
+        self.tolds[ran.value] += 1
+        flow = call.flow
+        if flow is not None and flow.outcome is not None:
+            call.router.waiting.append(call)
+        if ran is Ran.NO:
+            self.denied |= call.tried
+            if call.tried & self.executed.keys():
+                self.violations.append(f"{call.key!r} was told not run, and had run")
+        if ran is Ran.YES and not self.runs[call.key]:
+            self.violations.append(f"{call.key!r} was told run, and had not")
+
+    # The hop between routers and sidecars.
+
+    def learn(self, router: Router, sidecar: Sidecar) -> None:
+        """Let a router hear a sidecar's incarnation and clock."""
+        self.counts["learn"] += 1
+        router.known[sidecar.name] = (sidecar.table.incarnation, self.now)
+
+    def hand_over(self, call: Call) -> None:
+        """Send a call's attempt."""
+        call.facts = Facts(addressed=bool(call.attempt.incarnation)).hand_over()
+        call.tried.add(call.attempt.id)
+        self.send("hand_over", call)
+
+    def ask(self, call: Call) -> None:
+        """Ask on a fresh connection what became of a call's attempt."""
+        self.send("ask", call)
+
+    def send(self, kind: str, call: Call) -> None:
+        """Send on a new connection; replies on older ones are dropped from now on."""
+        call.connection += 1
+        self.messages.append(Message(kind, call, call.attempt, call.connection))
+
+    def lose(self, message: Message) -> None:
+        """Lose a message."""
+        self.counts["lose"] += 1
+        self.messages.remove(message)
+
+    def duplicate(self, message: Message) -> None:
+        """Deliver a message once more later."""
+        self.counts["duplicate"] += 1
+        twin = Message(message.kind, message.call, message.attempt, 0, True, message.reply)
+        self.messages.append(twin)
+
+    def deliver(self, message: Message) -> None:
+        """Deliver a message, in any order."""
+        self.counts[f"deliver_{message.kind}"] += 1
+        self.messages.remove(message)
+        DELIVER[message.kind](self, message)
+
+    def deliver_hand_over(self, message: Message) -> None:
+        """Let a sidecar admit or refuse an attempt."""
+        sidecar = self.sidecar(message.attempt.endpoint)
+        refusal = sidecar.table.admit(message.attempt, CAP, self.now)
+        if refusal is None:
+            sidecar.live[message.attempt.id] = message
+            sidecar.waiting[message.attempt.id].append(message)
+        else:
+            self.reply(message, Ended(refusal.kind, refusal.ran, refusal.detail, True))
+
+    def deliver_ask(self, message: Message) -> None:
+        """Let a sidecar send the answer, wait for it or tell why there is none."""
+        attempt = message.attempt
+        sidecar = self.sidecar(attempt.endpoint)
+        same = attempt.incarnation == sidecar.table.incarnation
+        if same and attempt.id in sidecar.live:
+            sidecar.waiting[attempt.id].append(message)
+        elif same and attempt.id in sidecar.kept:
+            self.reply(message, None)
+        else:
+            refusal = sidecar.table.ask(
+                attempt.id, attempt.incarnation, self.now, stamp=attempt.stamp
             )
-            return (bool(full), -sidecar.engine.cache.count(job.request.keys), table.work)
-
-        return sorted(self.pool, key=rank)
-
-    def started(self, job: Job) -> None:
-        """Count a request at its prefill."""
-        self.figures.prompt += len(job.request.keys)
-        self.figures.cached += job.cached
-        wait = self.driver.now - job.request.time
-        self.figures.waits.append((job.request.time, job.request.account, wait))
-
-    def refuse(self, job: Job) -> None:
-        """Count a request that is refused."""
-        self.figures.refused += 1
-        self.figures.refusals_of[job.request.account] += 1
-
-    def works(self) -> list[float]:
-        """Return the true work of every endpoint that takes part."""
-        tables = [sidecar.attempts for sidecar in self.sidecars.values()]
-        return [table.work for table in tables if not table.draining]
-
-    def judge(self, before: float, work: float, known: float) -> None:
-        """Check an admission against the bound as defined, and against the true mean."""
-        after = before + work
-        if not before or after <= self.shape.floor:
+            self.reply(message, Ended(refusal.kind, refusal.ran, refusal.detail, True))
+
+    def reply(self, message: Message, ended: Ended | None) -> None:
+        """Answer a message; None stands for the whole answer."""
+        if message.copy:
+            return
+        back = Message("reply", message.call, message.attempt, message.connection, reply=ended)
+        self.messages.append(back)
+
+    def deliver_reply(self, message: Message) -> None:
+        """Give a reply to its call, unless that waits for another one by now."""
+        call = message.call
+        if call.told is not None or message.copy or message.connection != call.connection:
+            return
+        if message.reply is None:
+            self.answered(call, message)
+        else:
+            self.hear(call, message)
+            call.facts = call.facts.tell(message.reply.ran)
+            self.ended(call, message.reply)
+
+    def answered(self, call: Call, message: Message) -> None:
+        """Take a whole answer."""
+        source = self.executed.get(message.attempt.id)
+        if source is None or source.key != call.key:
+            self.violations.append(f"{call.key!r} got an answer that is not its own")
+        if call.flow is None:
+            self.tell(call, Ran.YES)
+        else:
+            self.follow(call, call.flow.on_answer())
+
+    def hear(self, call: Call, message: Message) -> None:
+        """Let a failure's frame carry incarnation and clock."""
+        self.learn(call.router, self.sidecar(message.attempt.endpoint))
+
+    def ended(self, call: Call, ended: Ended) -> None:
+        """Take an end without an answer."""
+        if call.flow is None:
+            self.tell(call, call.facts.ran())
+        else:
+            final = Ended(ended.kind, call.facts.ran(), ended.detail, ended.final)
+            self.follow(call, call.flow.on_end(final))
+
+    def give_up(self, call: Call) -> None:
+        """Let a router end a call whose sidecar can't be asked."""
+        self.counts["give_up"] += 1
+        call.connection += 1
+        self.ended(call, Ended(Kind.ANSWER_LOST, call.facts.ran()))
+
+    # What happens behind a sidecar.
+
+    def run(self, sidecar: Sidecar, attempt: str) -> None:
+        """Start an admitted attempt, or finish a running one."""
+        state = sidecar.table.entries[attempt].state
+        if state is State.ADMITTED:
+            self.start(sidecar, attempt)
+        elif state is State.RUNNING:
+            self.counts["finish"] += 1
+            sidecar.table.finish(attempt, self.now)
+            sidecar.kept.add(attempt)
+            self.release(sidecar, attempt, None)
+        else:
+            self.release(sidecar, attempt, Ended(Kind.CANCELLED, Ran.NO, final=True))
+
+    def start(self, sidecar: Sidecar, attempt: str) -> None:
+        """Send an attempt's request to the endpoint, which executes it."""
+        self.counts["start"] += 1
+        if not sidecar.table.start(attempt, self.now):
+            return
+        call = sidecar.live[attempt].call
+        self.executed[attempt] = call
+        self.runs[call.key] += 1
+        if call.flow is not None and self.runs[call.key] > 1:
+            self.violations.append(f"{call.key!r} ran {self.runs[call.key]} times")
+        if attempt in self.denied:
+            self.violations.append(f"{call.key!r} was told not run, and ran later")
+
+    def crash(self, sidecar: Sidecar, attempt: str) -> None:
+        """Let the endpoint fail under an attempt."""
+        self.counts["crash"] += 1
+        sidecar.table.move(attempt, "cancel", self.now)
+        sidecar.table.crash(attempt, self.now)
+        ran = sidecar.table.ran(attempt)
+        self.release(sidecar, attempt, Ended(Kind.ENDPOINT_FAILED, ran, final=True))
+
+    def release(self, sidecar: Sidecar, attempt: str, ended: Ended | None) -> None:
+        """Answer everybody who waits for an attempt."""
+        del sidecar.live[attempt]
+        for message in sidecar.waiting.pop(attempt, ()):
+            self.reply(message, ended)
+
+    def drop_kept(self, sidecar: Sidecar) -> None:
+        """Forget the kept answers."""
+        self.counts["drop_kept"] += 1
+        sidecar.kept.clear()
+
+    def restart_sidecar(self, sidecar: Sidecar) -> None:
+        """Restart a sidecar: its attempts are lost, its connections close."""
+        self.counts["restart_sidecar"] += 1
+        sidecar.restart(self.name("i"))
+
+    def restart_router(self, router: Router) -> None:
+        """Kill a router: its callers get nothing, what it sent is still under way."""
+        self.counts["restart_router"] += 1
+        for call in [call for call in self.calls if call.router is router]:
+            call.connection += 1
+            self.calls.remove(call)
+        router.restart()
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass; tables forget what is old."""
+        self.counts["pass_time"] += 1
+        self.now += seconds
+        for sidecar in self.sidecars:
+            sidecar.table.expire(self.now)
+
+    # The hop between routers and the store.
+
+    def begin_write(self, router: Router) -> None:
+        """Let a router decide and send what waits, or refuse it in an outage."""
+        calls, router.waiting = router.waiting, []
+        self.counts["begin_write"] += 1
+        if not router.shard.known():
+            if self.store.outage:
+                self.refuse_claims(calls)
+                return
+            self.store.load(router.shard, self.now)
+        write = router.shard.begin([self.change(call) for call in calls], self.now)
+        flight = Flight(router, write, calls)
+        if not write.needed:
+            self.settle(flight)
+            return
+        router.flight = flight
+        self.writes.append(flight)
+
+    def change(self, call: Call) -> Change:
+        """Return what a waiting call wants to be committed."""
+        flow = call.flow
+        if call.told is None:
+            return flow.change
+        done = msgspec.structs.replace(flow.current, outcome=flow.outcome.value)
+        return Change(Action.RECORD.value, done)
+
+    def refuse_claims(self, calls: list[Call]) -> None:
+        """Refuse calls that get no claim."""
+        self.counts["claims_unavailable"] += 1
+        for call in calls:
+            if call.told is None and call in self.calls:
+                self.tell(call, Ran.NO)
+
+    def land(self, flight: Flight, lose_reply: bool) -> None:
+        """Let a write reach the store, in any order."""
+        self.writes.remove(flight)
+        if self.store.outage:
+            self.counts["refuse_write"] += 1
+            return
+        self.counts["land"] += 1
+        stored = self.store.put(flight.write)
+        router = flight.router
+        if lose_reply:
+            self.counts["lose_reply"] += 1
+        if lose_reply or router.flight is not flight:
             return
-        works = self.works()
-        mean = (sum(works) - work) / max(1, len(works))
-        self.figures.excess.append(after / mean)
-        within = after <= defaults.LOAD_MULTIPLE * known or before <= known
-        self.figures.broken += not within
-        self.figures.lumps += after > defaults.LOAD_MULTIPLE * known and within
-
-    def sample(self) -> None:
-        """Note the skew at this instant."""
-        works = self.works()
-        mean = sum(works) / max(1, len(works))
-        if mean:
-            self.figures.skews.append((max(works) / mean, max(works)))
+        router.flight = None
+        if stored:
+            router.shard.commit(flight.write, self.store.version, self.now)
+            self.settle(flight)
+        else:
+            self.counts["conflict"] += 1
+            self.again(router, flight)
+
+    def time_out(self, router: Router) -> None:
+        """Let a router take a write's reply for lost; the write may still land."""
+        self.counts["time_out"] += 1
+        flight, router.flight = router.flight, None
+        self.again(router, flight)
+
+    def again(self, router: Router, flight: Flight) -> None:
+        """Read and decide again."""
+        router.shard.forget()
+        router.waiting = flight.calls + router.waiting
+
+    def settle(self, flight: Flight) -> None:
+        """Give every call the claim that is in force."""
+        for call, claim in zip(flight.calls, flight.write.results, strict=True):
+            if call.told is None and call in self.calls:
+                self.follow(call, call.flow.on_claim(claim))
+
+
+DELIVER = {
+    "hand_over": World.deliver_hand_over,
+    "ask": World.deliver_ask,
+    "reply": World.deliver_reply,
+}
--- a/tests/test_world.py
+++ b/tests/test_serving.py
@@ -4,8 +4,8 @@
 import pytest
 
 from hickorylever.bench import routing
+from hickorylever.bench.serving import Ways
 from hickorylever.bench.workloads import REYKJANES, STOYANOV, add_surge, make_requests
-from hickorylever.bench.world import Ways
 
 SMALL = dataclasses.replace(REYKJANES, seconds=20.0)
 
