Bound and measure configurations; decode them in short steps

Cause: nothing showed that old contents go away, or that adopting 2,400 accounts leaves requests alone. Change: contents are decoded part by part with other work in between; audit buckets are compressed; exactly KEPT_CONTENTS contents stay (one more did); bench configuration. Tests: 11 on contents, heads and the trail.

--- /dev/null
+++ b/src/hickorylever/bench/configuration.py
@@ -0,0 +1,224 @@
+"""The bench of configurations: sizes, and the time to compile, encode and adopt at the target."""
+
+import dataclasses
+import hashlib
+import random
+import statistics
+import time
+import zlib
+from collections.abc import Callable
+
+import msgspec
+
+from .. import defaults
+from ..environment import Environment
+from ..fleet import heads
+from ..fleet.audit import pack_bucket
+from ..fleet.content import Content, encode
+from ..fleet.deltas import Answer, Ask
+from ..fleet.heads import HeadRecord
+from ..fleet.plan import compare, summary
+from ..fleet.store import Bundle
+from ..records import VM, Application, ClientAccount, Endpoint, Fleet, Revision
+from ..settings import Settings
+from . import Report, benches
+
+ENTRY_VMS = 370
+SERVERS = 760
+ACCOUNTS = 2400
+MODELS = 31
+FAILURE_DOMAINS = 5
+CHANGES_A_DAY = 3900
+TOKEN_GAP = 0.057
+CONTROL_BYTES = 28_000
+DAY = 86400
+
+
+def make_vm(number: int, role: str) -> VM:
+    """Return one VM of a fleet at the target's size."""
+    domain = number % FAILURE_DOMAINS
+    address = f"10.{number // 62500}.{number // 250 % 250}.{number % 250 + 1}"
+    return VM(f"{role}-{number:04d}", address, f"region-{domain % 2}", f"domain-{domain}", role)
+
+
+def make_fleet(chance: random.Random) -> Fleet:
+    """Return a configuration of the target's size."""
+    models = [f"model-{number:02d}-instruct" for number in range(MODELS)]
+    entries = [make_vm(number, "entry") for number in range(ENTRY_VMS)]
+    hosts = [make_vm(number + ENTRY_VMS, "endpoint") for number in range(SERVERS)]
+    endpoints = [
+        Endpoint(
+            name=f"server-{number:04d}",
+            vm=vm.name,
+            address=vm.address,
+            port=8000,
+            sidecar_port=defaults.SIDECAR_PORT,
+            application="pool",
+            region=vm.region,
+            failure_domain=vm.failure_domain,
+            capacity=8,
+            models=(models[number % MODELS],),
+            engine_role="mixed",
+        )
+        for number, vm in enumerate(hosts)
+    ]
+    accounts = [
+        ClientAccount(
+            name=f"account-{number:04d}",
+            key_digests=(hashlib.sha256(b"%d" % number).hexdigest(),),
+            applications=("pool",),
+            models=tuple(sorted(chance.sample(models, chance.randrange(1, MODELS + 1)))),
+        )
+        for number in range(ACCOUNTS)
+    ]
+    return Fleet(
+        name="target",
+        vms=tuple(sorted(entries + hosts, key=lambda vm: vm.name)),
+        endpoints=tuple(endpoints),
+        applications=(Application("pool", "model"),),
+        client_accounts=tuple(accounts),
+    )
+
+
+def change_one(fleet: Fleet, chance: random.Random) -> Fleet:
+    """Return a configuration in which one client account has another weight."""
+    accounts = list(fleet.client_accounts)
+    index = chance.randrange(len(accounts))
+    accounts[index] = dataclasses.replace(accounts[index], weight=chance.uniform(1, 9))
+    return dataclasses.replace(fleet, client_accounts=tuple(accounts))
+
+
+def change_all(fleet: Fleet, chance: random.Random) -> Fleet:
+    """Return a configuration in which every client account has another weight."""
+    weight = chance.uniform(1, 9)
+    accounts = [dataclasses.replace(entry, weight=weight) for entry in fleet.client_accounts]
+    return dataclasses.replace(fleet, client_accounts=tuple(accounts))
+
+
+def timed(call: Callable, *arguments: object) -> tuple[float, object]:
+    """Return the seconds that a call took, and its result."""
+    begun = time.perf_counter()
+    result = call(*arguments)
+    return time.perf_counter() - begun, result
+
+
+class Node:
+    """A node that adopts one change after the other.
+
+    :param fleet: the first configuration.
+    """
+
+    def __init__(self, fleet: Fleet):
+        self.env = Environment(Settings("entry-0000", "r", "d", "127.0.0.1:1", seed=1))
+        self.fleet = fleet
+        self.chain: list[Revision] = []
+        self.adopt(encode(fleet))
+
+    def adopt(self, content: Content, changes: tuple[str, ...] = ()) -> tuple[float, float]:
+        """Adopt a content; return the seconds that it took, and those of the longest step."""
+        parent = self.chain[-1] if self.chain else None
+        revision = heads.next_revision(parent, content, "operator", "a reason", changes)
+        links = tuple(self.chain[-defaults.MAX_LINKS :])
+        steps = []
+        prepared = self.env.decoder.prepare(content)
+        waiting = True
+        while waiting:
+            seconds, waiting = timed(lambda: next(prepared, self) is not self)
+            steps.append(seconds)
+        seconds, adopted = timed(self.env.adopt, revision, content, links)
+        assert adopted
+        self.chain.append(revision)
+        return sum(steps) + seconds, max(*steps, seconds)
+
+    def change(self, fleet: Fleet) -> tuple[tuple[float, float], int]:
+        """Adopt a change; return its times and the bytes of a peer's answer to a node behind."""
+        changes = summary(compare(self.fleet, fleet))
+        ask = Ask(self.env.revisions.number, self.env.content.digest)
+        seconds = self.adopt(encode(fleet), changes)
+        self.fleet = fleet
+        answer = self.env.desk.answer(self.env.revisions, self.env.content, ask)
+        return seconds, len(msgspec.msgpack.encode(answer))
+
+
+def measure_changes(
+    node: Node, change: Callable, count: int, chance: random.Random
+) -> tuple[list[tuple[float, float]], float]:
+    """Return the times of each adoption and the mean bytes of a difference."""
+    times, sizes = [], []
+    for _ in range(count):
+        taken, size = node.change(change(node.fleet, chance))
+        times.append(taken)
+        sizes.append(size)
+    return times, statistics.mean(sizes)
+
+
+def audit_sizes(chain: list[Revision]) -> dict:
+    """Return the size of the audit trail and the head from a chain of typical changes."""
+    bucket = chain[-defaults.AUDIT_BUCKET :]
+    size = len(pack_bucket(tuple(bucket)))
+    year = CHANGES_A_DAY * 365 / defaults.AUDIT_BUCKET
+    longest = HeadRecord(chain[-1], tuple(bucket * 2)[1:])
+    return {
+        "audit bucket": size,
+        "buckets a year": round(year),
+        "MB a year": year * size / 1e6,
+        "longest head": len(msgspec.json.encode(longest)),
+    }
+
+
+@benches.register("configuration")
+def run(seed: int, quick: bool) -> Report:
+    """Measure a configuration of the target's size."""
+    chance = random.Random(seed)
+    report = Report()
+    fleet = make_fleet(chance)
+    plain = msgspec.json.encode(fleet, order="deterministic")
+    seconds, content = timed(encode, fleet)
+    packed = msgspec.msgpack.encode(Bundle(content.changed(frozenset())))
+    report.rows.append(
+        {
+            "JSON bytes": len(plain),
+            "zlib bytes": len(zlib.compress(plain)),
+            "snapshot": len(packed),
+            "parts": len(content.parts),
+            "encode ms": 1000 * seconds,
+        }
+    )
+    node = Node(fleet)
+    whole = node.env.desk.answer(node.env.revisions, content, Ask())
+    full = len(msgspec.msgpack.encode(whole))
+    count = 20 if quick else 140
+    for name, change in (("one account", change_one), ("all accounts", change_all)):
+        taken, size = measure_changes(node, change, count if change is change_one else 5, chance)
+        report.rows.append(adoption_row(name, taken, size, full))
+        if change is change_one:
+            share = size * CHANGES_A_DAY / DAY / CONTROL_BYTES
+            report.rows.append(audit_sizes(node.chain) if len(node.chain) > 128 else {})
+            report.expect(share < 0.05, "typical changes under 5% of a node's control bytes")
+        report.expect(
+            max(step for _, step in taken) < TOKEN_GAP,
+            f"{name}: no step of an adoption takes longer than a token gap of 57 ms",
+        )
+    report.rows = [row for row in report.rows if row]
+    report.expect(len(packed) < full * 1.1, "a snapshot is no larger than a full answer")
+    report.expect(unchanged(node), "an unchanged answer carries no parts")
+    return report
+
+
+def adoption_row(name: str, taken: list[tuple[float, float]], size: float, full: int) -> dict:
+    """Return the row of one kind of change."""
+    return {
+        "change": name,
+        "adopt ms p50": 1000 * statistics.median(whole for whole, _ in taken),
+        "step ms max": 1000 * max(step for _, step in taken),
+        "answer bytes": size,
+        "of a full one": size / full,
+        "bytes/s a node": size * CHANGES_A_DAY / DAY,
+    }
+
+
+def unchanged(node: Node) -> bool:
+    """Tell whether a node that is up to date gets no parts."""
+    revisions = node.env.revisions
+    answer: Answer = node.env.desk.answer(revisions, node.env.content, Ask(revisions.number))
+    return not answer.parts
--- a/src/hickorylever/configuration.py
+++ b/src/hickorylever/configuration.py
@@ -8,6 +8,7 @@
 from .events import Event, log
 from .exceptions import ConnectionLost, ContentError, PlatformError
 from .fleet import heads, store
+from .fleet.content import Content
 from .fleet.heads import Head
 from .records import Member, MemberState
 
@@ -119,9 +120,16 @@
         env.reject(offer.number, PLATFORM, verdict)
         return
     content = await store.update_content(env.platform, head.revision, env.content)
+    await prepare(env, content)
     env.adopt(head.revision, content, head.links, PLATFORM)
 
 
+async def prepare(env: Environment, content: Content) -> None:
+    """Decode a content in short steps, so that requests are served in between."""
+    for _ in env.decoder.prepare(content):
+        await curio.sleep(0)
+
+
 async def take_revision(env: Environment, origin: str, number: int) -> None:
     """Note the revision that a member has in force, and pull it when it is news."""
     await run_pulls(env, env.revisions.on_revision_heard(origin, number))
@@ -157,6 +165,7 @@
         offer, content = await offers.fetch_content(env, source)
         env.revisions.hear(offer.heard)
         if offer.number > env.revisions.number:
+            await prepare(env, content)
             env.adopt(offer.revision, content, offer.links, source)
     except FAILURES as error:
         log(Event.SOURCE_FAILED, f"{source or 'platform'}: {error}", 30)
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -140,7 +140,9 @@
         return True
 
     def reject(self, number: int, source: str, verdict: Verdict) -> None:
-        """Log a revision that is not put in force."""
+        """Log a revision that is not put in force, unless it is already."""
+        if verdict is Verdict.SAME:
+            return
         log(
             Event.CONFIGURATION_REJECTED,
             f"revision {number} was rejected: {verdict.value}",
--- a/src/hickorylever/fleet/audit.py
+++ b/src/hickorylever/fleet/audit.py
@@ -1,5 +1,6 @@
 """The audit trail: every accepted revision, older ones in buckets of a fixed length."""
 
+import zlib
 from collections.abc import AsyncIterator
 
 import msgspec
@@ -19,18 +20,21 @@
     return f"{(number - 1) // defaults.AUDIT_BUCKET:08d}"
 
 
+def pack_bucket(bucket: Chain) -> bytes:
+    """Return a bucket's value."""
+    return zlib.compress(msgspec.json.encode(bucket))
+
+
 async def shorten(platform: Platform, chain: Chain) -> Chain:
     """Move the oldest revisions of a chain to their bucket once they fill it twice."""
     if len(chain) <= defaults.MAX_LINKS:
         return chain
     bucket, rest = chain[: defaults.AUDIT_BUCKET], chain[defaults.AUDIT_BUCKET :]
     name = bucket_name(bucket[0].number)
-    value = msgspec.json.encode(bucket)
     try:
-        await platform.put(KIND, name, value, 0)
+        await platform.put(KIND, name, pack_bucket(bucket), 0)
     except (Conflict, LostReply):
-        entry = await platform.get(KIND, name)
-        if entry.value != value:
+        if await read_bucket(platform, bucket[0].number) != bucket:
             raise PlatformError(f"{KIND}/{name} could not be stored") from None
     return rest
 
@@ -45,8 +49,8 @@
     if entry.version == 0:
         raise ContentError(f"{KIND}/{name}: is missing")
     try:
-        return msgspec.json.decode(entry.value, type=Chain)
-    except msgspec.DecodeError as error:
+        return msgspec.json.decode(zlib.decompress(entry.value), type=Chain)
+    except (zlib.error, msgspec.DecodeError) as error:
         raise ContentError(f"{KIND}/{name}: {error}") from None
 
 
--- a/src/hickorylever/fleet/content.py
+++ b/src/hickorylever/fleet/content.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import zlib
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -117,42 +118,69 @@
     return content.digest
 
 
+def part_kinds() -> dict[str, type]:
+    """Return what each part of a configuration holds, by the part's name."""
+    kinds: dict[str, type] = {GENERAL: Fleet}
+    for title, section in SECTIONS.items():
+        for number in range(section.buckets):
+            kinds[f"{title}-{number}"] = tuple[section.kind, ...]
+    return kinds
+
+
+PART_KINDS = part_kinds()
+
+
 class Decoder:
     """Decodes configurations; parts that have not changed are not decoded again."""
 
     def __init__(self):
         self.known: dict[str, object] = {}
 
+    def prepare(self, content: Content) -> Iterator[None]:
+        """Decode part by part, so that the caller can do other work in between.
+
+        :raises ContentError: when a part is damaged or missing.
+        """
+        for name in PART_KINDS:
+            part = self.part(content, name)
+            if part.key not in self.known:
+                self.known[part.key] = decode_part(part)
+                yield
+
     def decode(self, content: Content) -> Fleet:
         """Return the configuration of a content.
 
         :raises ContentError: when a part is damaged or missing.
         """
-        known: dict[str, object] = {}
-        general = self.section(content, GENERAL, Fleet, known)
+        for _ in self.prepare(content):
+            pass
+        keys = {name: content.parts[name].key for name in PART_KINDS}
+        self.known = {key: self.known[key] for key in keys.values()}
         sections = {}
         for title, section in SECTIONS.items():
             entries: list = []
             for number in range(section.buckets):
-                kind = tuple[section.kind, ...]
-                entries += self.section(content, f"{title}-{number}", kind, known)
+                entries += self.known[keys[f"{title}-{number}"]]
             entries.sort(key=lambda entry: entry.name)
             sections[title] = tuple(entries)
-        self.known = known
-        return dataclasses.replace(general, **sections)
+        return dataclasses.replace(self.known[keys[GENERAL]], **sections)
 
-    def section(self, content: Content, name: str, kind: type, known: dict[str, object]):
-        """Return one part's objects, decoded now or before."""
-        part = content.parts.get(name)
-        if part is None:
+    def part(self, content: Content, name: str) -> Part:
+        """Return a part that must be there."""
+        if name not in content.parts:
             raise ContentError(f"{name}: is missing")
-        if part.key not in self.known:
-            try:
-                self.known[part.key] = msgspec.json.decode(unpack(part), type=kind)
-            except msgspec.DecodeError as error:
-                raise ContentError(f"{name}: {error}") from None
-        known[part.key] = self.known[part.key]
-        return known[part.key]
+        return content.parts[name]
+
+
+def decode_part(part: Part) -> object:
+    """Return a part's objects.
+
+    :raises ContentError: when it is damaged.
+    """
+    try:
+        return msgspec.json.decode(unpack(part), type=PART_KINDS[part.name])
+    except msgspec.DecodeError as error:
+        raise ContentError(f"{part.name}: {error}") from None
 
 
 def decode(content: Content) -> Fleet:
--- a/src/hickorylever/fleet/heads.py
+++ b/src/hickorylever/fleet/heads.py
@@ -158,7 +158,7 @@
     What can't be removed now is removed by a later change.
     """
     oldest = base.oldest
-    limit = base.number + 1 - defaults.KEPT_CONTENTS
+    limit = base.number + 2 - defaults.KEPT_CONTENTS
     try:
         for number in range(oldest, min(limit, oldest + defaults.CLEANED_PER_CHANGE)):
             revision = await audit.find(platform, base.chain, number)
--- /dev/null
+++ b/tests/test_heads.py
@@ -0,0 +1,184 @@
+"""The object API's side of configurations: contents, heads and the audit trail."""
+
+import curio
+import pytest
+
+from hickorylever import defaults
+from hickorylever.exceptions import Conflict, ContentError, PlatformError
+from hickorylever.fleet import audit, decode, encode, heads, store
+from hickorylever.fleet.content import Content, Decoder, Part
+from hickorylever.platform import Object
+from hickorylever.records import ClientAccount, Fleet
+
+CHANGES = 40
+
+
+class Memory:
+    """An object API without sockets."""
+
+    def __init__(self):
+        self.objects = {}
+        self.version = 0
+
+    async def get(self, kind, name):
+        return self.objects.get((kind, name), Object(kind, name, 0, b""))
+
+    async def put(self, kind, name, value, base):
+        if len(value) > defaults.MAX_OBJECT_BYTES:
+            raise PlatformError("too large")
+        if (await self.get(kind, name)).version != base:
+            raise Conflict("moved")
+        self.version += 1
+        self.objects[kind, name] = Object(kind, name, self.version, value)
+        return self.objects[kind, name]
+
+    async def delete(self, kind, name, base):
+        if (await self.get(kind, name)).version != base:
+            raise Conflict("moved")
+        self.objects.pop((kind, name), None)
+
+    def count(self, kind):
+        return sum(1 for entry in self.objects if entry[0] == kind)
+
+
+@pytest.fixture(autouse=True)
+def small_limits(monkeypatch):
+    for name, value in {"AUDIT_BUCKET": 4, "MAX_LINKS": 7, "KEPT_CONTENTS": 5}.items():
+        monkeypatch.setattr(defaults, name, value)
+
+
+def fleet_of(number):
+    names = {f"a{step % 23}" for step in range(number, number + 9)}
+    accounts = tuple(ClientAccount(name, (name * 8,)) for name in sorted(names))
+    return Fleet("f", client_accounts=accounts, load_multiple=1.1 + number)
+
+
+async def apply_many(platform, count=CHANGES):
+    revisions = []
+    for number in range(count):
+        base = await heads.read_head(platform)
+        revisions.append(await heads.apply(platform, fleet_of(number), base, "a", f"r{number}"))
+    return revisions
+
+
+async def readable(platform, revision):
+    try:
+        await store.read_content(platform, revision)
+    except ContentError:
+        return False
+    return True
+
+
+def cut(data, size):
+    return [data[start : start + size] for start in range(0, len(data), size)]
+
+
+# Limits of an object and of a difference: whole, in pieces, always a snapshot.
+LIMITS = [(1 << 20, 1 << 16), (1200, 1 << 16), (1200, 900), (1 << 20, 0)]
+
+
+@pytest.mark.parametrize("pieces, difference", LIMITS)
+def test_contents_are_kept_and_cleaned(pieces, difference, monkeypatch):
+    monkeypatch.setattr(defaults, "MAX_DIFFERENCE_BYTES", difference)
+    platform = Memory()
+
+    async def main():
+        monkeypatch.setattr(store, "split_pieces", lambda data: cut(data, pieces))
+        revisions = await apply_many(platform)
+        assert (pieces < 1 << 20) == (revisions[0].parts > 1)
+        kept = revisions[-defaults.KEPT_CONTENTS :]
+        for number, revision in enumerate(revisions):
+            if revision not in kept:
+                continue
+            assert decode(await store.read_content(platform, revision)) == fleet_of(number)
+            old = encode(fleet_of(number - 3))
+            content = await store.update_content(platform, revision, old)
+            assert content == encode(fleet_of(number))
+        old = [entry for entry in revisions if entry not in kept]
+        snapshots = [entry for entry in old if await readable(platform, entry)]
+        assert len(snapshots) <= 1
+        names = {name.rsplit("-", 1)[0] for kind, name in platform.objects if kind == store.KIND}
+        assert len(names) <= defaults.KEPT_CONTENTS + 2
+
+    curio.run(main)
+
+
+def test_audit_trail_is_whole_and_bounded():
+    platform = Memory()
+
+    async def main():
+        revisions = await apply_many(platform)
+        head = await heads.read_head(platform)
+        assert len(head.chain) <= defaults.MAX_LINKS + 1
+        assert platform.count(audit.KIND) == (CHANGES - 1) // defaults.AUDIT_BUCKET - 1
+        found = [entry async for entry in audit.read_back(platform, head.chain, 1)]
+        assert found[::-1] == revisions
+        assert await audit.find(platform, head.chain, 3) == revisions[2]
+        for number in (0, CHANGES + 1):
+            with pytest.raises(ContentError):
+                await audit.find(platform, head.chain, number)
+
+    curio.run(main)
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", b"\x00"])
+def test_damaged_objects_are_told(value):
+    platform = Memory()
+
+    async def main():
+        await apply_many(platform, 12)
+        head = await heads.read_head(platform)
+        name = audit.bucket_name(1)
+        platform.objects[audit.KIND, name] = Object(audit.KIND, name, 1, value)
+        with pytest.raises(ContentError):
+            _ = [entry async for entry in audit.read_back(platform, head.chain, 1)]
+        platform.objects[heads.KIND, heads.HEAD] = Object(heads.KIND, heads.HEAD, 1, value)
+        with pytest.raises(ContentError):
+            await heads.read_head(platform)
+
+    curio.run(main)
+
+
+def test_clean_up_that_failed_is_made_up_for():
+    platform = Memory()
+    delete = platform.delete
+
+    async def fail(kind, name, base):
+        raise PlatformError("outage")
+
+    async def main():
+        await apply_many(platform, 4)
+        platform.delete = fail
+        await apply_many(platform, 8)
+        platform.delete = delete
+        assert platform.count(store.KIND) == 12
+        await apply_many(platform, 6)
+        head = await heads.read_head(platform)
+        assert head.oldest == head.number - defaults.KEPT_CONTENTS + 1
+
+    curio.run(main)
+
+
+def test_only_changed_parts_are_decoded_and_written():
+    first, second = encode(fleet_of(1)), encode(fleet_of(2))
+    changed = second.changed(first.keys())
+    assert 0 < len(changed) < 5
+    decoder = Decoder()
+    assert decoder.decode(first) == fleet_of(1)
+    assert len(list(decoder.prepare(second))) == len(changed)
+    assert decoder.decode(second) == fleet_of(2)
+    assert encode(fleet_of(2)) == second
+
+
+def test_missing_and_oversized_parts_are_refused(monkeypatch):
+    content = encode(fleet_of(1))
+    parts = dict(content.parts)
+    del parts["vms-0"]
+    with pytest.raises(ContentError):
+        decode(Content(parts))
+    monkeypatch.setattr(defaults, "MAX_PART_BYTES", 1)
+    with pytest.raises(ContentError):
+        decode(content)
+    broken = content.replace([Part("vms-0", content.parts["vms-0"].digest, b"junk")])
+    with pytest.raises(ContentError):
+        decode(broken)
