Hand the pool's fresh mean over with each attempt

Change: an attempt carries the mean that its router knows from answers, with its age; the sidecar goes by the younger of the two. A cleared suspect is told by gossip. Choice for plain services looks at a few endpoints only.

--- a/src/hickorylever/admission.py
+++ b/src/hickorylever/admission.py
@@ -21,13 +21,14 @@
 def cap(env, endpoint: Endpoint, work: float, running: int, attempt: Attempt) -> float:
     """Return the largest work in tokens that an endpoint may hold after one more attempt.
 
-    The mean is over the reports that are young enough, and the endpoint's own work as it is. An
-    endpoint that is not above the mean may take one request of any size. What an account borrows
-    beyond its share must leave room for the others.
+    The mean is over the reports that are young enough, or the one that the router hands over if
+    its reports are younger on average. An endpoint that is not above the mean may take one request
+    of any size. What an account borrows beyond its share must leave room for the others.
     """
     own = Load(endpoint.name, work, running, endpoint.capacity, time=env.clock())
     env.loads.note(own)
-    mean = env.loads.mean(peer_group(endpoint), own.time)
+    known = env.loads.aged_mean(peer_group(endpoint), own.time)
+    mean = loads.fresher(known, loads.Mean(attempt.mean, attempt.mean_age, attempt.members)).work
     multiple, floor = env.view.multiple, env.view.floor
     if attempt.borrowed:
         multiple, floor = defaults.BORROWED_MULTIPLE, floor * defaults.BORROWED_PART
--- a/src/hickorylever/bench/serving.py
+++ b/src/hickorylever/bench/serving.py
@@ -91,7 +91,7 @@
     def admit(self, job: Job) -> bool:
         """Admit a request's attempt and run it, or refuse."""
         before = self.attempts.work if self.attempts.running else 0.0
-        known = self.known_mean()
+        known = self.known_mean(job.attempt)
         if (
             self.attempts.admit(job.attempt, self.cap(job.attempt), self.world.driver.now)
             is not None
@@ -115,11 +115,15 @@
             admission.take_load(self.env, load)
             self.heard[load.endpoint] = (load.time, load.work)
 
-    def known_mean(self) -> float:
+    def known_mean(self, attempt: Attempt) -> float:
         """Return the mean that the bound is defined by, from a record of its own."""
-        oldest = self.world.driver.now - defaults.MAX_LOAD_AGE
-        works = [work for time, work in self.heard.values() if time >= oldest]
-        return (sum(works) + self.attempts.work) / (len(works) + 1)
+        now = self.world.driver.now
+        heard = [entry for entry in self.heard.values() if entry[0] >= now - defaults.MAX_LOAD_AGE]
+        heard.append((now, self.attempts.work))
+        age = now - sum(time for time, _ in heard) / len(heard)
+        if attempt.mean_age < age and attempt.members >= len(heard):
+            return attempt.mean
+        return sum(work for _, work in heard) / len(heard)
 
 
 class Router:
@@ -227,6 +231,7 @@
 
     def attempt(self, job: Job, name: str, endpoint: Endpoint) -> Attempt:
         """Return a request's attempt at an endpoint."""
+        mean = self.loads.aged_mean(self.world.pool.name, self.world.driver.now)
         return Attempt(
             name,
             endpoint.name,
@@ -235,6 +240,9 @@
             job.waiter.work,
             stamp=self.world.driver.now,
             borrowed=not job.waiter.in_share,
+            mean=mean.work,
+            mean_age=mean.age,
+            members=mean.members,
         )
 
     def finish(self, job: Job, load: Load) -> None:
--- a/src/hickorylever/decisions/affinity.py
+++ b/src/hickorylever/decisions/affinity.py
@@ -193,6 +193,8 @@
 @policies.register("near")
 def near(ask: Ask, pool: Pool, view: View) -> Iterator[Endpoint]:
     """For requests without a chat: the own failure domain first, the less loaded of each two."""
-    first = list(usable(near_first(pool.walk(ask.chat), view.failure_domain), view))
+    walk = pool.walk(ask.chat)
+    few = near_first(itertools.islice(walk, defaults.MAX_WALK), view.failure_domain)
+    first = list(usable(few, view))
     head = sorted(first[:2], key=lambda endpoint: work_of(endpoint, view))
-    return bound(iter((*head, *first[2:])), ask, pool, view)
+    return bound(itertools.chain(head, first[2:], usable(walk, view)), ask, pool, view)
--- a/src/hickorylever/decisions/loads.py
+++ b/src/hickorylever/decisions/loads.py
@@ -1,6 +1,7 @@
 """Load of endpoints: known reports, the load bound, and estimates of a request's work."""
 
 import heapq
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
@@ -13,11 +14,25 @@
 
 @dataclass(slots=True)
 class Total:
-    """Sum of the reports of one group of endpoints."""
+    """Sum of the reports of one group of endpoints; `times` is the sum of their times."""
 
     work: float = 0.0
     capacity: int = 0
     members: int = 0
+    times: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Mean:
+    """A group's mean work in tokens per unit of capacity.
+
+    :param age: mean age of its reports in seconds.
+    :param members: number of reports.
+    """
+
+    work: float = 0.0
+    age: float = math.inf
+    members: int = 0
 
 
 class Loads:
@@ -53,6 +68,7 @@
             total.work += sign * load.work
             total.capacity += sign * load.capacity
             total.members += sign
+            total.times += sign * load.time
 
     def note(self, load: Load) -> bool:
         """Take a report; False when a newer one is known."""
@@ -95,12 +111,24 @@
         self.expire(now)
         return self.totals.get(group) or Total()
 
+    def aged_mean(self, group: str, now: float) -> Mean:
+        """Return a group's mean with its age."""
+        total = self.total(group, now)
+        if not total.members:
+            return Mean()
+        return Mean(self.mean(group, now), now - total.times / total.members, total.members)
+
     def mean(self, group: str, now: float) -> float:
         """Return a group's mean work in tokens per unit of capacity; 0 without reports."""
         total = self.total(group, now)
         return max(0.0, total.work) / total.capacity if total.capacity else 0.0
 
 
+def fresher(own: Mean, told: Mean) -> Mean:
+    """Return the mean of the younger reports, unless it is over fewer endpoints."""
+    return told if told.age < own.age and told.members >= own.members else own
+
+
 def cap(mean: float, capacity: int, multiple: float, floor: float) -> float:
     """Return the largest work in tokens that an endpoint may hold.
 
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -53,6 +53,7 @@
         incarnation = self.env.incarnations.get(name, "")
         stamp = self.env.stamps.get(name)
         known = stamp is not None and stamp.incarnation == incarnation
+        mean = self.env.loads.aged_mean(call.endpoints.name, self.env.clock())
         return Attempt(
             id=uuid.uuid4().hex,
             endpoint=name,
@@ -63,6 +64,9 @@
             account=call.account.name,
             fingerprint=call.fingerprint,
             borrowed=call.borrowed,
+            mean=mean.work,
+            mean_age=mean.age,
+            members=mean.members,
             trial=suspicion.trial_crashes(self.env, call),
             guarded=call.guarded,
         )
--- a/src/hickorylever/records.py
+++ b/src/hickorylever/records.py
@@ -157,6 +157,8 @@
     :param stamp: the sidecar's clock in seconds, as the router last heard it.
     :param trial: crashes that the request is a suspect for, when this is its one further run.
     :param borrowed: the account is beyond its share, so others go before it.
+    :param mean: mean work per unit of capacity of the endpoint's pool, as the router knows it.
+    :param mean_age: mean age in seconds of the reports behind it, of `members` endpoints.
     """
 
     id: str
@@ -170,6 +172,9 @@
     guarded: bool = False
     trial: tuple[str, ...] = ()
     borrowed: bool = False
+    mean: float = 0.0
+    mean_age: float = 1e9
+    members: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorylever/suspicion.py
+++ b/src/hickorylever/suspicion.py
@@ -255,6 +255,8 @@
         return
     env.suspects.clear(call.fingerprint, crashes)
     record = TrialRecord(call.fingerprint, call.id, time.time(), crashes)
+    if env.gossip is not None:
+        env.gossip.tell("suspect", msgspec.json.encode(record))
     try:
         await env.platform.put(KIND, trial_name(call), msgspec.json.encode(record), call.trial)
     except PlatformError as error:
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -2,7 +2,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hickorylever.decisions.loads import Estimates, Loads, Usage, cap, read_usage
+from hickorylever.decisions.loads import (
+    Estimates,
+    Loads,
+    Mean,
+    Usage,
+    cap,
+    fresher,
+    read_usage,
+)
 from hickorylever.records import Load
 
 MULTIPLE, FLOOR, AGE = 1.25, 100.0, 5.0
@@ -18,6 +26,28 @@
     assert loads.get("a") is None and loads.mean("g", 9.1) == 0.0
 
 
+def test_a_mean_has_the_age_of_its_reports():
+    loads = Loads(AGE)
+    loads.arrange({"g": ("a", "b")})
+    assert loads.aged_mean("g", 0.0).members == 0
+    loads.note(Load("a", 100.0, 1, time=1.0))
+    loads.note(Load("b", 300.0, 1, time=3.0))
+    assert loads.aged_mean("g", 4.0) == Mean(200.0, 2.0, 2)
+
+
+MEANS = [
+    (Mean(1.0, 2.0, 3), Mean(9.0, 1.0, 3), 9.0),
+    (Mean(1.0, 2.0, 3), Mean(9.0, 3.0, 3), 1.0),
+    (Mean(1.0, 2.0, 3), Mean(9.0, 0.1, 2), 1.0),
+    (Mean(1.0, 2.0, 3), Mean(), 1.0),
+]
+
+
+@pytest.mark.parametrize("own, told, work", MEANS)
+def test_the_mean_of_the_younger_reports_counts(own, told, work):
+    assert fresher(own, told).work == work
+
+
 def test_an_older_report_never_replaces_a_newer_one():
     loads = Loads(AGE)
     assert loads.note(Load("a", 1.0, 1, time=2.0))
