Remember chats' places in bounded memory

Cause: the policy hinted had nothing to go by in a running router. Conclusion: the default policy is unchanged.

--- a/src/hickorylever/decisions/affinity.py
+++ b/src/hickorylever/decisions/affinity.py
@@ -3,7 +3,8 @@
 import itertools
 import math
 import random
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections import OrderedDict
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 import xxhash
@@ -33,6 +34,28 @@
     now: float = 0.0
 
 
+class Places:
+    """The endpoint that each recent chat was last at.
+
+    :param limit: chats that are remembered; the least recently placed go first.
+    """
+
+    def __init__(self, limit: int = defaults.MAX_PLACES):
+        self.limit = limit
+        self.entries: OrderedDict[str, str] = OrderedDict()
+
+    def note(self, chat: str, endpoint: str) -> None:
+        """Remember a chat's endpoint."""
+        self.entries[chat] = endpoint
+        self.entries.move_to_end(chat)
+        if len(self.entries) > self.limit:
+            self.entries.popitem(last=False)
+
+    def get(self, chat: str, default: str = "") -> str:
+        """Return a chat's last endpoint."""
+        return self.entries.get(chat, default)
+
+
 def usable_always(endpoint: str) -> bool:
     """Take every endpoint as usable."""
     return True
@@ -56,7 +79,7 @@
     failure_domain: str = ""
     chance: random.Random = field(default_factory=random.Random)
     turn: int = 0
-    places: Mapping[str, str] = field(default_factory=dict)
+    places: Places = field(default_factory=Places)
     usable: Callable[[str], bool] = usable_always
 
 
--- a/src/hickorylever/filters/choose.py
+++ b/src/hickorylever/filters/choose.py
@@ -28,6 +28,7 @@
         rank(env, call)
         try:
             await proceed()
+            note_place(env, call)
             return
         except RequestError as error:
             pause = overload_pause(rounds, call.deadline - env.clock(), env.chance)
@@ -43,3 +44,9 @@
     ask = Ask(call.chat, call.prefix, call.work, env.clock())
     call.agreed = functools.partial(order, ask, call.endpoints)
     call.candidates = policy(ask, call.endpoints, env.view)
+
+
+def note_place(env, call) -> None:
+    """Remember where a chat was, for policies that go by it."""
+    if call.model:
+        env.view.places.note(call.chat, call.endpoint)
