--- a/src/hickorylever/commands/__init__.py
+++ b/src/hickorylever/commands/__init__.py
@@ -70,4 +70,13 @@
     return Platform(address, port, Client(), Metrics())
 
 
-from . import audit, bench, claims, configuration, demo, roles, status  # noqa: E402, F401
+from . import (  # noqa: E402
+    audit,  # noqa: F401
+    bench,  # noqa: F401
+    claims,  # noqa: F401
+    configuration,  # noqa: F401
+    demo,  # noqa: F401
+    explain,  # noqa: F401
+    roles,  # noqa: F401
+    status,  # noqa: F401
+)
