Model checks and a fuzzer for leases and members; probes are retried within their period

Change: spec/leases.py and spec/members.py use the program's own gate, merge and refutation; traces of the models are replayed on the code; broken variants fail. The list of live members is kept until the table changes.

--- a/src/hickorylever/decisions/members.py
+++ b/src/hickorylever/decisions/members.py
@@ -99,6 +99,8 @@
     superseded: bool = False
     refutations: int = 0
     version: int = 0
+    live_version: int = -1
+    live_members: list[int] = field(default_factory=list)
 
     def __post_init__(self):
         update = Update(self.me, self.generation, 0, Phase.JOINING, Health.ALIVE)
@@ -257,6 +259,13 @@
 
     def live(self) -> list[int]:
         """Return the other members that are not gone."""
+        if self.live_version != self.version:
+            self.live_version = self.version
+            self.live_members = self.find_live()
+        return list(self.live_members)
+
+    def find_live(self) -> list[int]:
+        """Look through the table for members that are not gone."""
         return [
             member
             for member, entry in self.entries.items()
--- a/src/hickorylever/decisions/probes.py
+++ b/src/hickorylever/decisions/probes.py
@@ -11,12 +11,14 @@
 class Probe:
     """A member that was asked for a sign of life.
 
+    :param retry_at: when it is asked again and helpers are asked to try.
     :param answers: helpers that answered at all, also those that could not reach the target.
     """
 
     target: int
-    relay_at: float
+    retry_at: float
     deadline: float
+    retries: int = 0
     helpers: int = 0
     answers: int = 0
 
@@ -64,8 +66,8 @@
         """Note a probe that is sent now and return its sequence."""
         scale = 1 + self.score
         number = self.next_sequence()
-        relay_at = now + defaults.PROBE_TIMEOUT * scale
-        self.open[number] = Probe(target, relay_at, now + defaults.PROBE_INTERVAL * scale)
+        retry_at = now + defaults.PROBE_TIMEOUT * scale
+        self.open[number] = Probe(target, retry_at, now + defaults.PROBE_INTERVAL * scale)
         self.due = now + defaults.PROBE_INTERVAL * scale
         return number
 
@@ -76,19 +78,22 @@
         return number
 
     def unanswered(self, now: float) -> list[tuple[int, Probe]]:
-        """Return the probes that helpers should try now, each once."""
+        """Return the probes that should be tried again now, by helpers too."""
         late = [
             (number, probe)
             for number, probe in self.open.items()
-            if not probe.helpers and probe.relay_at <= now < probe.deadline
+            if probe.retries < defaults.PROBE_RETRIES and probe.retry_at <= now < probe.deadline
         ]
+        for _, probe in late:
+            probe.retries += 1
+            probe.retry_at = now + defaults.PROBE_RETRY * (1 + self.score)
         return late
 
     def helpers(self, probe: Probe) -> list[int]:
         """Choose members that try to reach a probe's target."""
         others = [member for member in self.members() if member != probe.target]
         chosen = self.chance.sample(others, min(defaults.PROBE_HELPERS, len(others)))
-        probe.helpers = len(chosen)
+        probe.helpers += len(chosen)
         return chosen
 
     def acknowledge(self, number: int) -> int | None:
--- a/src/hickorylever/decisions/swim.py
+++ b/src/hickorylever/decisions/swim.py
@@ -198,11 +198,12 @@
         self.members.postpone(gap)
 
     def finish_probes(self, now: float) -> list[Send]:
-        """Ask helpers, suspect silent members and tell others of failed relays."""
+        """Ask again and ask helpers, suspect silent members and tell others of failed relays."""
         sends = []
         for number, probe in self.probes.unanswered(now):
             packet = Packet(PacketKind.RELAY, self.me, number, probe.target)
             sends += [self.send(helper, packet) for helper in self.probes.helpers(probe)]
+            sends.append(self.ping(probe.target, number))
         for target in self.probes.failed(now):
             if not self.isolated(now):
                 self.members.suspect(target, now)
--- /dev/null
+++ b/tests/test_lease_model.py
@@ -0,0 +1,165 @@
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from minicheck import check_safety
+
+from hickorylever import defaults
+from hickorylever.decisions.leases import Gate, Lease, LeaseRecord, Step, Verdict
+from spec.leases import leases
+
+
+def failing(protocol):
+    properties = check_safety(protocol)["properties"]
+    return {name for name, result in properties.items() if result["holds"] is not True}
+
+
+@pytest.mark.parametrize("checks, restarts", [(False, 1), (True, 2)])
+def test_no_older_order_is_obeyed(checks, restarts):
+    result = check_safety(leases("", checks, 3, restarts))
+    print(result["reachable_states"], "states")
+    assert result["exhaustive"] and not failing(leases("", checks, 3, restarts))
+
+
+BROKEN = [
+    ("no_gate", "no_older_order_obeyed"),
+    ("no_read", "no_older_order_obeyed"),
+    ("same_number", "a_number_has_one_holder"),
+]
+
+
+@pytest.mark.parametrize("variant, caught", BROKEN)
+def test_broken_protocols_are_caught(variant, caught):
+    assert failing(leases(variant, takes=2)) == {caught}
+
+
+class Store:
+    """The lease's object, its candidates and the gate, driven by the model's labels."""
+
+    def __init__(self):
+        self.version = 0
+        self.record = LeaseRecord()
+        self.leases = [Lease(str(me)) for me in (0, 1)]
+        self.gate = Gate()
+        self.now = 0.0
+
+    def read(self, lease):
+        lease.observe(self.version, self.record, self.now)
+
+    def write(self, me, step, lost=False):
+        lease = self.leases[me]
+        self.read(lease)
+        if step is Step.TAKE:
+            self.now += defaults.LEASE_TAKEOVER
+        assert lease.step(self.now) is step
+        record = lease.proposal(step)
+        self.version += 1
+        self.record = record
+        if lost:
+            lease.doubt()
+            self.read(lease)
+            lease.held_until = 0.0
+        else:
+            lease.written(self.version, record, self.now)
+
+    def apply(self, label):
+        action, _, argument = label.partition(" ")
+        steps = {
+            "take": lambda: self.write(int(argument), Step.TAKE),
+            "take_lost": lambda: self.write(int(argument), Step.TAKE, lost=True),
+            "renew": lambda: self.write(int(argument), Step.RENEW),
+            "lapse": lambda: setattr(self.leases[int(argument)], "held_until", self.now),
+            "judge": lambda: self.gate.judge(int(argument)),
+            "read": lambda: self.gate.read(self.record.number),
+            "restart": lambda: setattr(self, "gate", Gate()),
+        }
+        steps.get(action, lambda: None)()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_traces_of_the_model_hold_for_the_code(seed):
+    protocol = leases("", takes=4, restarts=2)
+    chance = random.Random(seed)
+    state = protocol.initial
+    store = Store()
+    for _ in range(60):
+        steps = protocol.transitions(state)
+        label, state = chance.choice(steps)
+        store.apply(label)
+        assert store.record.number == state[1]
+        assert (store.record.holder or "-1") == str(state[0])
+        assert store.gate.number == state[4]
+
+
+class Rivals(RuleBasedStateMachine):
+    """Candidates with clocks of their own, pauses and lost replies before one object."""
+
+    def __init__(self):
+        super().__init__()
+        self.version = 0
+        self.record = LeaseRecord()
+        self.clocks = [0.0, 500.0, -70.0]
+        self.leases = [Lease(str(me)) for me in range(3)]
+        self.granted = {}
+        self.gate = Gate(0)
+        self.obeyed = [0]
+        self.orders = []
+
+    me = st.integers(0, 2)
+
+    @rule(me=me, seconds=st.floats(0, 30))
+    def pass_time(self, me, seconds):
+        self.clocks[me] += seconds
+
+    @rule(me=me, reply=st.sampled_from(["arrives", "lost", "not_written"]))
+    def step(self, me, reply):
+        lease, now = self.leases[me], self.clocks[me]
+        step = lease.step(now)
+        if step is Step.READ:
+            lease.observe(self.version, self.record, now)
+        if step not in (Step.TAKE, Step.RENEW):
+            return
+        record = lease.proposal(step)
+        if lease.version != self.version:
+            lease.lost()
+            return
+        if reply == "not_written":
+            lease.doubt()
+            return
+        assert record.number >= self.record.number
+        self.version += 1
+        self.record = record
+        self.granted.setdefault(record.number, record.holder)
+        if reply == "lost":
+            lease.doubt()
+        else:
+            lease.written(self.version, record, now)
+
+    @rule(me=me)
+    def order(self, me):
+        lease = self.leases[me]
+        if lease.holds(self.clocks[me]):
+            assert self.granted[lease.record.number] == str(me)
+            self.orders.append(lease.record.number)
+
+    @rule(index=st.integers(0, 50))
+    def deliver(self, index):
+        if self.orders:
+            number = self.orders[index % len(self.orders)]
+            if self.gate.judge(number) is Verdict.OBEY:
+                self.obeyed.append(number)
+
+    @rule()
+    def restart_sidecar(self):
+        self.gate = Gate()
+        self.gate.read(self.record.number)
+
+    @invariant()
+    def no_older_order_is_obeyed(self):
+        assert self.obeyed == sorted(self.obeyed)
+
+
+Rivals.TestCase.settings = settings(max_examples=60, stateful_step_count=60)
+TestRivals = Rivals.TestCase
