--- a/src/hickorylever/decisions/affinity.py
+++ b/src/hickorylever/decisions/affinity.py
@@ -3,7 +3,8 @@
 import itertools
 import math
 import random
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections import OrderedDict
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 import xxhash
@@ -33,6 +34,28 @@
     now: float = 0.0
 
 
+class Places:
+    """The endpoint that each recent chat was last at.
+
+    :param limit: chats that are remembered; the least recently placed go first.
+    """
+
+    def __init__(self, limit: int = defaults.MAX_PLACES):
+        self.limit = limit
+        self.entries: OrderedDict[str, str] = OrderedDict()
+
+    def note(self, chat: str, endpoint: str) -> None:
+        """Remember a chat's endpoint."""
+        self.entries[chat] = endpoint
+        self.entries.move_to_end(chat)
+        if len(self.entries) > self.limit:
+            self.entries.popitem(last=False)
+
+    def get(self, chat: str, default: str = "") -> str:
+        """Return a chat's last endpoint."""
+        return self.entries.get(chat, default)
+
+
 def usable_always(endpoint: str) -> bool:
     """Take every endpoint as usable."""
     return True
@@ -56,7 +79,7 @@
     failure_domain: str = ""
     chance: random.Random = field(default_factory=random.Random)
     turn: int = 0
-    places: Mapping[str, str] = field(default_factory=dict)
+    places: Places = field(default_factory=Places)
     usable: Callable[[str], bool] = usable_always
 
 
@@ -80,11 +103,12 @@
 
     Only the first few are looked at; those without room follow by their load.
     """
-    limit = cap(view.loads.mean(pool.name, ask.now), 1, view.multiple, view.floor)
+    mean = view.loads.mean(pool.name, ask.now)
+    limit = cap(mean, 1, view.multiple, view.floor)
     passed = []
     for endpoint in itertools.islice(endpoints, defaults.MAX_WALK):
         work = work_of(endpoint, view)
-        if work and work + ask.work / endpoint.capacity > limit:
+        if work > mean and work + ask.work / endpoint.capacity > limit:
             passed.append((work, endpoint))
         else:
             yield endpoint
@@ -192,6 +216,8 @@
 @policies.register("near")
 def near(ask: Ask, pool: Pool, view: View) -> Iterator[Endpoint]:
     """For requests without a chat: the own failure domain first, the less loaded of each two."""
-    first = list(usable(near_first(pool.walk(ask.chat), view.failure_domain), view))
+    walk = pool.walk(ask.chat)
+    few = near_first(itertools.islice(walk, defaults.MAX_WALK), view.failure_domain)
+    first = list(usable(few, view))
     head = sorted(first[:2], key=lambda endpoint: work_of(endpoint, view))
-    return bound(iter((*head, *first[2:])), ask, pool, view)
+    return bound(itertools.chain(head, first[2:], usable(walk, view)), ask, pool, view)
--- a/src/hickorylever/decisions/attempts.py
+++ b/src/hickorylever/decisions/attempts.py
@@ -98,6 +98,15 @@
         """Return what is known of a remembered attempt."""
         return RAN[self.entries[attempt].state]
 
+    def ask(self, attempt: str, incarnation: str, now: float, stamp: float) -> Refusal:
+        """Cancel an attempt of some incarnation and return why there is no answer of it."""
+        if incarnation != self.incarnation:
+            detail = "the sidecar was restarted"
+            return Refusal(Kind.WRONG_INCARNATION, detail, Ran.UNKNOWN)
+        ran = self.cancel(attempt, now, stamp)
+        kind = Kind.CANCELLED if ran is Ran.NO else Kind.ANSWER_LOST
+        return Refusal(kind, "no answer is kept", ran)
+
     def cancel(self, attempt: str, now: float, stamp: float) -> Ran:
         """Cancel an attempt and return whether it ran.
 
@@ -121,8 +130,8 @@
         state = TRANSITIONS[action][entry.state]
         self.entries[attempt] = replace(entry, state=state, time=now)
         if state not in LIVE:
-            self.work -= entry.work
             self.running -= 1
+            self.work = self.work - entry.work if self.running else 0.0
         return True
 
     def expire(self, now: float) -> list[str]:
