Take a request of any size only below a mean of several endpoints

Cause: the property test, now over the real admission and the handed-over mean, failed to catch a sidecar without a bound: with no peer's report the mean is the sidecar's own work, so it was never above it and took everything. Change: the exemption for one large request needs a mean of several endpoints. Conclusion: the check without the bound fails again, as it must.

--- a/src/hickorylever/admission.py
+++ b/src/hickorylever/admission.py
@@ -22,18 +22,20 @@
     """Return the largest work in tokens that an endpoint may hold after one more attempt.
 
     The mean is over the reports that are young enough, or the one that the router hands over if
-    its reports are younger on average. An endpoint that is not above the mean may take one request
-    of any size. What an account borrows beyond its share must leave room for the others.
+    its reports are younger on average. An endpoint that is not above the mean of several may take
+    one request of any size. What an account borrows beyond its share must leave room for others.
     """
     own = Load(endpoint.name, work, running, endpoint.capacity, time=env.clock())
     env.loads.note(own)
     known = env.loads.aged_mean(peer_group(endpoint), own.time)
-    mean = loads.fresher(known, loads.Mean(attempt.mean, attempt.mean_age, attempt.members)).work
+    told = loads.Mean(attempt.mean, attempt.mean_age, attempt.members)
+    mean = loads.fresher(known, told)
     multiple, floor = env.view.multiple, env.view.floor
     if attempt.borrowed:
         multiple, floor = defaults.BORROWED_MULTIPLE, floor * defaults.BORROWED_PART
-    limit = loads.cap(mean, endpoint.capacity, multiple, floor)
-    if work <= mean * endpoint.capacity and not attempt.borrowed:
+    limit = loads.cap(mean.work, endpoint.capacity, multiple, floor)
+    below = mean.members > 1 and work <= mean.work * endpoint.capacity
+    if below and not attempt.borrowed:
         return max(limit, work + attempt.work)
     return limit
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,6 +2,8 @@
 from types import SimpleNamespace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from test_affinity import pool
 
 from hickorylever import admission
@@ -37,6 +39,7 @@
     ((1000.0,) * 3, 1000.0, make(900.0, borrowed=True), 1100.0),
     ((0.0,) * 3, 0.0, make(10.0), 100.0),
     ((), 50.0, make(10.0), 100.0),
+    ((), 1000.0, make(900.0), 1250.0),
     ((1000.0,) * 3, 2100.0, make(10.0, mean=2000.0, mean_age=0.1, members=4), 2500.0),
     ((1000.0,) * 3, 2100.0, make(10.0, mean=2000.0, mean_age=9.0, members=4), 1593.75),
 ]
@@ -57,3 +60,88 @@
     env = environment(300.0, 0.0, 0.0)
     room = admission.room(env, MEMBERS, 100.0)
     assert (room.limit, room.part) == (1600.0 - 200.0, 800.0)
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(("admit", "borrow", "finish", "report", "wait", "join")),
+        st.integers(0, 3),
+        st.floats(1, 400),
+        st.floats(0, 8),
+    ),
+    max_size=120,
+)
+
+
+class Peers:
+    """Sidecars that admit by what has reached them, in the order of the steps."""
+
+    def __init__(self, bounded=True):
+        self.bounded = bounded
+        self.now = 0.0
+        self.names = ["e0", "e1", "e2"]
+        self.held = {member.name: [] for member in MEMBERS}
+        self.environments = {member.name: self.environment(member) for member in MEMBERS}
+        self.sent = {member.name: {} for member in MEMBERS}
+
+    def environment(self, member):
+        env = environment()
+        env.clock = lambda: self.now
+        env.loads.arrange(load_groups([MEMBERS], member.vm))
+        return env
+
+    def known_mean(self, name, attempt):
+        """The definition: reports of at most the age, or the router's if those are younger."""
+        known = [entry for entry in self.sent[name].values() if entry[1] >= self.now - 5.0]
+        known.append((sum(self.held[name]), self.now))
+        age = self.now - sum(time for _, time in known) / len(known)
+        if attempt.mean_age < age - 1e-9 and attempt.members >= len(known):
+            return attempt.mean, attempt.members
+        return sum(work for work, _ in known) / len(known), len(known)
+
+    def admit(self, name, work, age, borrowed=False):
+        held, running = sum(self.held[name]), len(self.held[name])
+        told = sum(map(sum, self.held.values())) / len(self.held)
+        attempt = make(work, borrowed=borrowed, mean=told, mean_age=age, members=4)
+        known, members = self.known_mean(name, attempt)
+        env, member = self.environments[name], MEMBERS.names[name]
+        limit = admission.cap(env, member, held, running, attempt)
+        if self.bounded and running and held + work > limit:
+            return
+        self.held[name].append(work)
+        within = held + work <= max(100.0, 1.25 * known) + 1e-6
+        below = members > 1 and held <= known + 1e-6 and not borrowed
+        assert within or below or not running
+
+    def borrow(self, name, work, age):
+        self.admit(name, work, age, borrowed=True)
+
+    def finish(self, name, work, age):
+        if self.held[name]:
+            self.held[name].pop()
+
+    def report(self, name, work, age):
+        load = Load(name, sum(self.held[name]), 1, 1, time=self.now)
+        for other in set(self.names) - {name}:
+            admission.take_load(self.environments[other], load)
+            self.sent[other][name] = (load.work, load.time)
+
+    def wait(self, name, work, age):
+        self.now += work / 100
+
+    def join(self, name, work, age):
+        self.names = sorted(set(self.names) ^ {name} | {"e0"})
+
+    def play(self, plan):
+        for action, number, work, age in plan:
+            getattr(self, action)(f"e{number}", work, age)
+
+
+@given(steps)
+def test_nothing_is_admitted_above_the_bound_in_any_order(plan):
+    Peers().play(plan)
+
+
+def test_the_bound_check_fails_without_the_bound():
+    with pytest.raises(AssertionError):
+        Peers(bounded=False).play([("admit", 0, 90.0, 9.0)] * 3)
