--- a/tests/test_affinity.py
+++ b/tests/test_affinity.py
@@ -4,7 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hickorylever.decisions.affinity import Ask, View, policies
+from hickorylever import defaults
+from hickorylever.decisions.affinity import Ask, Places, View, policies
 from hickorylever.decisions.pools import Pool
 from hickorylever.records import Endpoint, Load
 
@@ -112,11 +113,15 @@
 
 def test_chats_with_a_shared_prefix_keep_to_a_few_endpoints():
     places = set(first("bounded", pool(40), prefix="dossier").values())
-    assert len(places) == 2
+    assert len(places) == defaults.PREFIX_ENDPOINTS
 
 
 def test_a_hint_brings_a_chat_back_to_where_it_was():
-    members, view = pool(10), View(places={"c": "e7"})
+    places = Places(limit=2)
+    for chat, name in (("old", "e1"), ("c", "e3"), ("c", "e7"), ("d", "e2")):
+        places.note(chat, name)
+    assert places.get("old") == "" and len(places.entries) == 2
+    members, view = pool(10), View(places=places)
     assert next(policies["hinted"](Ask("c"), members, view)).name == "e7"
 
 
