--- a/src/hickorylever/bench/__init__.py
+++ b/src/hickorylever/bench/__init__.py
@@ -38,4 +38,4 @@
 Bench = Callable[[int, bool], Report]
 benches: Registry[Bench] = Registry("bench")
 
-from . import control  # noqa: E402, F401
+from . import claims, control  # noqa: E402, F401
--- a/src/hickorylever/bench/world.py
+++ b/src/hickorylever/bench/world.py
@@ -38,6 +38,7 @@
         self.executed: dict[str, Call] = {}
         self.runs: collections.Counter[bytes] = collections.Counter()
         self.denied: set[str] = set()
+        self.delivered: set[str] = set()
         self.tolds: collections.Counter[str] = collections.Counter()
         self.counts: collections.Counter[str] = collections.Counter()
         self.violations: list[str] = []
@@ -156,6 +157,7 @@
 
     def deliver_hand_over(self, message: Message) -> None:
         """Let a sidecar admit or refuse an attempt."""
+        self.delivered.add(message.attempt.id)
         sidecar = self.sidecar(message.attempt.endpoint)
         refusal = sidecar.table.admit(message.attempt, CAP, self.now)
         if refusal is None:
@@ -274,10 +276,20 @@
         sidecar.kept.clear()
 
     def restart_sidecar(self, sidecar: Sidecar) -> None:
-        """Restart a sidecar: its attempts are lost, its connections close."""
+        """Restart a sidecar: its attempts are lost, its connections close.
+
+        A duplicate travels on the connection of its original, and ends with it.
+        """
         self.counts["restart_sidecar"] += 1
+        self.messages = [m for m in self.messages if not self.ends(m, sidecar)]
         sidecar.restart(self.name("i"))
 
+    def ends(self, message: Message, sidecar: Sidecar) -> bool:
+        """Tell whether a message's connection reached a sidecar before its restart."""
+        if message.kind != "hand_over" or message.attempt.endpoint != sidecar.name:
+            return False
+        return message.attempt.id in self.delivered
+
     def restart_router(self, router: Router) -> None:
         """Kill a router: its callers get nothing, what it sent is still under way."""
         self.counts["restart_router"] += 1
--- a/src/hickorylever/controllers/claims.py
+++ b/src/hickorylever/controllers/claims.py
@@ -20,7 +20,7 @@
 
 KIND = "claims"
 PATH = "/claims"
-ROUTER_ROLES = ("router", "entry")
+ROUTER_ROLE = "router"
 
 
 @dataclass(slots=True)
@@ -56,7 +56,7 @@
 
 def preferred(members: list[Member], shard: int) -> Member | None:
     """Return the router that should write a shard, by rendezvous hashing."""
-    routers = [member for member in members if member.role in ROUTER_ROLES]
+    routers = [member for member in members if member.role == ROUTER_ROLE]
     return max(
         routers,
         key=lambda member: xxhash.xxh3_64_intdigest(f"{shard}\x00{member.name}".encode()),
--- a/src/hickorylever/decisions/attempts.py
+++ b/src/hickorylever/decisions/attempts.py
@@ -55,13 +55,13 @@
         self.draining = False
 
     def admit(self, attempt: Attempt, cap: float, now: float) -> Refusal | None:
-        """Admit an attempt, or return why not. A refusal leaves a tombstone."""
+        """Admit an attempt, or return why not. A refusal that is sure leaves a tombstone."""
         refusal = self.refusal(attempt, cap, now)
         if refusal is None:
             self.entries[attempt.id] = Entry(State.ADMITTED, attempt.work, now)
             self.work += attempt.work
             self.running += 1
-        elif attempt.id not in self.entries:
+        elif refusal.ran is Ran.NO and attempt.id not in self.entries:
             self.entries[attempt.id] = Entry(State.REFUSED, 0.0, now)
         return refusal
 
@@ -73,7 +73,8 @@
         if entry is not None:
             return Refusal(Kind.CANCELLED, "the attempt is known already", RAN[entry.state])
         if not 0 <= now - attempt.stamp <= self.lifetime / 2:
-            return Refusal(Kind.WRONG_INCARNATION, "the attempt's stamp is too old")
+            ran = Ran.NO if now - attempt.stamp <= self.lifetime else Ran.UNKNOWN
+            return Refusal(Kind.WRONG_INCARNATION, "the attempt's stamp is too old", ran)
         if self.draining:
             return Refusal(Kind.DRAINING, "the endpoint is leaving")
         if attempt.budget <= 0:
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -47,17 +47,22 @@
         return await self.run_once(self.new_attempt())
 
     def new_attempt(self) -> Attempt:
-        """Return a new attempt for the sidecar's last known incarnation."""
+        """Return a new attempt for the sidecar's last known incarnation.
+
+        Without a fresh stamp it names none, is surely refused, and the refusal tells both.
+        """
         call = self.call
         name = self.endpoint.name
-        incarnation = self.env.incarnations.get(name, "")
+        now = self.env.clock()
         stamp = self.env.stamps.get(name)
-        known = stamp is not None and stamp.incarnation == incarnation
+        incarnation = self.env.incarnations.get(name, "")
+        fresh = stamp is not None and now - stamp.heard < defaults.STAMP_LIFETIME
+        known = fresh and stamp.incarnation == incarnation
         return Attempt(
             id=uuid.uuid4().hex,
             endpoint=name,
-            incarnation=incarnation,
-            budget=call.deadline - self.env.clock(),
+            incarnation=incarnation if known else "",
+            budget=call.deadline - now,
             work=call.work,
             stamp=stamp.time if known else 0.0,
             account=call.account.name,
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -49,6 +49,15 @@
     assert table.start("a", 0.0)
 
 
+def test_late_delivery_of_a_forgotten_attempt_is_not_told_not_run():
+    table = Attempts("i", 10.0)
+    table.admit(attempt(), 100.0, 0.0)
+    table.start("a", 0.0)
+    table.finish("a", 0.0)
+    table.expire(10.1)
+    assert table.admit(attempt(), 100.0, 10.1).ran is Ran.UNKNOWN
+
+
 STAMPS = [(0.0, 5.0, None), (0.0, 5.1, Kind.WRONG_INCARNATION), (1.0, 0.0, Kind.WRONG_INCARNATION)]
 
 
