--- a/src/hickorylever/bench/serving.py
+++ b/src/hickorylever/bench/serving.py
@@ -8,7 +8,7 @@
 from types import SimpleNamespace
 
 from .. import admission, defaults
-from ..decisions.affinity import Ask, View, policies
+from ..decisions.affinity import Ask, Places, View, policies
 from ..decisions.attempts import Attempts
 from ..decisions.chats import Popularity, choose_prefix
 from ..decisions.fairness import Changes, Queue, Waiter, overload_pause
@@ -91,7 +91,7 @@
     def admit(self, job: Job) -> bool:
         """Admit a request's attempt and run it, or refuse."""
         before = self.attempts.work if self.attempts.running else 0.0
-        known = self.known_mean()
+        known = self.known_mean(job.attempt)
         if (
             self.attempts.admit(job.attempt, self.cap(job.attempt), self.world.driver.now)
             is not None
@@ -115,11 +115,15 @@
             admission.take_load(self.env, load)
             self.heard[load.endpoint] = (load.time, load.work)
 
-    def known_mean(self) -> float:
+    def known_mean(self, attempt: Attempt) -> float:
         """Return the mean that the bound is defined by, from a record of its own."""
-        oldest = self.world.driver.now - defaults.MAX_LOAD_AGE
-        works = [work for time, work in self.heard.values() if time >= oldest]
-        return (sum(works) + self.attempts.work) / (len(works) + 1)
+        now = self.world.driver.now
+        heard = [entry for entry in self.heard.values() if entry[0] >= now - defaults.MAX_LOAD_AGE]
+        heard.append((now, self.attempts.work))
+        age = now - sum(time for time, _ in heard) / len(heard)
+        if attempt.mean_age < age and attempt.members >= len(heard):
+            return attempt.mean
+        return sum(work for _, work in heard) / len(heard)
 
 
 class Router:
@@ -128,7 +132,7 @@
     def __init__(self, world: "World", number: int):
         self.world = world
         self.gone: set[str] = set()
-        self.places: dict[str, str] = {}
+        self.places = Places()
         self.loads = Loads()
         self.loads.arrange(load_groups([world.pool], ""))
         self.view = View(
@@ -217,7 +221,7 @@
         job.attempt = self.attempt(job, name, endpoint)
         if sidecar.admit(job):
             self.loads.note(sidecar.load())
-            self.places[job.request.identity.chat] = endpoint.name
+            self.places.note(job.request.identity.chat, endpoint.name)
             self.world.figures.spilled += endpoint.name != job.home
             self.world.tell_place(job.request.identity.chat, endpoint.name)
             return
@@ -227,6 +231,7 @@
 
     def attempt(self, job: Job, name: str, endpoint: Endpoint) -> Attempt:
         """Return a request's attempt at an endpoint."""
+        mean = self.loads.aged_mean(self.world.pool.name, self.world.driver.now)
         return Attempt(
             name,
             endpoint.name,
@@ -235,6 +240,9 @@
             job.waiter.work,
             stamp=self.world.driver.now,
             borrowed=not job.waiter.in_share,
+            mean=mean.work,
+            mean_age=mean.age,
+            members=mean.members,
         )
 
     def finish(self, job: Job, load: Load) -> None:
@@ -265,7 +273,7 @@
         self.numbers = itertools.count()
         self.figures = Figures()
         self.limits = View(floor=shape.floor)
-        self.events: dict[str, str] = {}
+        self.events = Places()
         names = range(shape.endpoints)
         self.pool = Pool("model", [self.endpoint(number) for number in names])
         self.sidecars = {endpoint.name: Sidecar(self, endpoint) for endpoint in self.pool}
@@ -308,7 +316,7 @@
     def tell_place(self, chat: str, name: str) -> None:
         """Publish a cache event, which arrives late or not at all."""
         if self.driver.chance.random() >= LOST_EVENTS:
-            self.driver.after(REPORT_DELAY, self.events.__setitem__, chat, name)
+            self.driver.after(REPORT_DELAY, self.events.note, chat, name)
 
     def leave(self) -> None:
         """Let one endpoint drain, and come back later with an empty cache."""
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -58,6 +58,7 @@
         incarnation = self.env.incarnations.get(name, "")
         fresh = stamp is not None and now - stamp.heard < defaults.STAMP_LIFETIME
         known = fresh and stamp.incarnation == incarnation
+        mean = self.env.loads.aged_mean(call.endpoints.name, now)
         return Attempt(
             id=uuid.uuid4().hex,
             endpoint=name,
@@ -68,6 +69,9 @@
             account=call.account.name,
             fingerprint=call.fingerprint,
             borrowed=call.borrowed,
+            mean=mean.work,
+            mean_age=mean.age,
+            members=mean.members,
             trial=suspicion.trial_crashes(self.env, call),
             guarded=call.guarded,
         )
