--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -8,9 +8,9 @@
 import pytest
 import xxhash
 from faults import interpose
-from harness import HOST, World, run
+from harness import World, run
 
-from hickorylever import defaults, http
+from hickorylever import defaults
 from hickorylever.environment import Environment
 from hickorylever.exceptions import ConnectionLost, Ran
 from hickorylever.registry import Registry
