Give an object API that went back the accepted revisions again

Cause: after a restore from an old copy nodes rightly kept the newer revision, but new changes got numbers that they refuse, and only restarting every node helped. A fork, or a missing head, is left alone. tests/test_configuration.py: the test that an old copy can't take a revision back goes on to see the head restored, a node start from it, the next change in force and the audit trail whole.

--- a/src/hickorylever/configuration.py
+++ b/src/hickorylever/configuration.py
@@ -67,6 +67,8 @@
         return True
     await pull(env, best.source)
     if env.revisions.number >= best.number:
+        if PLATFORM in state.offers and state.offers[PLATFORM].number < best.number:
+            await pull(env, PLATFORM)
         return True
     state.on_pull_failed(best.source)
     return False
@@ -104,7 +106,7 @@
             version, changes = await env.platform.watch(heads.KIND, since, wait)
             for entry in changes:
                 await take_head(env, heads.parse_head(entry))
-            since = version
+            since = version if version >= since else 0
         except FAILURES as error:
             log(Event.PLATFORM_FAILED, str(error), 30)
             await curio.sleep(defaults.PLATFORM_RETRY * env.chance.uniform(0.5, 1.5))
@@ -112,18 +114,33 @@
 
 async def take_head(env: Environment, head: Head) -> None:
     """Adopt the object API's head if it is newer, else note when it went back."""
+    if head.revision is None and not env.revisions.number:
+        return
     offer = Offer(PLATFORM, head.revision, head.links, head.number)
     verdict = env.revisions.judge(offer)
     if verdict is Verdict.SAME:
         return
     if verdict is not Verdict.ADOPT:
         env.reject(offer.number, PLATFORM, verdict)
+        if env.revisions.went_back(offer):
+            await restore(env, head)
         return
     content = await store.update_content(env.platform, head.revision, env.content)
     await prepare(env, content)
     env.adopt(head.revision, content, head.links, PLATFORM)
 
 
+async def restore(env: Environment, head: Head) -> None:
+    """Give accepted revisions back to an object API that went back behind them."""
+    revisions = env.revisions
+    await heads.restore(env.platform, head, revisions.chain, env.content)
+    log(
+        Event.CONFIGURATION_RESTORED,
+        f"the object API was at revision {head.number} and has {revisions.number} again",
+        30,
+    )
+
+
 async def prepare(env: Environment, content: Content) -> None:
     """Decode a content in short steps, so that requests are served in between."""
     for _ in env.decoder.prepare(content):
--- a/src/hickorylever/decisions/revisions.py
+++ b/src/hickorylever/decisions/revisions.py
@@ -198,6 +198,23 @@
             return Verdict.ADOPT if source == PLATFORM else Verdict.UNLINKED
         return Verdict.ADOPT if child.parent == link(self.current) else Verdict.FORKED
 
+    @property
+    def chain(self) -> tuple[Revision, ...]:
+        """Return the known revisions up to the one in force, oldest first."""
+        return (*self.links, self.current) if self.current else ()
+
+    def join(self, offer: Offer) -> tuple[Revision, ...]:
+        """Return the known revisions before an offered one."""
+        first = offer.links[0].number if offer.links else offer.number
+        before = tuple(entry for entry in self.chain if entry.number < first)
+        whole = bool(before) and before[-1].number + 1 == first
+        return (*before, *offer.links) if whole else offer.links
+
+    def went_back(self, offer: Offer) -> bool:
+        """Tell whether an offer is an earlier revision of the chain in force."""
+        known = next((entry for entry in self.links if entry.number == offer.number), None)
+        return known is not None and link(known) == link(offer.revision)
+
     def adopt(self, offer: Offer, digest: str) -> Verdict:
         """Move to an offered revision whose content has `digest`, if that may be."""
         verdict = self.judge(offer)
@@ -205,9 +222,7 @@
             return verdict
         if digest != offer.revision.digest:
             return Verdict.CORRUPT
-        chain = (*self.links, *(() if self.current is None else (self.current,)))
-        older = offer.links or tuple(e for e in chain if e.number < offer.number)
-        self.links = older[-defaults.MAX_LINKS :]
+        self.links = self.join(offer)[-defaults.MAX_LINKS :]
         self.current = offer.revision
         self.heard = max(self.heard, offer.number)
         return Verdict.ADOPT
--- a/src/hickorylever/fleet/heads.py
+++ b/src/hickorylever/fleet/heads.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from .. import defaults
-from ..decisions.revisions import link
+from ..decisions.revisions import broken_at, link
 from ..exceptions import Conflict, ContentError, LostReply, PlatformError
 from ..platform import Object, Platform
 from ..records import Fleet, Revision
@@ -208,3 +208,25 @@
         with contextlib.suppress(PlatformError):
             await store.remove_bundle(platform, store.bundle_name(revision), revision.parts)
         raise Raced(await read_head(platform)) from conflict
+
+
+async def restore(
+    platform: Platform, older: Head, chain: tuple[Revision, ...], content: Content
+) -> None:
+    """Write accepted revisions back that the object API has lost, on the head that it shows.
+
+    :param chain: the revisions that a node knows, up to the one in force.
+    :param content: of the last of them.
+    :raises ContentError: when revisions between the two are not known.
+    :raises PlatformError: when it failed, or another node was faster.
+    """
+    whole = (*older.chain, *(entry for entry in chain if entry.number > older.number))
+    broken = broken_at(whole)
+    if broken is not None:
+        raise ContentError(f"the revisions before {broken} are not known here")
+    await store.write_again(platform, whole[-1], content)
+    links = whole[:-1]
+    while len(links) > defaults.MAX_LINKS:
+        links = await audit.shorten(platform, links)
+    record = HeadRecord(whole[-1], links, older.oldest)
+    await platform.put(KIND, HEAD, msgspec.json.encode(record), older.version)
--- a/src/hickorylever/fleet/store.py
+++ b/src/hickorylever/fleet/store.py
@@ -121,6 +121,21 @@
         await put_once(platform, f"{bundle_name(revision)}-{number}", value)
 
 
+async def write_again(platform: Platform, revision: Revision, content: Content) -> None:
+    """Store a revision's content in as many pieces as its first bundle had, unless it is there.
+
+    :raises ContentError: when it does not fit.
+    """
+    data = msgspec.msgpack.encode(Bundle(content.changed(frozenset())))
+    size = -(-len(data) // revision.parts)
+    if size > defaults.MAX_OBJECT_BYTES:
+        raise ContentError(f"revision {revision.number} does not fit {revision.parts} objects")
+    for number in range(revision.parts):
+        name = f"{bundle_name(revision)}-{number}"
+        if (await platform.get(KIND, name)).version == 0:
+            await platform.put(KIND, name, data[number * size : (number + 1) * size], 0)
+
+
 async def remove_bundle(platform: Platform, name: str, pieces: int) -> None:
     """Delete a bundle's objects; absent ones are fine."""
     for number in range(pieces):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,7 +9,7 @@
 from hickorylever import configuration, defaults, http
 from hickorylever.environment import Environment
 from hickorylever.exceptions import Conflict, PlatformError
-from hickorylever.fleet import heads
+from hickorylever.fleet import audit, heads
 from hickorylever.node import Admin
 from hickorylever.platform import Platform
 from hickorylever.records import ClientAccount, Fleet, Member, MemberState
@@ -154,7 +154,7 @@
     run(main)
 
 
-def test_start_takes_the_highest_and_the_platform_can_not_take_it_back():
+def test_the_platform_can_not_take_it_back_and_is_restored():
     async def main():
         async with Nodes() as nodes:
             await nodes.apply(fleet("a"))
@@ -164,10 +164,21 @@
             await nodes.reached(2, "one")
             nodes.objects.entries.clear()
             nodes.objects.entries.update(old)
+            nodes.objects.version = max(entry.version for entry in old.values())
             await nodes.node("two", peers=("one",))
             await nodes.reached(2, "two")
-            await curio.sleep(3 * defaults.WATCH_WAIT)
+            while (await heads.read_head(nodes.platform)).number != 2:
+                await curio.sleep(PAUSE)
             assert nodes.nodes["one"][0].revisions.number == 2
+            await nodes.node("three")
+            await nodes.reached(2, "three")
+            await nodes.apply(fleet("c"))
+            await nodes.reached(3, "one", "two", "three")
+            head = await heads.read_head(nodes.platform)
+            found = [
+                entry.number async for entry in audit.read_back(nodes.platform, head.chain, 1)
+            ]
+            assert found == [3, 2, 1]
 
     run(main)
 
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -182,3 +182,30 @@
     broken = content.replace([Part("vms-0", content.parts["vms-0"].digest, b"junk")])
     with pytest.raises(ContentError):
         decode(broken)
+
+
+@pytest.mark.parametrize("back", [1, 3, 6])
+def test_restore_gives_back_what_was_lost(back):
+    platform = Memory()
+
+    async def main():
+        await apply_many(platform, CHANGES - back)
+        older = await heads.read_head(platform)
+        copy = dict(platform.objects)
+        await apply_many(platform, back)
+        head = await heads.read_head(platform)
+        content = await store.read_content(platform, head.revision)
+        platform.objects = copy
+        await heads.restore(platform, older, head.chain, content)
+        restored = await heads.read_head(platform)
+        assert restored.revision == head.revision
+        assert await store.read_content(platform, head.revision) == content
+        found = [entry async for entry in audit.read_back(platform, restored.chain, 1)]
+        assert len(found) == CHANGES
+        await apply_many(platform, 3)
+        with pytest.raises(Conflict):
+            await heads.restore(platform, older, head.chain, content)
+        with pytest.raises(Conflict if back == 1 else ContentError):
+            await heads.restore(platform, older, (head.revision,), content)
+
+    curio.run(main)
