--- a/src/hickorylever/standins/engine.py
+++ b/src/hickorylever/standins/engine.py
@@ -1,4 +1,7 @@
-"""A stand-in for a model engine: a bounded prefix cache, prefill and streamed tokens."""
+"""A stand-in for a model engine: continuous batching, a bounded prefix cache, streamed tokens.
+
+Left out, since nothing reads them yet: KV export and import, cache events, load reports.
+"""
 
 import collections
 import itertools
@@ -16,10 +19,12 @@
 from ..http import Exchange, Server, listen
 from ..node import refuse, respond_json
 from ..orders import PATH
+from .batch import Batch
 from .orders import Loader
 
 BLOCK_BYTES = 256
 EXIT_CRASHED = 70
+BATCH = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,11 +71,14 @@
 class Engine:
     """Answers completions with made-up tokens.
 
+    A caller that closes a stream ends it and frees its place in the batch.
+
     :param poison: a prompt with this text ends the process.
     """
 
     name: str
     speed: Speed = Speed()
+    batch: Batch = field(default_factory=lambda: Batch(BATCH))
     blocks: int = 4096
     seed: int = 0
     poison: str = ""
@@ -98,7 +106,8 @@
             await self.handle_orders(exchange)
             return
         body = msgspec.json.decode(await exchange.body())
-        await self.complete(exchange, body)
+        async with self.batch.member(body.get("priority", 0)):
+            await self.complete(exchange, body)
 
     async def handle_orders(self, exchange: Exchange) -> None:
         """Answer orders, unless this engine takes none."""
@@ -136,7 +145,7 @@
 
     async def whole(self, exchange: Exchange, body: dict, words: list[str], usage: dict) -> None:
         """Answer in one piece."""
-        await curio.sleep(self.speed.token * len(words))
+        await curio.sleep(self.batch.step(self.speed.token) * len(words))
         text = "".join(words)
         message = {"message": {"role": "assistant", "content": text}, "text": text}
         choice = {**message, "finish_reason": "stop"}
@@ -147,7 +156,7 @@
         """Answer token by token as server-sent events."""
         await exchange.start(200, [(b"content-type", b"text/event-stream")])
         for word in words:
-            await curio.sleep(self.speed.token)
+            await curio.sleep(self.batch.step(self.speed.token))
             choice = {"delta": {"content": word}, "text": word, "finish_reason": None}
             stamp = {"sent": time.monotonic()} if body.get("stamp") else {}
             data = self.chunk(body, "chat.completion.chunk", choice, **stamp)
