--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -78,6 +78,7 @@
         ["control traffic of a node", f"{traffic:.2f} KB/s (allowed: 28)"],
         ["control processor time of a node", f"{share:.2f}% of a core (allowed: 2.7)"],
         ["control state of a node", f"{state:.2f} MB (allowed: 32)"],
+        ["2,000 claims a second", f"{at(slopes['claims'], NODES):.0f} writes/s at 370 routers"],
         ["4,096 connections of a router", f"{4.096 * memory:.0f} MB"],
     ]
     return table(["at the target", "worked out"], rows)
--- a/src/hickorylever/bench/capacity.py
+++ b/src/hickorylever/bench/capacity.py
@@ -24,7 +24,7 @@
 from ..records import Application, ClientAccount, Endpoint, Fleet
 from ..registry import Registry
 from ..settings import Settings
-from . import Report, benches, control, path
+from . import Report, benches, claims, control, path
 
 OUTPUT = Path("bench")
 SHARES = (0.1, 0.25, 0.5, 1.0)
@@ -155,6 +155,17 @@
     ]
 
 
+@measures.register("claims")
+def measure_claims(seed: int, quick: bool) -> list[Slope]:
+    """Writes a second to the object API at a steady rate of claims, by the number of routers."""
+    slope = Slope("claims", "writes/s", "routers")
+    seconds = claims.QUICK_SECONDS if quick else claims.SECONDS
+    for routers in (1, 4, 16) if quick else (1, 4, 16, 64, 370):
+        row = claims.Run(claims.Setting(routers, claims.TARGET_LATENCY), seed).row(seconds)
+        slope.points.append((routers, row["writes/s"]))
+    return [slope.fit()]
+
+
 @measures.register("connections")
 def measure_connections(seed: int, quick: bool) -> list[Slope]:
     """Python objects of idle connections at a server."""
