Screen guarded calls for crashing requests; check the claims model against the real decisions

Cause: the guarded path walked its candidates itself, so a request that crashes endpoints was not screened there. The model of claims was not yet tied to the code.

Change: the claim filter takes its endpoints from suspicion.next_endpoint and notes failures and finished trials, as the forward filter does. tests/test_spec_conformance.py takes random walks over spec/claims.py, drives the real Shard, Flow, Facts and Attempts in bench/world.py and compares the state after each step.

--- a/spec/claims.py
+++ b/spec/claims.py
@@ -15,7 +15,7 @@
 
 
 class Flight(NamedTuple):
-    """A write on its way to the store."""
+    """A write on its way to the store. Equal late ones are one: at most the first is stored."""
 
     router: int
     base: int
@@ -176,7 +176,8 @@
 def store_moves(state: State, variant: str):
     """Yield what may happen to writes."""
     for flight in state.flights:
-        name = f"{flight.router}" if flight.current else f"{flight.router} late"
+        late = "" if flight.current else f" late {flight.base}"
+        name = f"{flight.router}{late}"
         if state.version < MAX_VERSION:
             yield f"land {name}", land(state, flight, False, variant)
             if not flight.current:
--- a/src/hickorylever/filters/claim.py
+++ b/src/hickorylever/filters/claim.py
@@ -1,9 +1,8 @@
 """Runs guarded calls: a claim is committed first, and only its attempt may run."""
 
 import hashlib
-import itertools
 
-from .. import defaults
+from .. import defaults, suspicion
 from ..decisions.guarded import Ended, Flow, Step
 from ..dispatch import Dispatch
 from ..exceptions import ConnectionLost, Kind, Ran
@@ -48,7 +47,7 @@
         self.call = call
         key = digest(call.account.name.encode(), call.key.encode("latin-1"))
         self.flow = Flow(key, fingerprint(call))
-        self.candidates = itertools.islice(call.candidates, defaults.MAX_HANDOVERS)
+        self.tried = 0
         self.relay = Relay(call)
         self.dispatch: Dispatch | None = None
         self.attempt: Attempt | None = None
@@ -62,25 +61,41 @@
             self.env.claims.record(self.flow.current, self.flow.outcome)
         if step is Step.ANSWERED:
             self.call.note(Ran.YES)
+            await suspicion.finish_trial(self.env, self.call)
             return
         self.call.note(self.flow.error.ran)
         await self.relay.fail(self.flow.error)
         raise self.flow.error
 
     async def propose(self) -> Step:
-        """Prepare an attempt at the next candidate whose sidecar answers."""
+        """Prepare an attempt at the next endpoint whose sidecar answers."""
         if self.flow.same_endpoint():
-            self.candidates = itertools.chain([self.dispatch.endpoint], self.candidates)
-        for endpoint in self.candidates:
+            endpoint = self.dispatch.endpoint
+        else:
+            endpoint = await self.next_endpoint()
+        while endpoint is not None:
             self.dispatch = Dispatch(self.env, self.call, endpoint, self.relay)
-            try:
-                await self.dispatch.learn()
-            except ConnectionLost:
-                continue
-            self.attempt = self.dispatch.new_attempt()
-            return self.flow.on_attempt(self.attempt)
+            if await self.learned():
+                self.attempt = self.dispatch.new_attempt()
+                return self.flow.on_attempt(self.attempt)
+            endpoint = await self.next_endpoint()
         return self.flow.on_attempt(None)
 
+    async def next_endpoint(self) -> Endpoint | None:
+        """Return the next endpoint to try, None when there is none."""
+        self.tried += 1
+        if self.tried > defaults.MAX_HANDOVERS:
+            return None
+        return await suspicion.next_endpoint(self.env, self.call)
+
+    async def learned(self) -> bool:
+        """Tell whether the sidecar's incarnation and clock are known."""
+        try:
+            await self.dispatch.learn()
+        except ConnectionLost:
+            return False
+        return True
+
     async def settle(self) -> Step:
         """Commit the flow's change."""
         claim = await self.env.claims.settle(self.flow.change, self.call.deadline)
@@ -118,6 +133,7 @@
         """Tell the flow how an attempt ended. Only a sidecar's frame has an incarnation."""
         if failed is None:
             return self.flow.on_answer()
+        suspicion.note_failure(self.call, failed.kind, Ran(failed.ran))
         final = bool(failed.incarnation)
         return self.flow.on_end(Ended(Kind(failed.kind), Ran(failed.ran), failed.detail, final))
 
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -197,3 +197,22 @@
             assert all(sum(pair) == 1 for pair in zip(*known, strict=True))
 
     run(main)
+
+
+def test_guarded_request_that_crashed_its_endpoint_is_not_run_again():
+    async def main():
+        async with World(engines=0, services=2) as world:
+            seen = []
+
+            async def crash(exchange):
+                seen.append(await exchange.body())
+                await exchange.channel.abort()
+                exchange.closing = True
+
+            for service in world.services:
+                service.server.handler = crash
+            answers = [await world.post(PATH, b"1", KEY) for _ in range(3)]
+            assert {problem(answer)[2] for answer in answers} == {"unknown"}
+            assert len(seen) == 1
+
+    run(main)
--- /dev/null
+++ b/tests/test_spec_conformance.py
@@ -0,0 +1,197 @@
+import random
+
+from hickorylever.bench.actors import Sidecar
+from hickorylever.bench.world import World
+from spec.claims import Flight, Side, State, claims
+
+WALKS = 600
+
+
+class Places:
+    """Stands in for the world's generator: each call's attempt goes to its own sidecar."""
+
+    place = 0
+
+    def choice(self, entries):
+        return entries[self.place]
+
+
+class Real:
+    """The real decisions with two routers, two sidecars and one key."""
+
+    def __init__(self):
+        self.places = Places()
+        self.world = World(self.places, routers=2, endpoints=2)
+        for router in self.world.routers:
+            for sidecar in self.world.sidecars:
+                self.world.learn(router, sidecar)
+        self.incarnations = [sidecar.table.incarnation for sidecar in self.world.sidecars]
+        self.calls = [None, None]
+        self.own = ["", ""]
+
+    def submit(self, n):
+        self.places.place = n
+        self.calls[n] = call = self.world.submit(self.world.routers[n], b"k", True)
+        self.own[n] = call.proposal.id
+        call.proposals = 4  # no endpoint is left after this one
+
+    def land_late(self, n, base):
+        """Land every late write with this base; the model takes equal ones for one."""
+        router = self.world.routers[n]
+        for flight in list(self.world.writes):
+            late = flight.router is router and flight is not router.flight
+            if late and flight.write.base == base:
+                self.world.land(flight, False)
+
+    def land(self, n, late):
+        if late:
+            self.land_late(n, int(late[-1]))
+        else:
+            self.world.land(self.world.routers[n].flight, False)
+
+    def claims_unavailable(self, n):
+        router = self.world.routers[n]
+        waiting, router.waiting = router.waiting, []
+        self.world.refuse_claims(waiting)
+
+    def ask(self, n):
+        call = self.calls[n]
+        if not self.messages("ask", call):
+            self.world.ask(call)
+        self.world.deliver(self.messages("ask", call)[0])
+        self.replies(call)
+
+    def messages(self, kind, call):
+        return [
+            message
+            for message in self.world.messages
+            if (message.kind, message.call) == (kind, call)
+            and message.connection == call.connection
+        ]
+
+    def replies(self, call):
+        for message in self.messages("reply", call):
+            self.world.deliver(message)
+
+    def hand_over(self, n):
+        return next(
+            message
+            for message in self.world.messages
+            if message.kind == "hand_over" and message.attempt.id == self.own[n]
+        )
+
+    def deliver_hand_over(self, n):
+        message = self.hand_over(n)
+        self.world.deliver(message)
+        if self.own[n] in self.world.sidecars[n].live:
+            self.run(n)
+        self.replies(message.call)
+
+    def run(self, n):
+        self.world.run(self.world.sidecars[n], self.own[n])
+
+    def take(self, label):
+        """Take the action of the model with this label."""
+        name, number, *late = label.split()
+        n = int(number) - 1
+        world = self.world
+        actions = {
+            "begin_write": lambda: world.begin_write(world.routers[n]),
+            "land": lambda: self.land(n, late),
+            "lose_reply": lambda: world.land(world.routers[n].flight, True),
+            "time_out": lambda: world.time_out(world.routers[n]),
+            "give_up": lambda: world.give_up(self.calls[n]),
+            "lose": lambda: world.lose(self.hand_over(n)),
+            "finish": lambda: self.run(n),
+            "crash": lambda: world.crash(world.sidecars[n], self.own[n]),
+            "restart_sidecar": lambda: world.restart_sidecar(world.sidecars[n]),
+        }
+        if name in actions:
+            actions[name]()
+        else:
+            getattr(self, name)(n)
+
+    def number(self, attempt):
+        return self.own.index(attempt) + 1 if attempt in self.own and attempt else 0
+
+    def entry(self, n, sidecar: Sidecar):
+        if sidecar.table.incarnation != self.incarnations[n]:
+            return "gone"
+        entry = sidecar.table.entries.get(self.own[n])
+        return entry.state.value if entry else ""
+
+    def force(self, claim):
+        return self.number(claim.attempt) if claim else 0
+
+    def side(self, n):
+        world, router, call = self.world, self.world.routers[n], self.calls[n]
+        shard = router.shard
+        known = (shard.version, self.force(shard.table.get(b"k"))) if shard.known() else None
+        sent = any(m.kind == "hand_over" and m.attempt.id == self.own[n] for m in world.messages)
+        fields = {"known": known, "sent": sent, "entry": self.entry(n, world.sidecars[n])}
+        fields["ran"] = self.own[n] in world.executed
+        if call is None:
+            return Side(**fields)
+        phase = "following"
+        if call.told is not None:
+            phase = call.told.value
+        elif call in router.waiting:
+            phase = "waiting"
+        elif router.flight is not None:
+            phase = "writing"
+        following = phase == "following"
+        target = self.number(call.flow.current.attempt) if following else 0
+        expected = (
+            0 if phase in ("no", "yes", "unknown") else self.number(call.flow.change.expected)
+        )
+        return Side(phase=phase, expected=expected, target=target, **fields)
+
+    def state(self):
+        store = self.world.store
+        flights = frozenset(
+            Flight(self.world.routers.index(f.router) + 1, f.write.base, f.router.flight is f)
+            for f in self.world.writes
+        )
+        sides = (self.side(0), self.side(1))
+        force = self.force(store.head.claims[-1]) if store.head.claims else 0
+        return State(sides, store.version, force, flights)
+
+
+def comparable(state):
+    """Leave out the model's budget of questions, and what is over."""
+    sides = []
+    for side in state.sides:
+        side = side._replace(questions=0)
+        if side.phase != "following":
+            side = side._replace(target=0)
+        if side.phase in ("no", "yes", "unknown"):
+            side = side._replace(expected=0)
+        sides.append(side)
+    return state._replace(sides=tuple(sides))
+
+
+def test_real_decisions_follow_the_model():
+    chance = random.Random(5)
+    transitions = claims().transitions
+    taken = set()
+    for _ in range(WALKS):
+        real, state = Real(), State()
+        for _ in range(chance.randrange(6, 30)):
+            moves = transitions(tuple(state))
+            if not moves:
+                break
+            label, following = chance.choice(moves)
+            state = State(*following)
+            real.take(label)
+            taken.add(label.split()[0])
+            assert comparable(real.state()) == comparable(state), label
+        assert not real.world.violations
+    assert taken >= {
+        "land",
+        "lose_reply",
+        "time_out",
+        "ask",
+        "deliver_hand_over",
+        "finish",
+        "crash",
+    }
