Outlast garbage from the object API; measure compiling

Cause: an answer that could not be decoded ended the task that follows the configuration, and a pull that failed in an unforeseen way would have blocked every later one. Change: such answers count as failures of the source; pulls go on after any error.

--- a/src/hickorylever/bench/configuration.py
+++ b/src/hickorylever/bench/configuration.py
@@ -4,15 +4,17 @@
 import hashlib
 import random
 import statistics
+import tempfile
 import time
 import zlib
 from collections.abc import Callable
+from pathlib import Path
 
 import msgspec
 
 from .. import defaults
 from ..environment import Environment
-from ..fleet import heads
+from ..fleet import compile_fleet, heads
 from ..fleet.audit import pack_bucket
 from ..fleet.content import Content, encode
 from ..fleet.deltas import Answer, Ask
@@ -95,6 +97,34 @@
     return dataclasses.replace(fleet, client_accounts=tuple(accounts))
 
 
+def write_directory(fleet: Fleet, directory: Path) -> None:
+    """Write a fleet directory that compiles to a configuration of the same size."""
+    vms = [f"{v.name},{v.address},{v.region},{v.failure_domain},{v.role}" for v in fleet.vms]
+    servers = [f"{e.name},{e.vm},{e.port},pool,{e.models[0]},8" for e in fleet.endpoints]
+    accounts = [f"{a.name},{a.key_digests[0]}" for a in fleet.client_accounts]
+    files = {
+        "vms.csv": ["vm,address,region,failure_domain,role", *vms],
+        "model_servers.csv": ["server,vm,port,application,models,accelerators", *servers],
+        "applications.csv": ["application,kind,path,vms,port", "pool,model,,,"],
+        "client_accounts.csv": ["client_account,key_sha256", *accounts],
+        "rules.toml": [
+            f"[[allow]]\nclient_accounts = {[a.name]}\nmodels = {list(a.models)}"
+            for a in fleet.client_accounts
+        ],
+    }
+    for name, lines in files.items():
+        (directory / name).write_text("\n".join(lines) + "\n", encoding="utf-8")
+
+
+def compile_row(fleet: Fleet) -> dict:
+    """Return how long a fleet directory with one rule for each account takes to compile."""
+    with tempfile.TemporaryDirectory() as name:
+        write_directory(fleet, Path(name))
+        seconds, compiled = timed(compile_fleet, name)
+    assert len(compiled.client_accounts) == len(fleet.client_accounts)
+    return {"compile ms": 1000 * seconds, "rules": len(fleet.client_accounts)}
+
+
 def timed(call: Callable, *arguments: object) -> tuple[float, object]:
     """Return the seconds that a call took, and its result."""
     begun = time.perf_counter()
@@ -184,6 +214,7 @@
             "encode ms": 1000 * seconds,
         }
     )
+    report.rows.append(compile_row(fleet))
     node = Node(fleet)
     whole = node.env.desk.answer(node.env.revisions, content, Ask())
     full = len(msgspec.msgpack.encode(whole))
--- a/src/hickorylever/configuration.py
+++ b/src/hickorylever/configuration.py
@@ -1,6 +1,8 @@
 """Follows the configuration: start-up, watching the object API, and pulls from peers."""
 
 import curio
+import h11
+import msgspec
 
 from . import defaults, offers
 from .decisions.revisions import PLATFORM, Offer, Pull, Start, Verdict, watchers
@@ -12,7 +14,14 @@
 from .fleet.heads import Head
 from .records import Member, MemberState
 
-FAILURES = (PlatformError, ConnectionLost, ContentError)
+FAILURES = (
+    PlatformError,
+    ConnectionLost,
+    ContentError,
+    h11.ProtocolError,
+    msgspec.MsgspecError,
+    ValueError,
+)
 
 
 def attach(env: Environment) -> None:
@@ -169,8 +178,11 @@
         source = actions[0].source
         try:
             await pull(env, source)
-        finally:
-            actions = env.revisions.on_pull_ended(source)
+        except curio.CancelledError:
+            raise
+        except Exception as error:  # A pull that fails in any way must not stop later ones.
+            env.timer_failed("pull", error)
+        actions = env.revisions.on_pull_ended(source)
 
 
 async def pull(env: Environment, source: str) -> None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -275,3 +275,23 @@
             await nodes.reached(1, "fresh")
 
     run(main)
+
+
+GARBAGE = [{"kind": 1}, {"kind": "k", "name": "n", "version": 1, "value": "%"}, None]
+
+
+@pytest.mark.parametrize("answer", GARBAGE)
+def test_nodes_outlast_garbage_from_the_platform(answer):
+    async def main():
+        async with Nodes() as nodes:
+            wire = nodes.objects.wire
+            await nodes.node("one")
+            await nodes.apply(fleet("a"))
+            await nodes.reached(1, "one")
+            nodes.objects.wire = lambda *words: answer
+            await curio.sleep(2 * defaults.PLATFORM_RETRY)
+            nodes.objects.wire = wire
+            await nodes.apply(fleet("b"))
+            await nodes.reached(2, "one")
+
+    run(main)
