Orders carry adapters and the engine's role; the control bench measures datagrams

Cause: the inventory now has adapters and a role for model servers, and orders named only models. Change: one assignment (models, version, adapters, role) is compared, ordered and reported.

--- a/src/hickorylever/bench/control.py
+++ b/src/hickorylever/bench/control.py
@@ -7,10 +7,10 @@
 import tracemalloc
 from collections.abc import Callable
 
-from .. import defaults
+from .. import defaults, packets
 from ..decisions.revisions import watchers
 from ..decisions.swim import Swim
-from ..packets import Health, Phase, Update
+from ..packets import Health, News, Packet, PacketKind, Phase, Update
 from ..records import Member, MemberState
 from . import Report, benches
 from .driver import Driver
@@ -30,6 +30,7 @@
 KILLS = 1
 KILL_WAIT = 16.0
 STEP = 0.1
+CODEC_RUNS = 2000
 
 TODAY_BYTES = 4 * 1024
 TARGET_BYTES = 28 * 1024
@@ -38,6 +39,7 @@
 TARGET_IN_FORCE = 3.0
 TARGET_DRAIN = 2.0
 FLAT = 1.5
+DATAGRAM_LIMIT = 1280
 
 
 def percentile(values: list[float], share: float) -> float:
@@ -165,6 +167,26 @@
     return lambda node: not node.swim.members.usable(member, mesh.driver.now)
 
 
+def datagrams(report: Report) -> None:
+    """Measure size and processor time of the usual datagrams, encoded and decoded once."""
+    update = Update(2**63, 2**41, 12, Phase.READY, Health.ALIVE)
+    load = News(2**63, "load", 2**60, ("malthjonn-1", 12345.0, 12, 8))
+    kinds = {
+        "ping": Packet(PacketKind.PING, 2**63, 70000, updates=[update]),
+        "ack": Packet(PacketKind.ACK, 2**63, 70000, 2**63),
+        "load": Packet(PacketKind.GOSSIP, 2**63, news=[load]),
+        "40 updates": Packet(PacketKind.UPDATES, 2**63, updates=[update] * 40),
+    }
+    for name, packet in kinds.items():
+        begun = time.perf_counter()
+        for _ in range(CODEC_RUNS):
+            packets.decode(packets.encode(packet))
+        micros = (time.perf_counter() - begun) / CODEC_RUNS * 1e6
+        size = len(packets.encode(packet)) + defaults.DATAGRAM_OVERHEAD
+        report.rows.append({"datagram": name, "B with headers": size, "codec us": micros})
+        report.expect(size <= DATAGRAM_LIMIT, f"{name}: fits a datagram")
+
+
 def is_gone(member: int) -> Callable[[Node], bool]:
     """Return a test whether a router takes a member as gone."""
     return lambda node: node.swim.members.state(member) is MemberState.GONE
@@ -204,6 +226,7 @@
 def run(seed: int, quick: bool) -> Report:
     """Run every experiment at every size."""
     report = Report()
+    datagrams(report)
     sizes = QUICK_SIZES if quick else SIZES
     rows = [traffic(report, size, seed) for size in sizes]
     for size in sizes:
--- a/src/hickorylever/controllers/placement.py
+++ b/src/hickorylever/controllers/placement.py
@@ -1,4 +1,4 @@
-"""Orders endpoints to load models, versions and adapters as the inventory has them."""
+"""Orders endpoints to load models, versions, adapters and roles as the inventory has them."""
 
 import curio
 import msgspec
@@ -55,7 +55,7 @@
             self.loaded.pop(endpoint.name, None)
         else:
             state = LoadState(report.state)
-            self.loaded[endpoint.name] = Loaded(state, tuple(report.models), report.version)
+            self.loaded[endpoint.name] = Loaded(state, report.assignment)
 
     async def give(self, endpoint: Endpoint, order: Order) -> None:
         """Give one order while the lease is held."""
--- a/src/hickorylever/decisions/placement.py
+++ b/src/hickorylever/decisions/placement.py
@@ -18,15 +18,24 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Loaded:
-    """What an endpoint has loaded.
+class Assignment:
+    """What a model engine holds or is to hold.
 
-    :param models: names of models and adapters.
+    :param role: ``mixed``, ``prefill`` or ``decode``.
     """
 
-    state: LoadState
     models: tuple[str, ...] = ()
     version: str = ""
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """What an endpoint has loaded, and whether that is ready."""
+
+    state: LoadState
+    assignment: Assignment = Assignment()
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,17 +46,20 @@
     """
 
     endpoint: str
-    models: tuple[str, ...]
-    version: str
+    assignment: Assignment
     number: int
 
 
+def wanted(endpoint: Endpoint) -> Assignment:
+    """Return what the inventory says that an endpoint holds."""
+    return Assignment(endpoint.models, endpoint.version, endpoint.adapters, endpoint.engine_role)
+
+
 def right(endpoint: Endpoint, loaded: Loaded) -> bool:
     """Tell whether an endpoint needs no order."""
     if loaded.state is LoadState.FIXED:
         return True
-    wanted = (endpoint.models, endpoint.version)
-    return loaded.state is LoadState.READY and (loaded.models, loaded.version) == wanted
+    return loaded.state is LoadState.READY and loaded.assignment == wanted(endpoint)
 
 
 def copies(
@@ -62,7 +74,7 @@
         if known.state is LoadState.FIXED:
             models = endpoint.models
         else:
-            models = known.models if known.state is LoadState.READY else ()
+            models = known.assignment.models if known.state is LoadState.READY else ()
         for model in models:
             result.setdefault(model, set()).add(endpoint.name)
     return result
@@ -72,7 +84,7 @@
     """Tell whether an endpoint is the only one that has a model ready which it would drop."""
     if known.state is not LoadState.READY:
         return False
-    return any(ready.get(model) == {endpoint.name} for model in known.models)
+    return any(ready.get(model) == {endpoint.name} for model in known.assignment.models)
 
 
 def plan(
@@ -116,7 +128,7 @@
         known = loaded[endpoint.name]
         if last_copy(endpoint, known, ready):
             continue
-        orders.append(Order(endpoint.name, endpoint.models, endpoint.version, number))
-        for model in known.models:
+        orders.append(Order(endpoint.name, wanted(endpoint), number))
+        for model in known.assignment.models:
             ready.get(model, set()).discard(endpoint.name)
     return orders
--- a/src/hickorylever/orders.py
+++ b/src/hickorylever/orders.py
@@ -5,7 +5,7 @@
 
 from . import defaults
 from .decisions.leases import Gate, LeaseRecord, Verdict
-from .decisions.placement import Loaded, LoadState, Order
+from .decisions.placement import Assignment, Loaded, LoadState, Order
 from .events import Event, log
 from .exceptions import ConnectionLost, Kind, PlatformError, RequestError
 from .http import Exchange
@@ -24,8 +24,7 @@
     """
 
     state: str
-    models: list[str] = []
-    version: str = ""
+    assignment: Assignment = Assignment()
     verdict: str = ""
     number: int = 0
 
@@ -34,15 +33,13 @@
     """What an engine that takes orders says of itself."""
 
     state: str
-    models: list[str] = []
-    version: str = ""
+    assignment: Assignment = Assignment()
 
 
 class EngineOrder(msgspec.Struct, frozen=True):
     """What an engine is ordered to load; some check the fencing number."""
 
-    models: tuple[str, ...]
-    version: str
+    assignment: Assignment
     number: int
 
 
@@ -89,9 +86,8 @@
 
     def report(self, verdict: str = "") -> OrderReport:
         """Return what is loaded."""
-        known = self.loaded
         number = self.gate.number or 0
-        return OrderReport(known.state, list(known.models), known.version, verdict, number)
+        return OrderReport(self.loaded.state, self.loaded.assignment, verdict, number)
 
     async def take(self, body: bytes) -> Verdict:
         """Check an order and pass it to the engine.
@@ -114,7 +110,7 @@
     async def pass_on(self) -> None:
         """Give the last order to the engine; :meth:`check` repeats it if that fails."""
         order = self.order
-        body = msgspec.json.encode(EngineOrder(order.models, order.version, order.number))
+        body = msgspec.json.encode(EngineOrder(order.assignment, order.number))
         self.loaded = Loaded(LoadState.LOADING)
         try:
             async with curio.timeout_after(defaults.ORDER_TIMEOUT):
@@ -139,7 +135,7 @@
         order, known = self.order, self.loaded
         if order is None or known.state not in (LoadState.READY, LoadState.EMPTY):
             return False
-        return (known.models, known.version) != (order.models, order.version)
+        return known.assignment != order.assignment
 
     async def ask_engine(self) -> Loaded:
         """Return what the engine has loaded; engines without the page take no orders."""
@@ -152,13 +148,13 @@
             return Loaded(LoadState.FIXED)
         try:
             state = msgspec.json.decode(data, type=EngineState)
-            return Loaded(LoadState(state.state), tuple(state.models), state.version)
+            return Loaded(LoadState(state.state), state.assignment)
         except (msgspec.DecodeError, ValueError):
             return Loaded(LoadState.FIXED)
 
     async def warm_up(self, loaded: Loaded) -> None:
         """Let the engine run one token on each model before it takes traffic."""
-        for model in loaded.models:
+        for model in loaded.assignment.models:
             message = {"role": "user", "content": "warm-up"}
             body = msgspec.json.encode({"model": model, "messages": [message], "max_tokens": 1})
             try:
@@ -179,4 +175,6 @@
         endpoint = self.endpoint()
         if endpoint is None or self.loaded.state is not LoadState.READY:
             return False
-        return self.loaded == self.warmed and set(endpoint.models) <= set(self.loaded.models)
+        return self.loaded == self.warmed and set(endpoint.models) <= set(
+            self.loaded.assignment.models
+        )
--- a/src/hickorylever/standins/orders.py
+++ b/src/hickorylever/standins/orders.py
@@ -3,25 +3,30 @@
 import curio
 import msgspec
 
+from ..decisions.placement import Assignment
 from ..exceptions import Kind, RequestError
 from ..http import Exchange
 from ..node import respond_json
 from ..orders import EngineOrder, EngineState
 
 
+NOTHING = Assignment()
+
+
 class Loader:
     """Answers ``/orders``.
 
     :param checks: refuses an order with a fencing number lower than one it has seen.
     :param seconds: how long loading takes.
+    :param held: what is loaded from the start.
     """
 
-    def __init__(self, checks: bool, seconds: float, models: tuple[str, ...] = ()):
+    def __init__(self, checks: bool, seconds: float, held: Assignment = NOTHING):
         self.checks = checks
         self.seconds = seconds
         self.number = 0
         self.taken: list[EngineOrder] = []
-        self.state = EngineState("ready" if models else "empty", list(models))
+        self.state = EngineState("ready" if held.models else "empty", held)
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer what is loaded, or take an order."""
@@ -44,4 +49,4 @@
     async def load(self, order: EngineOrder) -> None:
         """Finish loading after a while."""
         await curio.sleep(self.seconds)
-        self.state = EngineState("ready", list(order.models), order.version)
+        self.state = EngineState("ready", order.assignment)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,18 +6,18 @@
 from hickorylever.controllers.leases import Keeper
 from hickorylever.controllers.placement import Placement
 from hickorylever.decisions.leases import Verdict
-from hickorylever.decisions.placement import LoadState, Order
+from hickorylever.decisions.placement import Assignment, LoadState, Order
 from hickorylever.orders import EngineOrder
 from hickorylever.standins.orders import Loader
 
 
 def order(number, version="1", models=(MODEL,)):
-    return msgspec.json.encode(Order("engine-0", models, version, number))
+    return msgspec.json.encode(Order("engine-0", Assignment(models, version), number))
 
 
 async def ready_world(world, checks=False, models=(MODEL,)):
     engine = world.engines[0]
-    engine.loader = Loader(checks, 0.0, models)
+    engine.loader = Loader(checks, 0.0, Assignment(models))
     orders = world.sidecars["engine-0"].orders
     await orders.read_number()
     return engine, orders
@@ -30,7 +30,7 @@
             engine, orders = await ready_world(world, checks)
             assert await orders.take(order(3, "new")) is Verdict.OBEY
             assert await orders.take(order(2, "old")) is Verdict.OLDER
-            assert [taken.version for taken in engine.loader.taken] == ["new"]
+            assert [taken.assignment.version for taken in engine.loader.taken] == ["new"]
 
     run(main)
 
@@ -57,12 +57,12 @@
         async with World(engines=1) as world:
             engine, orders = await ready_world(world)
             await orders.take(order(3, "new"))
-            await engine.loader.take(EngineOrder((MODEL,), "old", 2))
+            await engine.loader.take(EngineOrder(Assignment((MODEL,), "old"), 2))
             await curio.sleep(0.02)
-            assert engine.loader.state.version == "old"
+            assert engine.loader.state.assignment.version == "old"
             await orders.check()
             await curio.sleep(0.02)
-            assert engine.loader.state.version == "new"
+            assert engine.loader.state.assignment.version == "new"
 
     run(main)
 
@@ -106,7 +106,7 @@
             await keeper.step()
             assert await keeper.step()
             await placement.run(keeper.lease.record.number)
-            assert [taken.models for taken in engine.loader.taken] == [(MODEL,)]
+            assert [taken.assignment.models for taken in engine.loader.taken] == [(MODEL,)]
             assert placement.loaded["engine-1"].state is LoadState.FIXED
 
     run(main)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,6 +1,6 @@
 import pytest
 
-from hickorylever.decisions.placement import Loaded, LoadState, plan
+from hickorylever.decisions.placement import Assignment, Loaded, LoadState, plan
 from hickorylever.records import Endpoint
 
 
@@ -8,8 +8,8 @@
     return Endpoint(name, f"vm-{name}", "", 0, 0, "pool", "r", "d", models=models, version=version)
 
 
-OLD = Loaded(LoadState.READY, ("m",), "1")
-NEW = Loaded(LoadState.READY, ("m",), "2")
+OLD = Loaded(LoadState.READY, Assignment(("m",), "1"))
+NEW = Loaded(LoadState.READY, Assignment(("m",), "2"))
 EMPTY = Loaded(LoadState.EMPTY)
 LOADING = Loaded(LoadState.LOADING)
 FIXED = Loaded(LoadState.FIXED)
@@ -31,7 +31,7 @@
     endpoints = tuple(endpoint(name) for name in "abc")
     orders = plan(endpoints, loaded, set(usable), {}, 9, at_once)
     assert "".join(order.endpoint for order in orders) == ordered
-    assert all(order.number == 9 and order.version == "2" for order in orders)
+    assert all(order.number == 9 and order.assignment.version == "2" for order in orders)
 
 
 def test_the_model_with_most_demand_for_a_copy_comes_first():
@@ -41,6 +41,15 @@
     assert order.endpoint == "b"
 
 
+def test_adapters_and_role_are_ordered_too():
+    wanted = Endpoint(
+        "a", "v", "", 0, 0, "p", "r", "d", models=("m",), adapters=("x",), engine_role="decode"
+    )
+    loaded = {"a": Loaded(LoadState.READY, Assignment(("m",))), "b": NEW}
+    (order,) = plan((wanted, endpoint("b")), loaded, {"a", "b"}, {}, 1)
+    assert order.assignment == Assignment(("m",), "", ("x",), "decode")
+
+
 def test_a_whole_roll_out_never_takes_the_last_copy():
     endpoints = tuple(endpoint(name) for name in "abcde")
     loaded = dict.fromkeys("abcde", OLD)
