Probes carry the revision in force; topics get a module of their own

A value of the wrong type in a datagram ended the receiving task.

Values of the wrong type count as malformed.

--- a/src/hickorylever/bench/mesh.py
+++ b/src/hickorylever/bench/mesh.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 
 from .. import defaults
-from ..decisions.swim import Group, Send, Swim
+from ..decisions.swim import Send, Swim
+from ..decisions.topics import Group
 from ..packets import Phase, identify
 from .driver import Driver
 
--- a/src/hickorylever/decisions/swim.py
+++ b/src/hickorylever/decisions/swim.py
@@ -4,7 +4,6 @@
 """
 
 import collections
-import enum
 import math
 import random
 from dataclasses import dataclass
@@ -14,34 +13,8 @@
 from .members import Members
 from .probes import Probes
 from .rumours import Budget, Rumours
+from .topics import Group, Spread, spread_of, value_of
 
-
-class Spread(enum.Enum):
-    """How a topic travels."""
-
-    SAMPLE = "sample"  # from its origin to random members of its groups, every second
-    RUMOUR = "rumour"  # passed on by everyone, the latest value of each origin
-    REACHED = "reached"  # told by each member that has reached the value itself
-
-
-@dataclass(frozen=True, slots=True)
-class Topic:
-    """How a topic is sent.
-
-    :param value: topics of a higher value are sent first and dropped last.
-    """
-
-    spread: Spread
-    value: int
-
-
-TOPICS = {
-    "revision": Topic(Spread.REACHED, 4),
-    "suspect": Topic(Spread.RUMOUR, 2),
-    "use": Topic(Spread.SAMPLE, 1),
-    "load": Topic(Spread.SAMPLE, 0),
-}
-OTHER_TOPIC = Topic(Spread.SAMPLE, 0)
 UPDATE_VALUE = 3
 
 
@@ -54,14 +27,6 @@
     kind: str
 
 
-@dataclass(frozen=True, slots=True)
-class Group:
-    """Members that a sampled topic goes to, `count` of them every second."""
-
-    members: tuple[int, ...]
-    count: int
-
-
 class Swim:
     """The whole state of one member's gossip.
 
@@ -114,7 +79,7 @@
         """Tell others this member's latest value of a topic."""
         self.version += 1
         news = News(self.me, topic, self.version, value)
-        spread = TOPICS.get(topic, OTHER_TOPIC).spread
+        spread = spread_of(topic)
         if spread is Spread.REACHED and topic in self.mine and value <= self.mine[topic].value:
             return
         self.mine[topic] = news
@@ -127,16 +92,15 @@
         if news.version <= self.seen.get(key, 0):
             return False
         self.seen[key] = news.version
-        reached = TOPICS.get(news.topic, OTHER_TOPIC).spread is Spread.REACHED
+        reached = spread_of(news.topic) is Spread.REACHED
         return (
             not reached or news.topic not in self.mine or news.value > self.mine[news.topic].value
         )
 
     def pass_on(self, news: News) -> None:
         """Queue an item for others."""
-        topic = TOPICS.get(news.topic, OTHER_TOPIC)
         key = (news.topic, news.origin)
-        self.rumours.add(key, news, len(packets.encode(news)), topic.value)
+        self.rumours.add(key, news, len(packets.encode(news)), value_of(news.topic))
 
     def queue_updates(self) -> None:
         """Queue changed members for others."""
@@ -155,8 +119,14 @@
         if first is not None and first not in updates:
             updates.insert(0, first)
         news = [item for item in items if isinstance(item, News)]
+        if kind in (PacketKind.PING, PacketKind.ACK):
+            news += [item for item in self.reached() if item not in news]
         return Packet(kind, self.me, updates=updates, news=news, **more)
 
+    def reached(self) -> list[News]:
+        """Return the values that this member has reached; probes carry them for laggards."""
+        return [news for topic, news in self.mine.items() if spread_of(topic) is Spread.REACHED]
+
     def send(self, target: int, packet: Packet) -> Send:
         """Return a datagram that must go out; it is charged to the budget."""
         send = Send(target, packets.encode(packet), packet.kind.name.lower())
@@ -256,13 +226,11 @@
             return []
         self.sample_due = now + defaults.SAMPLE_INTERVAL
         sends = []
-        sampled = [
-            name for name in self.mine if TOPICS.get(name, OTHER_TOPIC).spread is Spread.SAMPLE
-        ]
-        order = sorted(sampled, key=lambda name: -TOPICS.get(name, OTHER_TOPIC).value)
+        sampled = [name for name in self.mine if spread_of(name) is Spread.SAMPLE]
+        order = sorted(sampled, key=lambda name: -value_of(name))
         for name in order:
             packet = Packet(PacketKind.GOSSIP, self.me, news=[self.mine[name]])
-            low = TOPICS.get(name, OTHER_TOPIC).value == 0
+            low = value_of(name) == 0
             reserve = defaults.CONTROL_RESERVE * (2 if low else 1)
             for group in self.groups.get(name, ()):
                 chosen = self.chance.sample(group.members, min(group.count, len(group.members)))
@@ -320,7 +288,7 @@
         if news.origin == self.me or not self.is_news(news):
             return
         self.inbox.append(news)
-        if TOPICS.get(news.topic, OTHER_TOPIC).spread is Spread.RUMOUR:
+        if spread_of(news.topic) is Spread.RUMOUR:
             self.pass_on(news)
 
     def correction(self, packet: Packet) -> Update | None:
--- a/src/hickorylever/gossip.py
+++ b/src/hickorylever/gossip.py
@@ -9,7 +9,8 @@
 
 from . import admission, configuration, defaults, limits, suspicion
 from .decisions.members import Listed
-from .decisions.swim import Group, Send, Swim
+from .decisions.swim import Send, Swim
+from .decisions.topics import Group
 from .events import Event, log
 from .exceptions import Kind
 from .packets import PacketKind, Phase, Update, identify
@@ -20,6 +21,7 @@
 Handler = Callable[..., Awaitable[None]]
 topics: Registry[Handler] = Registry("topic")
 
+MALFORMED = (msgspec.DecodeError, TypeError, ValueError)
 ROLES = {"entry": "router", "endpoint": "sidecar"}
 
 
@@ -125,7 +127,7 @@
             data, place = await self.sock.recvfrom(2 * defaults.DATAGRAM_BYTES)
             try:
                 sends = self.swim.receive(data, self.env.clock())
-            except msgspec.DecodeError:
+            except MALFORMED:
                 self.count("malformed", "received", "", len(data))
                 continue
             self.note_place(data, place)
--- a/src/hickorylever/standins/orders.py
+++ b/src/hickorylever/standins/orders.py
@@ -9,7 +9,6 @@
 from ..node import respond_json
 from ..orders import EngineOrder, EngineState
 
-
 NOTHING = Assignment()
 
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -3,9 +3,9 @@
 from curio import socket
 from harness import HOST, World, run
 
-from hickorylever import gossip
+from hickorylever import gossip, packets
 from hickorylever.exceptions import Kind
-from hickorylever.packets import Phase, identify
+from hickorylever.packets import News, Packet, PacketKind, Phase, identify
 from hickorylever.readiness import Readiness
 from hickorylever.records import VM, MemberState
 from hickorylever.standins.engine import Engine
@@ -102,12 +102,19 @@
         async with Talk() as world:
             env = world.routers[0].env
             sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            for data in (b"", b"\xc1", b"\x97" + b"\x00" * 9, b"x" * 5000):
+            teller = identify("vm-engine-0")
+            wrong = [News(teller, "revision", 2**62, "high"), News(teller, "load", 2**62, 7)]
+            strange = packets.encode(Packet(PacketKind.GOSSIP, teller, news=wrong[:1]))
+            unread = packets.encode(Packet(PacketKind.GOSSIP, teller, news=wrong[1:]))
+            malformed = (b"", b"\xc1", b"\x97" + b"\x00" * 9, b"x" * 5000, strange, unread)
+            for data in malformed:
                 await sock.sendto(data, env.gossip.sock.getsockname())
             await world.until(lambda: b'kind="malformed"' in env.metrics.render())
             text = env.metrics.render().decode()
             assert 'direction="sent",kind="ping",peer="sidecar"' in text
             assert world.knows(env)
+            world.sidecars["engine-1"].attempts.work = 5.0
+            await world.until(lambda: "engine-1" in env.loads.reports)
 
     run(main)
 
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -7,7 +7,8 @@
 from hickorylever.bench.driver import Driver
 from hickorylever.bench.mesh import Links, Mesh
 from hickorylever.decisions.rumours import Budget
-from hickorylever.decisions.swim import Group, Swim
+from hickorylever.decisions.swim import Swim
+from hickorylever.decisions.topics import Group
 from hickorylever.packets import Health, Packet, PacketKind, Phase, Update
 from hickorylever.records import MemberState
 
@@ -100,6 +101,20 @@
     assert {node.revision for node in world.live()} == {9}
 
 
+def test_a_member_that_no_rumour_reached_learns_the_revision_from_probes():
+    world = mesh()
+    laggard = world.nodes[world.ids[4]]
+    laggard.side = 1
+    world.reach(world.nodes[world.ids[0]], 5)
+    world.driver.run(2.9)
+    assert laggard.revision == 0
+    for node in world.live():
+        node.swim.rumours.queue.clear()
+    laggard.side = 0
+    world.driver.run(6.0)
+    assert laggard.revision == 5
+
+
 def test_low_value_topics_are_dropped_first_when_the_budget_is_short():
     swim = Swim(1, 1, random.Random(1))
     swim.members.set_inventory([2])
