Take a gateway's failure of a write as a lost reply; list live attempts without a scan

Cause: any 5xx to a write counted as not taken effect, but a 500, 502 or 504 can come after it did; each admission scanned every kept answer (30 s of them); curio's warnings went to standard error outside the log format; demo nodes had no peers and could not start in an outage. Change: only 429 and 503 say that a write had no effect; the sidecar keeps its live attempts; curio logs errors only, in the set format; demo settings name the other routers as peers.

--- a/src/hickorylever/demo.py
+++ b/src/hickorylever/demo.py
@@ -58,9 +58,11 @@
     broken: list[str] = dataclasses.field(default_factory=list)
 
 
-def settings_text(vm: VM, platform: str, endpoint: Endpoint | None, grace: float) -> str:
+def settings_text(vm: VM, platform: str, endpoint: Endpoint | None, fleet: Fleet) -> str:
     """Return the settings file of a VM's process."""
     port = endpoint.sidecar_port if endpoint else defaults.ROUTER_PORT
+    routers = [entry for entry in fleet.vms if entry.role == "entry" and entry != vm]
+    peers = [f"{entry.address}:{defaults.ADMIN_PORT}" for entry in routers]
     lines = [
         f'vm = "{vm.name}"',
         f'region = "{vm.region}"',
@@ -69,7 +71,8 @@
         f'address = "{vm.address}"',
         f"port = {port}",
         f"admin_port = {defaults.ADMIN_PORT}",
-        f"drain_grace = {grace}",
+        f"drain_grace = {fleet.drain_grace}",
+        f"peers = {msgspec.json.encode(peers).decode()}",
         'log_level = "warning"',
     ]
     if endpoint:
@@ -105,7 +108,7 @@
         for port in [defaults.ADMIN_PORT, *([endpoint.port] if endpoint else [])]:
             check_free(vm.address, port)
         path = output / f"{vm.name}.toml"
-        path.write_text(settings_text(vm, platform, endpoint, fleet.drain_grace))
+        path.write_text(settings_text(vm, platform, endpoint, fleet))
         if endpoint is None:
             lines.append(f"{vm.name} hickorylever router --settings {path}")
             continue
--- a/src/hickorylever/events.py
+++ b/src/hickorylever/events.py
@@ -103,3 +103,7 @@
     logger.handlers[:] = [handler]
     logger.setLevel(level.upper())
     logger.propagate = False
+    kernel = logging.getLogger("curio")
+    kernel.handlers[:] = [handler]
+    kernel.setLevel(logging.ERROR)
+    kernel.propagate = False
--- a/src/hickorylever/platform.py
+++ b/src/hickorylever/platform.py
@@ -11,6 +11,12 @@
 from .http import Client
 from .metrics import Metrics
 
+WRITES = ("PUT", "DELETE")
+
+# Statuses by which the API itself says that it did not handle a call. Any other failure may come
+# from something in between, after the write took effect.
+REFUSALS = (429, 503)
+
 
 @dataclass(frozen=True, slots=True)
 class Object:
@@ -79,13 +85,15 @@
                 await self.client.release(*peer, channel)
             result = str(answer.status)
         except (ConnectionLost, curio.TaskTimeout) as error:
-            if method in ("PUT", "DELETE"):
+            if method in WRITES:
                 raise LostReply(f"{method} {target}: {error!r}") from None
             raise PlatformError(f"{method} {target}: {error!r}") from None
         finally:
             self.metrics.platform_calls.inc({"verb": verb, "result": result})
         if answer.status >= 500 or answer.status == 429:
-            raise PlatformError(f"{method} {target}: status {answer.status}")
+            writing = method in WRITES and answer.status not in REFUSALS
+            error = LostReply if writing else PlatformError
+            raise error(f"{method} {target}: status {answer.status}")
         return answer.status, content
 
     async def get(self, kind: str, name: str) -> Object:
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -80,6 +80,7 @@
     """Stands before one endpoint.
 
     :param env: the process's environment.
+    :param live: the attempts whose answers are not whole yet.
     """
 
     def __init__(self, env: Environment):
@@ -87,6 +88,7 @@
         self.address, self.port = split_address(env.settings.endpoint)
         self.attempts = Attempts(env.incarnation, defaults.TOMBSTONE_LIFETIME)
         self.running: dict[str, Running] = {}
+        self.live: dict[str, Attempt] = {}
         self.server = Server(self.handle, refuse)
         self.orders = Orders(env, self.address, self.port, self.endpoint)
         self.streams = 0
@@ -153,22 +155,19 @@
         running = Running(handover)
         running.alone = self.env.clock()
         self.running[attempt.id] = running
+        self.live[attempt.id] = attempt
         running.task = await curio.spawn(self.execute, running, daemon=True)
         await self.stream(exchange, running, 0)
 
     def decide(self, attempt: Attempt) -> Refusal | None:
         """Admit an attempt, or return why not. Suspects are looked at first."""
         now = self.env.clock()
-        reason = suspicion.refuse_attempt(self.env, attempt, self.live())
+        reason = suspicion.refuse_attempt(self.env, attempt, list(self.live.values()))
         if reason is None:
             return self.attempts.admit(attempt, self.cap(attempt), now)
         self.attempts.cancel(attempt.id, now, attempt.stamp)
         return Refusal(*reason)
 
-    def live(self) -> list[Attempt]:
-        """Return the attempts whose answers are not whole yet."""
-        return [entry.handover.attempt for entry in self.running.values() if entry.end is None]
-
     async def resume(self, exchange: Exchange, parts: list[str], query: dict) -> None:
         """Stream an attempt's answer from an offset on.
 
@@ -276,6 +275,7 @@
             end = self.give_up(attempt.id, Kind.INTERNAL, repr(error))
         running.ended = self.env.clock()
         running.end = end
+        self.live.pop(attempt.id, None)
         result = "failed" if isinstance(end, Failed) else "finished"
         self.env.metrics.attempts.inc({"result": result, "kind": getattr(end, "kind", "")})
         await running.wake()
@@ -285,7 +285,9 @@
         if ran is Ran.NO or not attempt.fingerprint:
             return
         if attempt.id not in self.crashes:
-            live = [entry for entry in self.live() if self.attempts.ran(entry.id) is not Ran.NO]
+            live = [
+                entry for entry in self.live.values() if self.attempts.ran(entry.id) is not Ran.NO
+            ]
             prints = sorted({entry.fingerprint for entry in live if entry.fingerprint})
             task = await curio.spawn(suspicion.register_crash, self.env, prints, daemon=True)
             self.crashes = {entry.id: task for entry in live}
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,40 @@
+import curio
+import pytest
+from harness import HOST, run
+
+from hickorylever import http, node
+from hickorylever.exceptions import LostReply, PlatformError
+from hickorylever.metrics import Metrics
+from hickorylever.platform import Platform
+
+# What a failed call says about its effect, by verb and status.
+FAILURES = [
+    ("put", 429, PlatformError),
+    ("put", 503, PlatformError),
+    ("put", 500, LostReply),
+    ("put", 502, LostReply),
+    ("put", 504, LostReply),
+    ("delete", 504, LostReply),
+    ("get", 504, PlatformError),
+]
+ARGUMENTS = {"put": ("k", "n", b"v", 0), "delete": ("k", "n", 1), "get": ("k", "n")}
+
+
+@pytest.mark.parametrize("verb, status, error", FAILURES)
+def test_a_write_that_may_have_taken_effect_is_a_lost_reply(verb, status, error):
+    async def handle(exchange):
+        await exchange.body()
+        await exchange.respond(status)
+
+    async def main():
+        listener = http.listen(HOST, 0)
+        server = http.Server(handle, node.refuse)
+        task = await curio.spawn(server.serve, listener, daemon=True)
+        port = listener.getsockname()[1]
+        platform = Platform(HOST, port, http.Client(), Metrics())
+        with pytest.raises(PlatformError) as caught:
+            await getattr(platform, verb)(*ARGUMENTS[verb])
+        assert type(caught.value) is error
+        await task.cancel()
+
+    run(main)
