--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -84,7 +84,20 @@
     return table(["at the target", "worked out"], rows)
 
 
-SECTIONS = {"slopes": slopes_table, "target": target_table}
+def cell(value: object) -> str:
+    """Return a value's text."""
+    return f"{value:.3g}" if isinstance(value, float) else str(value)
+
+
+def outages_table(record: dict) -> str:
+    """Return one row for each outage."""
+    columns = ("outage", "endpoints", "lost", "refused", "reuse", "wait_p99")
+    rows = [[cell(row[name]) for name in columns] for row in record["outages"]]
+    head = ["outage", "endpoints out", "requests lost", "refused", "reuse", "wait p99, s"]
+    return table(head, rows)
+
+
+SECTIONS = {"slopes": slopes_table, "target": target_table, "outages": outages_table}
 
 
 def render(page: str, record: dict) -> str:
--- a/src/hickorylever/bench/__init__.py
+++ b/src/hickorylever/bench/__init__.py
@@ -38,4 +38,4 @@
 Bench = Callable[[int, bool], Report]
 benches: Registry[Bench] = Registry("bench")
 
-from . import capacity, claims, configuration, control, path, routing  # noqa: E402, F401
+from . import capacity, claims, configuration, control, outages, path, routing  # noqa: E402, F401
--- a/src/hickorylever/bench/capacity.py
+++ b/src/hickorylever/bench/capacity.py
@@ -24,7 +24,7 @@
 from ..records import Application, ClientAccount, Endpoint, Fleet
 from ..registry import Registry
 from ..settings import Settings
-from . import Report, benches, claims, control, path
+from . import Report, benches, claims, control, outages, path
 
 OUTPUT = Path("bench")
 SHARES = (0.1, 0.25, 0.5, 1.0)
@@ -247,7 +247,7 @@
 
 @benches.register("capacity")
 def capacity(seed: int, quick: bool) -> Report:
-    """Measure every slope, and write bench/capacity.json and a plot of each."""
+    """Measure every slope and outage, and write bench/capacity.json and a plot of each slope."""
     report = Report()
     slopes = [slope for name in measures for slope in measures[name](seed, quick)]
     for slope in slopes:
@@ -256,7 +256,11 @@
             row | {"each": slope.slope, "fixed": slope.intercept, "residual": slope.residual}
         )
     OUTPUT.mkdir(exist_ok=True)
-    record = {"command": f"hickorylever bench capacity --seed {seed}", "slopes": slopes}
+    record = {
+        "command": f"hickorylever bench capacity --seed {seed}",
+        "slopes": slopes,
+        "outages": outages.measure(seed, quick),
+    }
     if quick:
         record["command"] += " --quick"
     text = msgspec.json.format(msgspec.json.encode(record), indent=1)
