Let the outage bench and the model walks call one piece of code each

Cause: the read-through found Outage.fail repeating World.leave, and the random walk over a model standing twice, in test_spec_attempts.py and test_spec_conformance.py. Change: World.withdraw serves both; tests/walks.py holds the walk with the same seeds, counts, comparisons and assertions. The other pairs are tables of settings and frozen data classes that only have the same shape.

--- a/src/hickorylever/bench/outages.py
+++ b/src/hickorylever/bench/outages.py
@@ -5,7 +5,7 @@
 from . import Report, benches
 from .figures import Figures, quantile, reuse
 from .routing import LENGTHS
-from .serving import LIST_DELAY, Sidecar, Ways, World
+from .serving import Sidecar, Ways, World
 from .workloads import CHURN, Request, Shape, make_requests
 
 SHAPE = dataclasses.replace(CHURN, name="outage", churn=0.0, seconds=300.0)
@@ -33,10 +33,7 @@
     def fail(self, sidecar: Sidecar) -> None:
         """Let an endpoint go; what runs there is counted as lost."""
         self.lost += sidecar.attempts.running
-        sidecar.attempts.draining = True
-        for router in self.routers:
-            late = self.driver.chance.uniform(0, LIST_DELAY)
-            self.driver.after(late, router.gone.add, sidecar.endpoint.name)
+        self.withdraw(sidecar)
 
 
 def waits_during(figures: Figures, shape: Shape) -> list[float]:
--- a/src/hickorylever/bench/serving.py
+++ b/src/hickorylever/bench/serving.py
@@ -321,11 +321,15 @@
     def leave(self) -> None:
         """Let one endpoint drain, and come back later with an empty cache."""
         sidecar = self.sidecars[self.driver.chance.choice(self.pool).name]
+        self.withdraw(sidecar)
+        self.driver.after(ABSENCE, self.join, sidecar)
+
+    def withdraw(self, sidecar: Sidecar) -> None:
+        """Take an endpoint out of use; each router hears of it later."""
         sidecar.attempts.draining = True
         for router in self.routers:
             name = sidecar.endpoint.name
             self.driver.after(self.driver.chance.uniform(0, LIST_DELAY), router.gone.add, name)
-        self.driver.after(ABSENCE, self.join, sidecar)
 
     def join(self, sidecar: Sidecar) -> None:
         """Let an endpoint come back."""
--- a/tests/test_spec_attempts.py
+++ b/tests/test_spec_attempts.py
@@ -2,6 +2,7 @@
 
 import pytest
 from minicheck import check_safety
+from walks import follow
 
 from hickorylever.bench.actors import LIFETIME
 from hickorylever.bench.world import World
@@ -137,17 +138,5 @@
 def test_real_decisions_follow_the_model():
     chance = random.Random(11)
     transitions = attempts().transitions
-    taken = set()
-    for _ in range(WALKS):
-        real, state = Real(), State()
-        for _ in range(chance.randrange(4, 24)):
-            moves = transitions(tuple(state))
-            if not moves:
-                break
-            label, following = chance.choice(moves)
-            state = State(*following)
-            real.take(label)
-            taken.add(label)
-            assert comparable(real.state()) == comparable(state), label
-        assert not real.world.violations
-    assert {label.partition(" ")[0] for label in taken} >= {"expire", "crash", "deliver_reply"}
+    taken = follow(transitions, Real, State, comparable, chance, WALKS, (4, 24))
+    assert taken >= {"expire", "crash", "deliver_reply"}
--- a/tests/test_spec_conformance.py
+++ b/tests/test_spec_conformance.py
@@ -1,5 +1,7 @@
 import random
 
+from walks import follow
+
 from hickorylever.bench.actors import Sidecar
 from hickorylever.bench.world import World
 from spec.claims import Flight, Side, State, claims
@@ -173,19 +175,7 @@
 def test_real_decisions_follow_the_model():
     chance = random.Random(5)
     transitions = claims().transitions
-    taken = set()
-    for _ in range(WALKS):
-        real, state = Real(), State()
-        for _ in range(chance.randrange(6, 30)):
-            moves = transitions(tuple(state))
-            if not moves:
-                break
-            label, following = chance.choice(moves)
-            state = State(*following)
-            real.take(label)
-            taken.add(label.split()[0])
-            assert comparable(real.state()) == comparable(state), label
-        assert not real.world.violations
+    taken = follow(transitions, Real, State, comparable, chance, WALKS, (6, 30))
     assert taken >= {
         "land",
         "lose_reply",
