Wait for the demo's processes to end before the script does

Cause: make demo twice in a row failed the second time with "127.81.0.10:8490 can't be used": the first run's routers were still shutting down (seen in a fresh clone, exit code 2). Change: examples/demo.sh and bench-path.sh wait for every process that they started.

--- a/examples/bench-path.sh
+++ b/examples/bench-path.sh
@@ -7,7 +7,7 @@
 rm -rf "$out"
 mkdir -p "$out"
 pids=""
-trap 'kill $pids 2>/dev/null || true' EXIT INT TERM
+trap 'kill $pids 2>/dev/null || true; wait' EXIT INT TERM
 
 hickorylever standin objects --address 127.83.0.1 --port 8460 2>"$out/objects.log" &
 pids="$pids $!"
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -6,7 +6,7 @@
 rm -rf "$out"
 mkdir -p "$out"
 pids=""
-trap 'kill $pids 2>/dev/null || true' EXIT INT TERM
+trap 'kill $pids 2>/dev/null || true; wait' EXIT INT TERM
 
 start() {
     name=$1
