--- a/src/hickorylever/commands/__init__.py
+++ b/src/hickorylever/commands/__init__.py
@@ -60,7 +60,7 @@
     """Return a client of the object API at ``address:port``."""
     from ..http import Client
     from ..metrics import Metrics
-    from ..platform import Platform
+    from ..objects import Platform
     from ..settings import split_address
 
     try:
--- a/src/hickorylever/commands/roles.py
+++ b/src/hickorylever/commands/roles.py
@@ -6,6 +6,7 @@
 import curio
 
 from .. import events
+from ..settings import LOG_LEVELS
 from . import command
 
 
@@ -30,6 +31,23 @@
     run_role(sidecar.main, arguments.settings)
 
 
+def add_optional_settings(parser: argparse.ArgumentParser) -> None:
+    """Add the settings file that the platform writes; by default the environment names it."""
+    parser.add_argument("--settings", default=None, metavar="FILE", help="TOML settings file")
+    parser.add_argument("--log-level", default="info", choices=LOG_LEVELS)
+
+
+@command("direct", "run a router on the users' platform", add_optional_settings)
+def run_direct(arguments: argparse.Namespace) -> None:
+    """Run a router that forwards to endpoints itself, until SIGTERM."""
+    from .. import platform
+    from ..direct import router
+
+    loaded = platform.load(arguments.settings)
+    events.configure("json", arguments.log_level)
+    curio.run(router.main, loaded, platform, platform.Store)
+
+
 def run_role(main: Callable, path: str) -> None:
     """Load settings, set up logs and run a role."""
     from .. import settings
--- a/src/hickorylever/controllers/cleanup.py
+++ b/src/hickorylever/controllers/cleanup.py
@@ -5,7 +5,7 @@
 from .. import defaults, suspicion
 from ..events import Event, log
 from ..exceptions import Conflict
-from ..platform import Object
+from ..objects import Object
 from ..registry import Registry
 from . import controllers
 
--- /dev/null
+++ b/src/hickorylever/direct/__init__.py
@@ -0,0 +1,1 @@
+"""A router that forwards to endpoints itself, where no sidecar stands beside them."""
--- /dev/null
+++ b/src/hickorylever/direct/attempt.py
@@ -0,0 +1,205 @@
+"""One hand-over of a request to an endpoint, and what came of it."""
+
+import enum
+import time
+from dataclasses import dataclass, field
+
+import curio
+import h11
+
+from ..exceptions import BrokenAnswer, ConnectionLost
+from ..http import Answer, Channel, Client, header
+from .endpoints import Endpoint
+from .records import AnswerInfo
+from .sse import Events
+
+CONNECT_TIME = 0.3  # Seconds.
+RECENT = 0.5  # Seconds without use up to which a connection serves what may not repeat.
+MAX_STALE_ANSWERS = 2
+
+
+class Result(enum.Enum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    LOST = "lost"
+    BROKEN = "broken"
+    EXPIRED = "expired"
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What came of an attempt.
+
+    :param status: of the endpoint's own answer; 0 when there was none.
+    :param body: of an answer that is not a stream.
+    """
+
+    result: Result
+    detail: str = ""
+    status: int = 0
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    body: bytes = b""
+    info: AnswerInfo | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """The request as an endpoint gets it."""
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class Attempt:
+    """Sends one request to one endpoint and reads its answer.
+
+    :param stream: takes the head and the events of a streamed answer.
+    :param first_byte: monotonic time by which an answer must have begun, or None.
+    """
+
+    def __init__(
+        self,
+        client: Client,
+        endpoint: Endpoint,
+        message: Message,
+        read_answer,
+        stream,
+        deadline: float,
+        repeatable: bool,
+        first_byte: float | None = None,
+    ):
+        self.client = client
+        self.endpoint = endpoint
+        self.message = message
+        self.read_answer = read_answer
+        self.stream = stream
+        self.deadline = deadline
+        self.repeatable = repeatable
+        self.first_byte = first_byte
+        self.sent = False
+        self.channel: Channel | None = None
+
+    async def run(self) -> Outcome:
+        """Make the attempt; the connection is closed unless the exchange ended well."""
+        entry = self.endpoint.entry
+        left = self.deadline - time.monotonic()
+        try:
+            async with curio.timeout_after(max(0.0, left)):
+                outcome = await self.exchange()
+        except curio.TaskTimeout:
+            outcome = Outcome(Result.EXPIRED, "the time is over")
+        except (ConnectionLost, h11.ProtocolError, BrokenAnswer) as error:
+            outcome = Outcome(self.failure(), str(error) or repr(error))
+        except BaseException:
+            await self.close()
+            raise
+        if outcome.result in (Result.LOST, Result.BROKEN, Result.EXPIRED, Result.NOT_SENT):
+            await self.close()
+        elif self.channel is not None:
+            await self.client.release(entry.address, entry.port, self.channel)
+        return outcome
+
+    def failure(self) -> Result:
+        """Return what a failed connection means."""
+        if not self.sent:
+            return Result.NOT_SENT
+        return Result.BROKEN if self.stream is not None and self.stream.begun else Result.LOST
+
+    async def close(self) -> None:
+        """Close the connection so that the endpoint stops."""
+        if self.channel is not None:
+            await self.channel.abort()
+            self.channel = None
+
+    async def exchange(self) -> Outcome:
+        """Send the request and read the answer."""
+        entry = self.endpoint.entry
+        self.channel = await self.client.acquire(
+            entry.address,
+            entry.port,
+            max_idle=float("inf") if self.repeatable else RECENT,
+            timeout=CONNECT_TIME,
+        )
+        message = self.message
+        self.sent = True
+        await self.client.request(
+            self.channel,
+            message.method,
+            message.target,
+            message.headers,
+            message.body,
+            message.host,
+        )
+        answer, info = await self.first_answer()
+        if info.not_run:
+            await answer.body()
+            return Outcome(Result.NOT_RUN, f"status {info.status}", info.status, info=info)
+        if info.encoded or (info.status < 300 and not info.stamped):
+            raise BrokenAnswer("the answer is not the endpoint's own")
+        if self.streamed(answer):
+            return await self.pass_on(answer, info)
+        body = await answer.body()
+        result = Result.ANSWERED if answer.status < 500 else Result.FAILED
+        return Outcome(result, "", answer.status, answer.headers, body, info)
+
+    def streamed(self, answer: Answer) -> bool:
+        """Tell whether an answer is passed on event by event."""
+        kind = header(answer.headers, b"content-type")
+        return (
+            self.stream is not None
+            and answer.status == 200
+            and kind.startswith(b"text/event-stream")
+        )
+
+    async def first_answer(self) -> tuple[Answer, AnswerInfo]:
+        """Return the answer to this request; late answers to earlier ones are dropped."""
+        for _ in range(MAX_STALE_ANSWERS + 1):
+            answer = await self.answer_in_time()
+            info = self.read_answer(answer.status, answer.headers)
+            if info.request_id == self.message.request_id:
+                return answer, info
+            if info.not_run and not info.request_id:
+                return answer, info
+            await self.skip(answer)
+        raise ConnectionLost("the connection holds answers to other requests")
+
+    async def answer_in_time(self) -> Answer:
+        """Return the next answer's head."""
+        if self.first_byte is None:
+            return await self.client.answer(self.channel)
+        left = max(0.0, self.first_byte - time.monotonic())
+        async with curio.ignore_after(left):
+            return await self.client.answer(self.channel)
+        raise ConnectionLost("the endpoint does not answer")
+
+    async def skip(self, answer: Answer) -> None:
+        """Read an answer to another request to its end and await the next one."""
+        await answer.body()
+        old = self.channel.state
+        data, _ = old.trailing_data
+        state = h11.Connection(h11.CLIENT)
+        state.send(h11.Request(method=self.message.method, target="/", headers=[("host", "-")]))
+        state.send(h11.EndOfMessage())
+        if data:
+            state.receive_data(data)
+        self.channel.state = state
+
+    async def pass_on(self, answer: Answer, info: AnswerInfo) -> Outcome:
+        """Pass a stream on, event by event."""
+        await self.stream.start(answer)
+        events = Events(self.stream.last)
+        async for piece in answer.pieces():
+            for event in events.feed(piece):
+                await self.stream.write(event)
+                self.stream.last = events.last
+        if events.partial:
+            raise BrokenAnswer("the stream ended within an event")
+        return Outcome(Result.ANSWERED, "", answer.status, answer.headers, info=info)
--- /dev/null
+++ b/src/hickorylever/direct/discovery.py
@@ -0,0 +1,72 @@
+"""Follows the store: lists a kind of objects, then watches it."""
+
+import random
+import time
+
+import curio
+
+from ..events import Event, log
+from ..exceptions import HickoryleverError, HistoryLost
+
+WATCH_WAIT = 20.0  # Seconds.
+FIRST_PAUSE = 0.2  # Seconds.
+MAX_PAUSE = 1.0  # Seconds.
+JITTER = 0.3  # Share of a pause.
+
+
+class Follower:
+    """Keeps one kind of objects up to date.
+
+    :param take_listing: called with a listing and whether the store was away before it.
+    :param take_changes: called with changes.
+    """
+
+    def __init__(self, store, kind: str, take_listing, take_changes, chance: random.Random):
+        self.store = store
+        self.kind = kind
+        self.take_listing = take_listing
+        self.take_changes = take_changes
+        self.chance = chance
+        self.revision: int | None = None
+        self.reached = False
+        self.heard = 0.0
+        self.pause = FIRST_PAUSE
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            try:
+                await self.step()
+            except HistoryLost:
+                self.revision = None
+            except HickoryleverError as error:
+                await self.lost(error)
+
+    async def step(self) -> None:
+        """List once, or watch once."""
+        if self.revision is None:
+            listing = await self.store.list_kind(self.kind)
+            self.take_listing(listing, not self.reached)
+            self.revision = listing.revision
+        else:
+            changes = await self.store.watch(self.kind, self.revision, WATCH_WAIT)
+            self.take_changes(changes)
+            self.revision = changes.revision
+        self.found()
+
+    def found(self) -> None:
+        """Note that the store answers."""
+        self.heard = time.monotonic()
+        self.pause = FIRST_PAUSE
+        if not self.reached:
+            self.reached = True
+            log(Event.STORE_REACHED, self.kind, revision=self.revision)
+
+    async def lost(self, error: HickoryleverError) -> None:
+        """Note a failure, pause, and list anew."""
+        if self.reached:
+            log(Event.STORE_LOST, str(error), kind=self.kind, revision=self.revision)
+        self.reached = False
+        self.revision = None
+        await curio.sleep(self.pause * (1 + self.chance.uniform(-JITTER, JITTER)))
+        self.pause = min(MAX_PAUSE, 2 * self.pause)
--- /dev/null
+++ b/src/hickorylever/direct/endpoints.py
@@ -0,0 +1,160 @@
+"""Endpoints as a router knows them: entries of the store, and what its own requests met there."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .caches import Holdings
+from .records import EndpointEntry, Listing, StoredObject
+
+RETURN_TIME = 2.0  # Seconds in which entries that lapsed during an outage come back.
+FIRST_PAUSE = 0.25  # Seconds that an endpoint is left out after a failed connection.
+MAX_PAUSE = 2.0  # Seconds.
+FAILURE_WEIGHT = 0.2  # Weight of the latest answer in the share of failures.
+LOAD_LIFETIME = 1.0  # Seconds that a peer's figure of an endpoint's load counts.
+
+
+@dataclass(slots=True)
+class PeerLoad:
+    """What another router has under way at an endpoint."""
+
+    requests: int
+    prefill: float
+    time: float
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """One endpoint and this router's view of it.
+
+    :param running: this router's requests there.
+    :param prefill: tokens of their prompts that the endpoint has still to read.
+    :param failures: recent share of answers that were failures.
+    :param paused_until: monotonic time until which no new work goes there.
+    :param warm_at: monotonic time at which it is no longer slow after its start.
+    :param missing_since: when its entry was first missing after an outage of the store.
+    """
+
+    entry: EndpointEntry
+    running: int = 0
+    prefill: float = 0.0
+    failures: float = 0.0
+    misses: int = 0
+    paused_until: float = 0.0
+    warm_at: float = 0.0
+    missing_since: float | None = None
+    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    held: Holdings = field(default_factory=Holdings)
+
+    @property
+    def name(self) -> str:
+        """Return the endpoint's id."""
+        return self.entry.name
+
+    def usable(self, now: float) -> bool:
+        """Tell whether new work may go there."""
+        return not self.entry.draining and now >= self.paused_until
+
+    def load(self, now: float) -> tuple[int, float]:
+        """Return requests and prompt tokens under way there, by all routers that tell."""
+        fresh = [load for load in self.peers.values() if now - load.time <= LOAD_LIFETIME]
+        requests = self.running + sum(load.requests for load in fresh)
+        return requests, self.prefill + sum(load.prefill for load in fresh)
+
+    def pause(self, now: float) -> None:
+        """Leave the endpoint out after a failed connection, longer each time in a row."""
+        self.misses += 1
+        self.paused_until = now + min(MAX_PAUSE, FIRST_PAUSE * 2 ** (self.misses - 1))
+
+    def answered(self, failed: bool) -> None:
+        """Note an answer's outcome."""
+        self.misses = 0
+        self.failures += FAILURE_WEIGHT * (failed - self.failures)
+
+
+class Directory:
+    """Endpoints by name and by service.
+
+    :param decode: turns an object's name and spec into an entry, or raises.
+    :param reject: called with the error of an entry that can't be read.
+    """
+
+    def __init__(self, decode, reject=lambda error: None):
+        self.decode = decode
+        self.reject = reject
+        self.revision = 0
+        self.endpoints: dict[str, Endpoint] = {}
+        self.pools: dict[str, list[Endpoint]] = {}
+        self.gone: dict[str, int] = {}
+
+    def pool(self, service: str) -> list[Endpoint]:
+        """Return a service's endpoints."""
+        return self.pools.get(service, [])
+
+    def take_listing(self, listing: Listing, now: float, patient: bool) -> None:
+        """Take a whole list.
+
+        :param patient: the store was away; entries that are missing may come back.
+        """
+        present = {entry.name for entry in listing.objects}
+        for entry in listing.objects:
+            self.take(entry, now)
+        for name in [name for name in self.endpoints if name not in present]:
+            self.miss(name, now, patient)
+        self.revision = listing.revision
+        self.index()
+
+    def take_changes(self, objects: Iterable[StoredObject], revision: int, now: float) -> None:
+        """Take changes in their order."""
+        for entry in objects:
+            if entry.deleted:
+                self.remove(entry.name, entry.revision)
+            else:
+                self.take(entry, now)
+        self.revision = max(self.revision, revision)
+        self.index()
+
+    def take(self, stored: StoredObject, now: float) -> None:
+        """Take one entry; one that can't be read names no endpoint."""
+        try:
+            entry = self.decode(stored.name, stored.spec)
+        except Exception as error:  # Any writer may have made it.
+            self.reject(error)
+            self.endpoints.pop(stored.name, None)
+            return
+        known = self.endpoints.get(entry.name)
+        if known is None or known.entry.born != entry.born:
+            known = self.endpoints[entry.name] = Endpoint(entry)
+        known.entry = entry
+        known.missing_since = None
+        known.warm_at = now + entry.cold_for
+
+    def miss(self, name: str, now: float, patient: bool) -> None:
+        """Note that a list lacks an endpoint."""
+        if not patient:
+            self.remove(name)
+        elif self.endpoints[name].missing_since is None:
+            self.endpoints[name].missing_since = now
+
+    def remove(self, name: str, revision: int = 0) -> None:
+        """Forget an endpoint."""
+        self.endpoints.pop(name, None)
+
+    def expire(self, now: float) -> None:
+        """Forget endpoints whose entries have not come back."""
+        overdue = [
+            name
+            for name, endpoint in self.endpoints.items()
+            if endpoint.missing_since is not None and now - endpoint.missing_since >= RETURN_TIME
+        ]
+        for name in overdue:
+            self.remove(name)
+        if overdue:
+            self.index()
+
+    def index(self) -> None:
+        """File the endpoints by service; an address belongs to its latest entry."""
+        pools: dict[str, list[Endpoint]] = {}
+        for name in sorted(self.endpoints):
+            endpoint = self.endpoints[name]
+            pools.setdefault(endpoint.entry.service, []).append(endpoint)
+        self.pools = pools
--- /dev/null
+++ b/src/hickorylever/direct/router.py
@@ -0,0 +1,261 @@
+"""A router that forwards to endpoints without sidecars: its parts and its listeners."""
+
+import random
+import time
+
+import curio
+
+from ..events import Event, log
+from ..exceptions import (
+    CallerGone,
+    ConnectionLost,
+    ContentError,
+    Kind,
+    Ran,
+    RequestError,
+)
+from ..http import Client, Exchange, Limits, Server, listen, while_wanted
+from ..metrics import Metrics
+from ..node import Signals, supervise
+from .budget import SharedBudget
+from .crashes import Crashes
+from .discovery import Follower
+from .endpoints import Directory
+from .forward import Call, Forwarder, fingerprint, forward
+from .records import Changes, Configuration, Listing, StoredObject
+from .routes import Routes
+from .settings import DirectSettings
+
+ENDPOINT_IDLE = 8.0  # Seconds; connections to endpoints are used for half of it.
+DEFAULT_TIME_LIMIT = 30.0  # Seconds.
+LISTEN_TIME = 3.0  # Seconds after SIGTERM in which new connections are still served.
+EXIT_MARGIN = 0.3  # Seconds before the process would be killed.
+DRAIN_POLL = 0.02  # Seconds.
+EXPIRY_INTERVAL = 0.2  # Seconds.
+QUARANTINE_PAUSE = 5.0  # Seconds.
+START_PAUSE = 0.5  # Seconds.
+
+
+class Node:
+    """The parts of one process.
+
+    :param codec: decodes requests, answers and documents of the surroundings.
+    :param store: a client of the platform's store.
+    """
+
+    def __init__(self, settings: DirectSettings, codec, store_class):
+        self.settings = settings
+        self.codec = codec
+        self.chance = random.Random()
+        self.metrics = Metrics()
+        self.client = Client(max_idle=ENDPOINT_IDLE)
+        self.store = store_class(settings.store, Client(max_idle=ENDPOINT_IDLE), self.count_call)
+        self.directory = Directory(codec.decode_endpoint, self.reject)
+        self.budget = SharedBudget(
+            settings.retry_ratio, settings.retry_allowance, settings.retry_window
+        )
+        self.crashes = Crashes()
+        self.routes: Routes | None = None
+        self.listed = False
+        self.draining = False
+
+    def count_call(self, verb: str, result: str) -> None:
+        """Count a call of the store."""
+        self.metrics.platform_calls.inc({"verb": verb, "result": result})
+
+    def reject(self, error: Exception) -> None:
+        """Log an object that can't be read."""
+        log(Event.OBJECT_REJECTED, str(error))
+
+    def ready(self) -> bool:
+        """Tell whether callers can be served."""
+        return self.routes is not None and self.listed and not self.draining
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force unless it is not newer than the one that is."""
+        known = self.routes
+        if known is not None and configuration.revision <= known.configuration.revision:
+            return
+        self.routes = Routes(configuration)
+        self.metrics.revision.set({}, configuration.revision)
+        log(
+            Event.CONFIGURATION_ADOPTED,
+            f"version {configuration.version}",
+            revision=configuration.revision,
+            routes=len(configuration.routes),
+        )
+
+    def take_stored(self, stored: StoredObject) -> None:
+        """Take the operator's object."""
+        if stored.name != self.codec.CONFIGURATION[1] or stored.deleted:
+            return
+        try:
+            self.take_configuration(self.codec.decode_configuration(stored.spec, stored.revision))
+        except ContentError as error:
+            self.reject(error)
+
+    def take_configuration_listing(self, listing: Listing, away: bool) -> None:
+        """Take the operator's objects."""
+        for stored in listing.objects:
+            self.take_stored(stored)
+
+    def take_configuration_changes(self, changes: Changes) -> None:
+        """Take changes of the operator's objects."""
+        for stored in changes.objects:
+            self.take_stored(stored)
+
+    def take_endpoints(self, listing: Listing, away: bool) -> None:
+        """Take the list of endpoints."""
+        patient = away and self.listed
+        self.directory.take_listing(listing, time.monotonic(), patient)
+        self.listed = True
+
+    def take_endpoint_changes(self, changes: Changes) -> None:
+        """Take changes of endpoints."""
+        self.directory.take_changes(changes.objects, changes.revision, time.monotonic())
+
+    async def expire(self) -> None:
+        """Forget what is over its time."""
+        while True:
+            await curio.sleep(EXPIRY_INTERVAL)
+            self.directory.expire(time.monotonic())
+            await self.client.reap()
+
+
+class Router:
+    """Answers callers."""
+
+    def __init__(self, node: Node):
+        self.node = node
+        self.forwarder = Forwarder(node)
+        self.server = Server(self.handle, self.refuse, Limits(max_age=float("inf")))
+        self.in_flight = 0
+
+    async def refuse(self, exchange: Exchange, error: RequestError) -> None:
+        """Answer with an error of this router's own."""
+        status, fields, body = self.node.codec.refusal(error)
+        await exchange.respond(status, fields, body)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request and log what came of it."""
+        self.in_flight += 1
+        begun = time.monotonic()
+        call = None
+        kind = ""
+        try:
+            call = await self.receive(exchange, begun)
+            await self.run(call)
+        except RequestError as error:
+            kind = error.kind.value
+            raise
+        except (CallerGone, ConnectionLost) as error:
+            kind = "caller_gone"
+            raise ConnectionLost(str(error)) from error
+        finally:
+            self.in_flight -= 1
+            self.finish(exchange, call, kind, time.monotonic() - begun)
+
+    async def receive(self, exchange: Exchange, begun: float) -> Call:
+        """Read a request and find its route, account and service."""
+        node = self.node
+        if node.routes is None or not node.listed:
+            raise RequestError(Kind.NOT_READY, "", Ran.NO, START_PAUSE)
+        routes = node.routes
+        info = node.codec.read_request(exchange.headers)
+        host = dict(exchange.headers).get(b"host", b"").decode("latin-1")
+        route = routes.find(host, exchange.path)
+        account = routes.identify(route, info.key)
+        service = routes.choose_service(route, node.chance)
+        limit = DEFAULT_TIME_LIMIT if info.time_limit is None else info.time_limit
+        deadline = begun + min(limit, route.timeout or limit)
+        call = Call(exchange, info, route, service, account, begun, deadline)
+        call.body = await exchange.body(routes.limits.body_bytes)
+        call.fingerprint = fingerprint(call)
+        return call
+
+    async def run(self, call: Call) -> None:
+        """Forward a call, and stop when its caller goes away."""
+        node = self.node
+        if node.crashes.suspected(call.fingerprint, time.monotonic()):
+            raise RequestError(Kind.QUARANTINED, "", Ran.NO, QUARANTINE_PAUSE)
+        node.budget.note_request(call.service.name, time.monotonic())
+        await while_wanted(call.exchange, forward, self.forwarder, call)
+
+    def finish(self, exchange: Exchange, call: Call | None, kind: str, seconds: float) -> None:
+        """Count and log one request."""
+        route = call.route.name if call else ""
+        self.node.metrics.requests.inc({"application": "", "kind": kind})
+        self.node.metrics.latency.observe({"application": ""}, seconds)
+        log(
+            Event.REQUEST_REFUSED if kind else Event.REQUEST_DONE,
+            kind or "answered",
+            request=call.info.id if call else "",
+            route=route,
+            path=call.path if call else [],
+            events=call.stream.events if call and call.stream else 0,
+            parts=[f"{p.id}:{p.tokens}" for p in call.info.parts] if call else [],
+            seconds=round(seconds, 4),
+        )
+
+    async def drain(self) -> None:
+        """Serve new connections for a time, then return when nothing is in flight."""
+        await curio.sleep(LISTEN_TIME)
+        await self.server.stop()
+        while self.in_flight:
+            await curio.sleep(DRAIN_POLL)
+
+
+class Readiness:
+    """Answers the balancer."""
+
+    def __init__(self, node: Node, path: str):
+        self.node = node
+        self.path = path
+        self.server = Server(self.handle, refuse_plainly)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Tell whether new connections should come here."""
+        ready = self.node.ready()
+        await exchange.respond(200 if ready else 503, body=b"ready\n" if ready else b"not ready\n")
+
+
+async def refuse_plainly(exchange: Exchange, error: RequestError) -> None:
+    """Answer a malformed check."""
+    await exchange.respond(400, body=b"malformed\n")
+
+
+async def main(settings: DirectSettings, codec, store_class) -> None:
+    """Run a router until SIGTERM."""
+    node = Node(settings, codec, store_class)
+    router = Router(node)
+    readiness = Readiness(node, codec.READY_PATH)
+    followers = [
+        Follower(
+            node.store,
+            codec.CONFIGURATION[0],
+            node.take_configuration_listing,
+            node.take_configuration_changes,
+            node.chance,
+        ),
+        Follower(
+            node.store,
+            codec.ENDPOINTS,
+            node.take_endpoints,
+            node.take_endpoint_changes,
+            node.chance,
+        ),
+    ]
+    signals = Signals()
+    log(Event.STARTED, f"{settings.vm} listens on {settings.address}:{settings.port}")
+    async with curio.TaskGroup(wait=None) as group:
+        await group.spawn(readiness.server.serve, listen(settings.address, settings.ready_port))
+        await group.spawn(router.server.serve, listen(settings.address, settings.port))
+        for task in (node.expire, *(follower.run for follower in followers)):
+            await group.spawn(supervise, task)
+        await signals.wait()
+        node.draining = True
+        router.server.draining = True
+        log(Event.DRAINING, f"{settings.vm} finishes what is in flight")
+        async with curio.ignore_after(settings.drain_grace - EXIT_MARGIN):
+            await router.drain()
+    log(Event.STOPPED, f"{settings.vm} stops")
--- a/src/hickorylever/dispatch.py
+++ b/src/hickorylever/dispatch.py
@@ -10,11 +10,11 @@
 from . import admission, defaults, frames, suspicion
 from .decisions.outcomes import Facts
 from .events import Event, log
-from .exceptions import ConnectionLost, Kind, Ran
+from .exceptions import BrokenAnswer, CallerGone, ConnectionLost, Kind, Ran
 from .frames import Beat, CancelResult, Data, End, Failed, Handover, Head, SidecarState
 from .http import Answer, Channel, end_to_end
 from .records import Attempt, Endpoint, Load, Stamp
-from .relay import BrokenAnswer, CallerGone, Relay
+from .relay import Relay
 
 LOST = (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError, h11.ProtocolError)
 
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -21,8 +21,8 @@
 from .http import Client
 from .limits import Limits
 from .metrics import Metrics
+from .objects import Platform
 from .packets import Phase
-from .platform import Platform
 from .records import Application, ClientAccount, Endpoint, Fleet, Member, Revision, Stamp
 from .settings import Settings, split_address
 from .silence import Silence
--- a/src/hickorylever/exceptions.py
+++ b/src/hickorylever/exceptions.py
@@ -28,6 +28,7 @@
     STILL_RUNNING = "still_running"
     CLAIMS_UNAVAILABLE = "claims_unavailable"
     CRASHING = "crashing"
+    QUARANTINED = "quarantined"
     OVERLOADED = "overloaded"
     DRAINING = "draining"
     WRONG_INCARNATION = "wrong_incarnation"
@@ -75,6 +76,7 @@
     Kind.STILL_RUNNING: Answer(409, "The request is still running", Advice.WITH_KEY, 1),
     Kind.CLAIMS_UNAVAILABLE: Answer(503, "Claims cannot be recorded now", Advice.AFTER, 5),
     Kind.CRASHING: Answer(422, "The request crashed endpoints and is refused", Advice.AFTER, 600),
+    Kind.QUARANTINED: Answer(503, "The request crashed endpoints and waits", Advice.AFTER, 5),
     Kind.OVERLOADED: Answer(503, "No endpoint has room", Advice.AFTER, 1),
     Kind.DRAINING: Answer(503, "The node is shutting down", Advice.SAFE),
     Kind.WRONG_INCARNATION: Answer(503, "The sidecar was restarted", Advice.SAFE),
@@ -124,10 +126,22 @@
     """A write was sent and no reply came: it may have taken effect."""
 
 
+class HistoryLost(PlatformError):  # noqa: N818
+    """The object API no longer has the changes that a watch asks for."""
+
+
 class ConnectionLost(HickoryleverError):  # noqa: N818
     """A peer closed, reset or silently dropped a connection."""
 
 
+class CallerGone(HickoryleverError):  # noqa: N818
+    """The caller closed its connection."""
+
+
+class BrokenAnswer(HickoryleverError):  # noqa: N818
+    """Pieces of an answer do not fit together."""
+
+
 class RequestError(HickoryleverError):
     """A request ends with an answer from the table of kinds.
 
--- a/src/hickorylever/fleet/audit.py
+++ b/src/hickorylever/fleet/audit.py
@@ -8,7 +8,7 @@
 from .. import defaults
 from ..decisions.revisions import link
 from ..exceptions import Conflict, ContentError, LostReply, PlatformError
-from ..platform import Platform
+from ..objects import Platform
 from ..records import Revision
 
 KIND = "audit"
--- a/src/hickorylever/fleet/heads.py
+++ b/src/hickorylever/fleet/heads.py
@@ -11,7 +11,7 @@
 from .. import defaults
 from ..decisions.revisions import broken_at, link
 from ..exceptions import Conflict, ContentError, LostReply, PlatformError
-from ..platform import Object, Platform
+from ..objects import Object, Platform
 from ..records import Fleet, Revision
 from . import audit, store
 from .content import Content, decode, encode
--- a/src/hickorylever/fleet/store.py
+++ b/src/hickorylever/fleet/store.py
@@ -10,7 +10,7 @@
 
 from .. import defaults
 from ..exceptions import Conflict, ContentError, LostReply, PlatformError
-from ..platform import Platform
+from ..objects import Platform
 from ..records import Revision
 from .content import Content, Part
 
--- a/src/hickorylever/http/__init__.py
+++ b/src/hickorylever/http/__init__.py
@@ -3,6 +3,7 @@
 from .channel import Channel
 from .client import Answer, Client, connect
 from .headers import Headers, check_head, end_to_end, header
+from .presence import while_wanted
 from .server import Exchange, Limits, Server, listen
 
 __all__ = [
@@ -18,4 +19,5 @@
     "end_to_end",
     "header",
     "listen",
+    "while_wanted",
 ]
--- a/src/hickorylever/http/channel.py
+++ b/src/hickorylever/http/channel.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection over a curio socket."""
 
 import contextlib
+import math
 import socket as stdsocket
 import time
 
@@ -13,6 +14,16 @@
 RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger: on, 0 s
 
 
+def keep_alive(raw: stdsocket.socket) -> None:
+    """Notice peers that went silent, without bytes of our own: the kernel probes them."""
+    raw.setsockopt(stdsocket.IPPROTO_TCP, stdsocket.TCP_NODELAY, 1)
+    raw.setsockopt(stdsocket.SOL_SOCKET, stdsocket.SO_KEEPALIVE, 1)
+    raw.setsockopt(stdsocket.IPPROTO_TCP, stdsocket.TCP_KEEPIDLE, defaults.KEEPALIVE_IDLE)
+    raw.setsockopt(stdsocket.IPPROTO_TCP, stdsocket.TCP_KEEPINTVL, defaults.KEEPALIVE_INTERVAL)
+    raw.setsockopt(stdsocket.IPPROTO_TCP, stdsocket.TCP_KEEPCNT, defaults.KEEPALIVE_PROBES)
+    raw.setsockopt(stdsocket.IPPROTO_TCP, stdsocket.TCP_USER_TIMEOUT, defaults.USER_TIMEOUT_MS)
+
+
 class Channel:
     """One HTTP/1.1 connection over a curio socket.
 
@@ -34,6 +45,7 @@
         self.born = time.monotonic()
         self.used = self.born
         self.ended = False
+        self.idle_limit = math.inf
 
     async def read(self) -> None:
         """Wait for bytes of the peer and give them to the parser.
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -1,5 +1,7 @@
 """The client side: answers, connections kept for reuse, and whole exchanges."""
 
+import math
+import re
 import socket as stdsocket
 import time
 from collections.abc import AsyncIterator
@@ -10,8 +12,16 @@
 
 from .. import defaults
 from ..exceptions import ConnectionLost
-from .channel import Channel
-from .headers import Headers
+from .channel import Channel, keep_alive
+from .headers import Headers, header
+
+TIMEOUT = re.compile(rb"(?i)\btimeout=([0-9]{1,6})\b")
+
+
+def idle_limit(headers: Headers) -> float:
+    """Return the seconds after which the server closes an idle connection, if it says so."""
+    match = TIMEOUT.search(header(headers, b"keep-alive"))
+    return float(match[1]) if match else math.inf
 
 
 class Answer:
@@ -72,7 +82,7 @@
     except BaseException:
         await sock.close()
         raise
-    sock.setsockopt(stdsocket.IPPROTO_TCP, stdsocket.TCP_NODELAY, 1)
+    keep_alive(sock._socket)
     return sock
 
 
@@ -92,19 +102,30 @@
         self.max_idle = max_idle
         self.idle: dict[tuple[str, int], list[Channel]] = {}
 
-    async def acquire(self, address: str, port: int, fresh: bool = False) -> Channel:
+    async def acquire(
+        self,
+        address: str,
+        port: int,
+        fresh: bool = False,
+        max_idle: float = math.inf,
+        timeout: float = defaults.CONNECT_TIMEOUT,
+    ) -> Channel:
         """Return an idle or a new connection.
 
         :param fresh: never take an idle one.
+        :param max_idle: seconds without use up to which an idle one is taken.
+        :param timeout: seconds that opening a new one may take.
         :raises ConnectionLost: when none can be opened.
         """
         idle = self.idle.get((address, port), [])
         while idle and not fresh:
+            if time.monotonic() - idle[-1].used > max_idle:
+                break
             channel = idle.pop()
             if self.alive(channel):
                 return channel
             await channel.close()
-        sock = await connect(address, port)
+        sock = await connect(address, port, timeout)
         return Channel(sock, h11.CLIENT)
 
     def alive(self, channel: Channel) -> bool:
@@ -113,7 +134,8 @@
         Half of the server's limits are the limits, so that the two ends never race.
         """
         now = time.monotonic()
-        if now - channel.born > self.max_age / 2 or now - channel.used > self.max_idle / 2:
+        max_idle = min(self.max_idle, channel.idle_limit)
+        if now - channel.born > self.max_age / 2 or now - channel.used > max_idle / 2:
             return False
         try:
             channel.raw.recv(1, stdsocket.MSG_PEEK)
@@ -172,6 +194,7 @@
             except h11.RemoteProtocolError as error:
                 raise ConnectionLost(str(error)) from error
             if isinstance(event, h11.Response):
+                channel.idle_limit = idle_limit(event.headers)
                 return Answer(channel, event)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnectionLost("the peer closed before an answer")
--- a/src/hickorylever/http/server.py
+++ b/src/hickorylever/http/server.py
@@ -13,7 +13,7 @@
 from .. import defaults
 from ..events import Event, log, logger
 from ..exceptions import ConnectionLost, Kind, Ran, RequestError
-from .channel import Channel
+from .channel import Channel, keep_alive
 from .headers import Headers, check_head, header
 
 
@@ -241,7 +241,7 @@
         self.connections += 1
         channel = Channel(sock, h11.SERVER, write_timeout=self.limits.write_timeout)
         try:
-            channel.raw.setsockopt(stdsocket.IPPROTO_TCP, stdsocket.TCP_NODELAY, 1)
+            keep_alive(channel.raw)
             if self.connections > self.limits.max_connections:
                 await self.refuse_connection(channel)
             else:
--- /dev/null
+++ b/src/hickorylever/platform/names.py
@@ -0,0 +1,42 @@
+"""Headers, paths and words of the users' platform, in one place."""
+
+ATTEMPT_ID = b"hickorylever-attempt-id"
+DEADLINE = b"hickorylever-deadline-ms"
+MODEL = b"hickorylever-model"
+TOKENS = b"hickorylever-token-usage"
+PREFIX = b"hickorylever-prompt-prefix"
+LAST_EVENT = b"last-event-id"
+ACCOUNT = b"hickorylever-tenant"
+EXPECTED_ENDPOINT = b"hickorylever-expect-instance"
+ENDPOINT = b"hickorylever-instance-id"
+PRIORITY = b"hickorylever-request-priority"
+CACHE_SOURCE = b"kv-fetch"
+STAMP = b"hickorylever-server-stamp"
+NOT_RUN = b"hickorylever-not-executed"
+LOAD = b"hickorylever-server-load"
+
+# Headers that only the router sets; a caller's own values are dropped.
+OWN_HEADERS = frozenset(
+    (
+        DEADLINE,
+        ACCOUNT,
+        EXPECTED_ENDPOINT,
+        PRIORITY,
+        CACHE_SOURCE,
+        b"authorization",
+        b"kv-from",
+        b"hickorylever-cache-hold",
+        b"hickorylever-pin-ms",
+        b"hickorylever-kv-backup",
+        b"hickorylever-expect-version",
+    )
+)
+
+READY_PATH = "/v1/readyz"
+OBJECTS_PATH = "/v1/objects"
+CONFIGURATION = ("config", "main")
+ENDPOINTS = "servers"
+ROUTERS = "hickorylever-routers"
+SETTINGS_VARIABLE = "HICKORYLEVER_SETTINGS"
+STATE_READY = "ready"
+STATES = (STATE_READY, "draining")
--- /dev/null
+++ b/src/hickorylever/platform/settings.py
@@ -0,0 +1,105 @@
+"""The settings file that the platform writes for each process."""
+
+import os
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from ..direct.settings import DirectSettings
+from ..exceptions import SettingsError
+from ..settings import split_address
+from . import names
+
+MILLISECOND = 0.001  # Seconds.
+MEGABYTE = 1024 * 1024  # Bytes.
+
+
+class Wire(msgspec.Struct, rename="kebab", frozen=True):
+    """Base of the file's tables; unknown keys are ignored."""
+
+
+class WireListen(Wire):
+    """Addresses to listen on."""
+
+    frontend: str
+    ready: str
+    control_plane: str = ""
+
+
+class WireLimits(Wire):
+    """What the VM gives one process."""
+
+    memory_mb: float = 256.0
+    max_fds: int = 1024
+
+
+class WireBounds(Wire):
+    """Times and shares that the operator holds the router to."""
+
+    drain_ms: float = 2000.0
+    grace_s: float = 8.0
+    config_apply_ms: float = 2000.0
+    retry_budget_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_allowance: float = 0.0
+    cap_factor: float = 2.0
+
+
+class WireStore(Wire):
+    """The store."""
+
+    address: str
+
+
+class WireSettings(Wire):
+    """The whole file."""
+
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: list[int]
+    listen: WireListen
+    platform: WireStore
+    seeds: list[str] = []
+    limits: WireLimits = WireLimits()
+    bounds: WireBounds = WireBounds()
+
+
+def load(path: str | None = None) -> DirectSettings:
+    """Read the settings of this process.
+
+    :param path: of the file; by default the one that the environment names.
+    :raises SettingsError: when it can't be read.
+    """
+    path = path or os.environ.get(names.SETTINGS_VARIABLE, "")
+    try:
+        table = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        wire = msgspec.convert(table, WireSettings)
+        return translate(wire)
+    except (OSError, ValueError, msgspec.ValidationError) as error:
+        raise SettingsError([f"{path}: {error}"]) from None
+
+
+def translate(wire: WireSettings) -> DirectSettings:
+    """Return the product's settings."""
+    bounds = wire.bounds
+    seeds = tuple(split_address(seed)[0] for seed in wire.seeds)
+    return DirectSettings(
+        vm=wire.node_name,
+        address=wire.ip,
+        failure_domain=wire.zone,
+        port=split_address(wire.listen.frontend)[1],
+        ready_port=split_address(wire.listen.ready)[1],
+        peer_port=wire.internal_ports[0],
+        metrics_port=wire.internal_ports[-1],
+        store=split_address(wire.platform.address),
+        seeds=tuple(seed for seed in seeds if seed != wire.ip),
+        memory_bytes=int(wire.limits.memory_mb * MEGABYTE),
+        max_descriptors=wire.limits.max_fds,
+        drain_grace=bounds.grace_s,
+        retry_ratio=bounds.retry_budget_ratio,
+        retry_window=bounds.retry_window_s,
+        retry_allowance=bounds.retry_allowance,
+        load_multiple=bounds.cap_factor,
+    )
--- a/src/hickorylever/relay.py
+++ b/src/hickorylever/relay.py
@@ -1,59 +1,13 @@
 """Passes one answer on to the caller: a stream piece by piece, anything else only when whole."""
 
-import socket as stdsocket
-from collections.abc import Awaitable, Callable
-
-import curio
 import xxhash
 
 from . import defaults, problems
-from .exceptions import ConnectionLost, HickoryleverError, RequestError
+from .exceptions import BrokenAnswer, CallerGone, ConnectionLost, RequestError
 from .frames import Data, End, Head
 from .http import end_to_end, header
 
 
-class CallerGone(HickoryleverError):  # noqa: N818
-    """The caller closed its connection."""
-
-
-class BrokenAnswer(HickoryleverError):  # noqa: N818
-    """Frames of an answer do not fit together."""
-
-
-async def caller_gone(call) -> None:
-    """Return when the caller has closed its connection; a request that it pipelines is left."""
-    sock = call.exchange.channel.sock
-    try:
-        data = await sock.recv(1, stdsocket.MSG_PEEK)
-    except OSError:
-        return
-    if data:
-        await curio.Event().wait()
-
-
-async def outcome(work: Callable[..., Awaitable], *arguments: object) -> Exception | None:
-    """Return the exception that `work` ends with, because curio logs tasks that raise one."""
-    try:
-        await work(*arguments)
-    except Exception as error:
-        return error
-    return None
-
-
-async def while_wanted(call, work: Callable[..., Awaitable], *arguments: object) -> None:
-    """Await `work`, or cancel it when the caller goes away.
-
-    :raises ConnectionLost: when the caller was faster.
-    """
-    async with curio.TaskGroup(wait=any) as group:
-        task = await group.spawn(outcome, work, *arguments)
-        await group.spawn(caller_gone, call)
-    if group.completed is not task:
-        raise ConnectionLost("the caller is gone")
-    if task.result is not None:
-        raise task.result
-
-
 class Relay:
     """The caller's side of one call.
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -11,7 +11,7 @@
 from hickorylever.exceptions import Conflict, PlatformError
 from hickorylever.fleet import audit, heads
 from hickorylever.node import Admin
-from hickorylever.platform import Platform
+from hickorylever.objects import Platform
 from hickorylever.records import ClientAccount, Fleet, Member, MemberState
 from hickorylever.settings import Settings
 from hickorylever.standins.objects import Objects
--- a/tests/test_heads.py
+++ b/tests/test_heads.py
@@ -7,7 +7,7 @@
 from hickorylever.exceptions import Conflict, ContentError, PlatformError
 from hickorylever.fleet import audit, decode, encode, heads, store
 from hickorylever.fleet.content import Content, Decoder, Part
-from hickorylever.platform import Object
+from hickorylever.objects import Object
 from hickorylever.records import ClientAccount, Fleet
 
 CHANGES = 40
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -9,7 +9,7 @@
 from hickorylever.controllers.status import FleetStatus, Status
 from hickorylever.decisions.leases import Gate, Lease, LeaseRecord, Step, Verdict
 from hickorylever.exceptions import Conflict
-from hickorylever.platform import Object
+from hickorylever.objects import Object
 from hickorylever.standins.objects import Faults
 from hickorylever.suspicion import CrashRecord
 
--- a/tests/test_platform.py
+++ b/tests/test_objects.py
@@ -5,7 +5,7 @@
 from hickorylever import http, node
 from hickorylever.exceptions import LostReply, PlatformError
 from hickorylever.metrics import Metrics
-from hickorylever.platform import Platform
+from hickorylever.objects import Platform
 
 # What a failed call says about its effect, by verb and status.
 FAILURES = [
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -26,7 +26,7 @@
 from hickorylever.fleet import heads
 from hickorylever.fleet.content import Content, encode
 from hickorylever.fleet.deltas import Ask, Desk
-from hickorylever.platform import Object
+from hickorylever.objects import Object
 from hickorylever.records import ClientAccount, Fleet, Member, MemberState, Revision
 from spec import revisions as spec
 
