Tell the other routers loads, held prompt parts and crashes by datagrams

Cause: each router saw a fifth of the requests and re-read parts that an engine held for another router's callers (trace: part 85c9 read three times). Change: direct/news.py (pure) and direct/peers.py; peers found by seeds and one object a router in the store; state pulled from peers when they are ahead.

--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from .caches import Holdings
+from .news import short
 from .records import EndpointEntry, Listing, StoredObject
 
 RETURN_TIME = 2.0  # Seconds in which entries that lapsed during an outage come back.
@@ -84,7 +85,9 @@
         self.revision = 0
         self.endpoints: dict[str, Endpoint] = {}
         self.pools: dict[str, list[Endpoint]] = {}
-        self.gone: dict[str, int] = {}
+        self.by_number: dict[int, Endpoint] = {}
+        self.objects: dict[str, StoredObject] = {}
+        self.newest = 0
 
     def pool(self, service: str) -> list[Endpoint]:
         """Return a service's endpoints."""
@@ -115,12 +118,14 @@
 
     def take(self, stored: StoredObject, now: float) -> None:
         """Take one entry; one that can't be read names no endpoint."""
+        self.newest = max(self.newest, stored.revision)
         try:
             entry = self.decode(stored.name, stored.spec)
         except Exception as error:  # Any writer may have made it.
             self.reject(error)
-            self.endpoints.pop(stored.name, None)
+            self.remove(stored.name)
             return
+        self.objects[stored.name] = stored
         known = self.endpoints.get(entry.name)
         if known is None or known.entry.born != entry.born:
             known = self.endpoints[entry.name] = Endpoint(entry)
@@ -137,7 +142,13 @@
 
     def remove(self, name: str, revision: int = 0) -> None:
         """Forget an endpoint."""
+        self.newest = max(self.newest, revision)
         self.endpoints.pop(name, None)
+        self.objects.pop(name, None)
+
+    def stored(self) -> list[StoredObject]:
+        """Return the objects of the endpoints, for another router."""
+        return list(self.objects.values())
 
     def expire(self, now: float) -> None:
         """Forget endpoints whose entries have not come back."""
@@ -158,3 +169,4 @@
             endpoint = self.endpoints[name]
             pools.setdefault(endpoint.entry.service, []).append(endpoint)
         self.pools = pools
+        self.by_number = {short(name): endpoint for name, endpoint in self.endpoints.items()}
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -10,7 +10,7 @@
 from ..http import Exchange, end_to_end
 from .attempt import Attempt, Message, Outcome, Result
 from .endpoints import Endpoint
-from .placing import Ask, Choice, place
+from .placing import Ask, Choice, place, shared
 from .records import Account, Handover, RequestInfo, Route, RouteKind, Service
 from .stream import Stream
 
@@ -124,12 +124,17 @@
         endpoint = choice.endpoint
         engine = call.service.engine
         call.tried.add(endpoint.name)
+        self.log_choice(call, choice)
         endpoint.running += 1
         endpoint.prefill += choice.uncached
-        reading = Reading(endpoint, choice.uncached)
+        neighbours = self.node.neighbours
+        reading = Reading(endpoint, choice.uncached, neighbours)
+        neighbours.tell_load(endpoint)
         began = time.monotonic()
         if engine and call.info.parts:
             endpoint.held.note(call.info.parts, engine.memory)
+            for part in shared(call.info.parts):
+                neighbours.outbox.note_held(endpoint.name, part.id, part.tokens, began)
         if call.stream is not None:
             call.stream.reading = reading
         attempt = Attempt(
@@ -150,6 +155,24 @@
         self.note(call, endpoint, outcome, time.monotonic() - began)
         return outcome
 
+    def log_choice(self, call: Call, choice: Choice) -> None:
+        """Log where a call goes and what decided it."""
+        endpoint = choice.endpoint
+        requests, prefill = endpoint.load(time.monotonic())
+        log(
+            Event.ENDPOINT_CHOSEN,
+            endpoint.name,
+            request=call.info.id,
+            domain=endpoint.entry.failure_domain,
+            rank=choice.rank,
+            uncached=round(choice.uncached),
+            source=choice.source.name if choice.source else "",
+            running=requests,
+            prefill=round(prefill),
+            failures=round(endpoint.failures, 2),
+            view=self.node.directory.revision,
+        )
+
     def first_byte(self, call: Call, now: float) -> float | None:
         """Return when a silent endpoint is given up, for requests that may go elsewhere."""
         more = call.attempts + 1 < call.route.max_attempts
@@ -181,7 +204,7 @@
         """Keep what an attempt told about the endpoint and the request."""
         now = time.monotonic()
         result = outcome.result
-        call.path.append(f"{endpoint.name}:{result.value}")
+        call.path.append(f"{endpoint.name}@{endpoint.entry.failure_domain}:{result.value}")
         self.node.metrics.attempts.inc({"result": result.value})
         if result is Result.NOT_SENT:
             endpoint.pause(now)
@@ -195,7 +218,8 @@
             endpoint.answered(failed)
             call.ran = Ran.YES if outcome.status else Ran.UNKNOWN
             if result in (Result.LOST, Result.BROKEN):
-                self.node.crashes.note(call.fingerprint, endpoint.name, now)
+                if self.node.crashes.note(call.fingerprint, endpoint.name, now):
+                    self.node.neighbours.outbox.note_crash(call.fingerprint, endpoint.name)
             elif result is Result.ANSWERED:
                 self.node.crashes.clear(call.fingerprint)
         if result is not Result.ANSWERED:
@@ -266,7 +290,8 @@
 class Reading:
     """Counts a prompt as unread at an endpoint until its first event came."""
 
-    def __init__(self, endpoint: Endpoint, tokens: float):
+    def __init__(self, endpoint: Endpoint, tokens: float, neighbours):
+        self.neighbours = neighbours
         self.endpoint = endpoint
         self.tokens = tokens
 
@@ -274,6 +299,7 @@
         """Stop counting it."""
         self.endpoint.prefill = max(0.0, self.endpoint.prefill - self.tokens)
         self.tokens = 0.0
+        self.neighbours.tell_load(self.endpoint)
 
 
 async def forward(forwarder: Forwarder, call: Call) -> None:
--- /dev/null
+++ b/src/hickorylever/direct/news.py
@@ -0,0 +1,213 @@
+"""What routers tell each other in datagrams, and when: pure state, no sockets.
+
+A datagram holds what changed since the last one: loads of endpoints, prompt parts that an
+endpoint now holds, and requests under which an endpoint broke off.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+
+MAX_ENTRIES = 60  # Of one kind in a datagram, so that it fits a packet.
+REPEAT_AFTER = 4.0  # Seconds after which a held part that is used again is told again.
+HEARTBEAT = 1.0  # Seconds without news after which an empty datagram is sent.
+ALIVE_TIME = 4.0  # Seconds without a datagram after which a router counts as away.
+FORGET_TIME = 60.0  # Seconds after which a router that is away is forgotten.
+FLUSH_INTERVAL = 0.04  # Seconds.
+FLUSH_PER_PEER = 0.006  # Seconds added for each router that is told.
+HELLO_INTERVAL = 1.5  # Seconds between tries to reach a router that is away.
+
+
+class LoadNews(msgspec.Struct, array_like=True, frozen=True):
+    """Requests and unread prompt tokens that the sender has at an endpoint."""
+
+    endpoint: int
+    requests: int
+    prefill: int
+
+
+class HeldNews(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint holds a prompt part; `tokens` is the part's size."""
+
+    endpoint: int
+    part: str
+    tokens: int
+
+
+class CrashNews(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint broke off under a request."""
+
+    fingerprint: int
+    endpoint: str
+
+
+class Datagram(msgspec.Struct, array_like=True, frozen=True):
+    """What one router tells.
+
+    :param incarnation: one run of the sender; a new one starts without loads.
+    :param configuration: revision of the configuration in force; 0 for none.
+    :param endpoints: highest revision of an endpoint's entry that is known.
+    :param answer: the sender wants a datagram back.
+    :param leaving: the sender is shutting down.
+    """
+
+    incarnation: int
+    configuration: int = 0
+    endpoints: int = 0
+    answer: bool = False
+    leaving: bool = False
+    loads: list[LoadNews] = []
+    held: list[HeldNews] = []
+    crashes: list[CrashNews] = []
+    routers: list[str] = []
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Datagram)
+
+
+def encode(datagram: Datagram) -> bytes:
+    """Return a datagram's bytes."""
+    return _encoder.encode(datagram)
+
+
+def decode(data: bytes) -> Datagram:
+    """Return a datagram from its bytes.
+
+    :raises msgspec.DecodeError: when it is malformed.
+    """
+    return _decoder.decode(data)
+
+
+def short(name: str) -> int:
+    """Return the number that stands for an endpoint in datagrams."""
+    return xxhash.xxh3_64_intdigest(name.encode()) & 0xFFFFFFFF
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another router.
+
+    :param heard: monotonic time of its last datagram; 0 before the first.
+    :param known_since: when this router learned of it.
+    """
+
+    address: str
+    known_since: float
+    heard: float = 0.0
+    tried: float = 0.0
+    incarnation: int = 0
+    configuration: int = 0
+    endpoints: int = 0
+
+    def alive(self, now: float) -> bool:
+        """Tell whether it was heard of lately."""
+        return self.heard > 0 and now - self.heard <= ALIVE_TIME
+
+
+class Peers:
+    """The other routers, by IP number."""
+
+    def __init__(self, own: str):
+        self.own = own
+        self.table: dict[str, Peer] = {}
+
+    def learn(self, addresses: Iterable[str], now: float) -> None:
+        """Add routers that somebody named."""
+        for address in addresses:
+            if address != self.own and address not in self.table:
+                self.table[address] = Peer(address, now)
+
+    def heard(self, address: str, datagram: Datagram, now: float) -> Peer | None:
+        """Note a datagram; return its sender, or None when it says good-bye."""
+        self.learn([address], now)
+        if datagram.leaving:
+            del self.table[address]
+            return None
+        peer = self.table[address]
+        peer.heard = now
+        peer.incarnation = datagram.incarnation
+        peer.configuration = datagram.configuration
+        peer.endpoints = datagram.endpoints
+        return peer
+
+    def alive(self, now: float) -> list[Peer]:
+        """Return the routers that were heard of lately."""
+        return [peer for peer in self.table.values() if peer.alive(now)]
+
+    def away(self, now: float) -> list[Peer]:
+        """Return the routers to greet now; those silent for long are forgotten."""
+        for address, peer in list(self.table.items()):
+            if now - max(peer.heard, peer.known_since) > FORGET_TIME:
+                del self.table[address]
+        due = [
+            peer
+            for peer in self.table.values()
+            if not peer.alive(now) and now - peer.tried >= HELLO_INTERVAL
+        ]
+        for peer in due:
+            peer.tried = now
+        return due
+
+
+@dataclass(slots=True)
+class Outbox:
+    """News that has not been told yet."""
+
+    loads: dict[int, tuple[int, int]] = field(default_factory=dict)
+    told_loads: dict[int, tuple[int, int]] = field(default_factory=dict)
+    held: dict[tuple[int, str], int] = field(default_factory=dict)
+    told_held: dict[tuple[int, str], float] = field(default_factory=dict)
+    crashes: list[CrashNews] = field(default_factory=list)
+    sent: float = 0.0
+
+    def note_load(self, endpoint: str, requests: int, prefill: float) -> None:
+        """Note this router's load at an endpoint."""
+        key = short(endpoint)
+        load = requests, int(prefill)
+        if self.told_loads.get(key, (0, 0)) == load:
+            self.loads.pop(key, None)
+        else:
+            self.loads[key] = load
+
+    def note_held(self, endpoint: str, part: str, tokens: int, now: float) -> None:
+        """Note that an endpoint was sent a part that other requests may share."""
+        key = short(endpoint), part
+        if now - self.told_held.get(key, -REPEAT_AFTER) >= REPEAT_AFTER:
+            self.held[key] = tokens
+
+    def note_crash(self, fingerprint: int, endpoint: str) -> None:
+        """Note that an endpoint broke off under a request."""
+        self.crashes.append(CrashNews(fingerprint, endpoint))
+
+    def due(self, now: float, interval: float) -> bool:
+        """Tell whether a datagram is to be sent."""
+        waiting = self.loads or self.held or self.crashes
+        return now - self.sent >= (interval if waiting else HEARTBEAT)
+
+    def take(self, now: float) -> tuple[list[LoadNews], list[HeldNews], list[CrashNews]]:
+        """Return what is to be told, and note it as told."""
+        self.sent = now
+        loads = dict(list(self.loads.items())[:MAX_ENTRIES])
+        held = dict(list(self.held.items())[:MAX_ENTRIES])
+        crashes, self.crashes = self.crashes[:MAX_ENTRIES], self.crashes[MAX_ENTRIES:]
+        for key, load in loads.items():
+            del self.loads[key]
+            self.told_loads[key] = load
+        for key in held:
+            del self.held[key]
+            self.told_held[key] = now
+        self.forget(now)
+        return (
+            [LoadNews(key, *load) for key, load in loads.items()],
+            [HeldNews(*key, tokens) for key, tokens in held.items()],
+            crashes,
+        )
+
+    def forget(self, now: float) -> None:
+        """Drop notes on what may be told again anyway."""
+        if len(self.told_held) > 4096:
+            recent = now - REPEAT_AFTER
+            self.told_held = {key: at for key, at in self.told_held.items() if at >= recent}
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -22,6 +22,7 @@
 from .discovery import Follower
 from .endpoints import Directory
 from .forward import Call, Forwarder, fingerprint, forward
+from .peers import Neighbours
 from .records import Changes, Configuration, Listing, StoredObject
 from .routes import Routes
 from .settings import DirectSettings
@@ -56,8 +57,11 @@
         )
         self.crashes = Crashes()
         self.routes: Routes | None = None
+        self.stored_configuration: StoredObject | None = None
         self.listed = False
         self.draining = False
+        self.neighbours = Neighbours(self)
+        self.follower: Follower | None = None
 
     def count_call(self, verb: str, result: str) -> None:
         """Count a call of the store."""
@@ -71,11 +75,11 @@
         """Tell whether callers can be served."""
         return self.routes is not None and self.listed and not self.draining
 
-    def take_configuration(self, configuration: Configuration) -> None:
-        """Put a configuration in force unless it is not newer than the one that is."""
+    def take_configuration(self, configuration: Configuration) -> bool:
+        """Put a configuration in force if it is newer than the one that is; tell whether."""
         known = self.routes
         if known is not None and configuration.revision <= known.configuration.revision:
-            return
+            return False
         self.routes = Routes(configuration)
         self.metrics.revision.set({}, configuration.revision)
         log(
@@ -84,13 +88,16 @@
             revision=configuration.revision,
             routes=len(configuration.routes),
         )
+        return True
 
     def take_stored(self, stored: StoredObject) -> None:
         """Take the operator's object."""
         if stored.name != self.codec.CONFIGURATION[1] or stored.deleted:
             return
         try:
-            self.take_configuration(self.codec.decode_configuration(stored.spec, stored.revision))
+            configuration = self.codec.decode_configuration(stored.spec, stored.revision)
+            if self.take_configuration(configuration):
+                self.stored_configuration = stored
         except ContentError as error:
             self.reject(error)
 
@@ -110,6 +117,15 @@
         self.directory.take_listing(listing, time.monotonic(), patient)
         self.listed = True
 
+    def take_peer_endpoints(self, listing: Listing) -> None:
+        """Take the list of endpoints that another router has."""
+        self.directory.take_listing(listing, time.monotonic(), patient=True)
+        self.listed = True
+
+    def cut_off(self) -> bool:
+        """Tell whether the store can't be asked for the endpoints."""
+        return self.follower is None or not self.follower.reached
+
     def take_endpoint_changes(self, changes: Changes) -> None:
         """Take changes of endpoints."""
         self.directory.take_changes(changes.objects, changes.revision, time.monotonic())
@@ -193,6 +209,7 @@
             route=route,
             path=call.path if call else [],
             events=call.stream.events if call and call.stream else 0,
+            gap=round(call.stream.max_gap, 3) if call and call.stream else 0,
             parts=[f"{p.id}:{p.tokens}" for p in call.info.parts] if call else [],
             seconds=round(seconds, 4),
         )
@@ -229,6 +246,13 @@
     node = Node(settings, codec, store_class)
     router = Router(node)
     readiness = Readiness(node, codec.READY_PATH)
+    node.follower = Follower(
+        node.store,
+        codec.ENDPOINTS,
+        node.take_endpoints,
+        node.take_endpoint_changes,
+        node.chance,
+    )
     followers = [
         Follower(
             node.store,
@@ -237,20 +261,14 @@
             node.take_configuration_changes,
             node.chance,
         ),
-        Follower(
-            node.store,
-            codec.ENDPOINTS,
-            node.take_endpoints,
-            node.take_endpoint_changes,
-            node.chance,
-        ),
+        node.follower,
     ]
     signals = Signals()
     log(Event.STARTED, f"{settings.vm} listens on {settings.address}:{settings.port}")
     async with curio.TaskGroup(wait=None) as group:
         await group.spawn(readiness.server.serve, listen(settings.address, settings.ready_port))
         await group.spawn(router.server.serve, listen(settings.address, settings.port))
-        for task in (node.expire, *(follower.run for follower in followers)):
+        for task in (node.expire, node.neighbours.run, *(follower.run for follower in followers)):
             await group.spawn(supervise, task)
         await signals.wait()
         node.draining = True
@@ -258,4 +276,5 @@
         log(Event.DRAINING, f"{settings.vm} finishes what is in flight")
         async with curio.ignore_after(settings.drain_grace - EXIT_MARGIN):
             await router.drain()
+        await node.neighbours.leave()
     log(Event.STOPPED, f"{settings.vm} stops")
--- a/src/hickorylever/direct/stream.py
+++ b/src/hickorylever/direct/stream.py
@@ -1,5 +1,7 @@
 """The caller's side of a stream, over one or several endpoints."""
 
+import time
+
 from ..exceptions import CallerGone, ConnectionLost
 from ..http import Answer, Exchange, end_to_end
 
@@ -16,6 +18,8 @@
         self.begun = False
         self.events = 0
         self.reading = None
+        self.latest = 0.0
+        self.max_gap = 0.0
 
     async def start(self, answer: Answer) -> None:
         """Pass on the head, unless an earlier endpoint's was."""
@@ -27,6 +31,10 @@
     async def write(self, event: bytes) -> None:
         """Pass on one event."""
         self.events += 1
+        now = time.monotonic()
+        if self.events > 1:
+            self.max_gap = max(self.max_gap, now - self.latest)
+        self.latest = now
         if self.reading is not None:
             self.reading.done()
         await self.guard(self.exchange.write(event))
--- a/src/hickorylever/platform/__init__.py
+++ b/src/hickorylever/platform/__init__.py
@@ -2,7 +2,7 @@
 
 from .documents import decode_configuration, decode_endpoint
 from .headers import forwarded, read_answer, read_request, refusal
-from .names import CONFIGURATION, ENDPOINTS, READY_PATH
+from .names import CONFIGURATION, ENDPOINTS, READY_PATH, ROUTERS
 from .settings import load
 from .store import Store
 
@@ -10,6 +10,7 @@
     "CONFIGURATION",
     "ENDPOINTS",
     "READY_PATH",
+    "ROUTERS",
     "Store",
     "decode_configuration",
     "decode_endpoint",
