--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -1,6 +1,10 @@
 """A router that forwards to endpoints without sidecars: its parts and its listeners."""
 
+import dataclasses
+import logging
+import os
 import random
+import signal
 import time
 
 import curio
@@ -13,6 +17,7 @@
     Kind,
     Ran,
     RequestError,
+    SettingsError,
 )
 from ..http import Client, Exchange, Limits, Server, listen, while_wanted
 from ..metrics import Metrics
@@ -35,6 +40,25 @@
 EXPIRY_INTERVAL = 0.2  # Seconds.
 QUARANTINE_PAUSE = 5.0  # Seconds.
 START_PAUSE = 0.5  # Seconds.
+SETTINGS_INTERVAL = 1.0  # Seconds.
+
+
+RELOADABLE = (
+    "seeds",
+    "drain_grace",
+    "retry_ratio",
+    "retry_window",
+    "retry_allowance",
+    "load_multiple",
+)
+
+
+def modified(path: str) -> int:
+    """Return when a file was last changed, in nanoseconds; 0 when it can't be told."""
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError:
+        return 0
 
 
 class Node:
@@ -130,6 +154,35 @@
         """Take changes of endpoints."""
         self.directory.take_changes(changes.objects, changes.revision, time.monotonic())
 
+    def reload(self) -> None:
+        """Read the settings again; what a running process can't change stays as it was."""
+        try:
+            settings = self.codec.load(self.settings.path)
+        except SettingsError as error:
+            log(Event.SETTINGS_KEPT, str(error), logging.ERROR)
+            return
+        changed = [
+            name for name in RELOADABLE if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings = dataclasses.replace(
+            self.settings, **{name: getattr(settings, name) for name in changed}
+        )
+        self.budget.ratio = settings.retry_ratio
+        self.budget.allowance = settings.retry_allowance
+        self.budget.window = settings.retry_window
+        self.neighbours.peers.learn(settings.seeds, time.monotonic())
+        log(Event.SETTINGS_RELOADED, ", ".join(changed) or "nothing changed")
+
+    async def watch_settings(self) -> None:
+        """Read the settings again when their file changes without a signal."""
+        seen = modified(self.settings.path)
+        while True:
+            await curio.sleep(SETTINGS_INTERVAL)
+            now = modified(self.settings.path)
+            if now != seen:
+                seen = now
+                self.reload()
+
     async def expire(self) -> None:
         """Forget what is over its time."""
         while True:
@@ -263,14 +316,20 @@
         ),
         node.follower,
     ]
-    signals = Signals()
+    signals = Signals(signal.SIGHUP)
     log(Event.STARTED, f"{settings.vm} listens on {settings.address}:{settings.port}")
     async with curio.TaskGroup(wait=None) as group:
         await group.spawn(readiness.server.serve, listen(settings.address, settings.ready_port))
         await group.spawn(router.server.serve, listen(settings.address, settings.port))
-        for task in (node.expire, node.neighbours.run, *(follower.run for follower in followers)):
+        for task in (
+            node.expire,
+            node.watch_settings,
+            node.neighbours.run,
+            *(follower.run for follower in followers),
+        ):
             await group.spawn(supervise, task)
-        await signals.wait()
+        while await signals.wait() is signal.SIGHUP:
+            node.reload()
         node.draining = True
         router.server.draining = True
         log(Event.DRAINING, f"{settings.vm} finishes what is in flight")
--- a/src/hickorylever/direct/settings.py
+++ b/src/hickorylever/direct/settings.py
@@ -7,6 +7,7 @@
 class DirectSettings:
     """Settings of one process. Times in seconds.
 
+    :param path: of the file that the settings were read from.
     :param address: IP number to listen on.
     :param port: listener of callers.
     :param ready_port: listener of the balancer's readiness checks.
@@ -20,6 +21,7 @@
     :param load_multiple: of the mean of a service; no endpoint should hold more requests.
     """
 
+    path: str
     vm: str
     address: str
     failure_domain: str
--- a/src/hickorylever/node.py
+++ b/src/hickorylever/node.py
@@ -66,20 +66,26 @@
         await pages[exchange.path](self.env, exchange)
 
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
 class Signals:
-    """Turns SIGTERM and SIGINT into something that a task can await."""
+    """Turns signals into something that a task can await.
+
+    :param further: signals beside SIGTERM and SIGINT.
+    """
 
-    def __init__(self):
+    def __init__(self, *further: signal.Signals):
         reader, self.writer = stdsocket.socketpair()
         self.writer.setblocking(False)
         self.reader = curio.io.Socket(reader)
-        signal.set_wakeup_fd(self.writer.fileno())
-        for number in (signal.SIGTERM, signal.SIGINT):
+        signal.set_wakeup_fd(self.writer.fileno(), warn_on_full_buffer=False)
+        for number in (*STOP_SIGNALS, *further):
             signal.signal(number, lambda number, frame: None)
 
-    async def wait(self) -> None:
-        """Return when one of the signals has come."""
-        await self.reader.recv(1)
+    async def wait(self) -> signal.Signals:
+        """Return the next signal that came."""
+        return signal.Signals((await self.reader.recv(1))[0])
 
 
 async def supervise(task: Callable[[], Awaitable[None]]) -> None:
--- a/src/hickorylever/platform/settings.py
+++ b/src/hickorylever/platform/settings.py
@@ -76,16 +76,17 @@
     try:
         table = tomllib.loads(Path(path).read_text(encoding="utf-8"))
         wire = msgspec.convert(table, WireSettings)
-        return translate(wire)
+        return translate(path, wire)
     except (OSError, ValueError, msgspec.ValidationError) as error:
         raise SettingsError([f"{path}: {error}"]) from None
 
 
-def translate(wire: WireSettings) -> DirectSettings:
+def translate(path: str, wire: WireSettings) -> DirectSettings:
     """Return the product's settings."""
     bounds = wire.bounds
     seeds = tuple(split_address(seed)[0] for seed in wire.seeds)
     return DirectSettings(
+        path=path,
         vm=wire.node_name,
         address=wire.ip,
         failure_domain=wire.zone,
