Stand-ins of the platform's store and endpoints; tests of the direct router

Covers what may be repeated by kind of route, streams that break, odd answers, odd entries, lost history, shared retry budget, placing and news. Placing now prefers an endpoint that holds a prompt over copying it (a test showed that the agreed order's steps outweighed a held prompt).

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -196,10 +196,11 @@
         """Pass a stream on, event by event."""
         await self.stream.start(answer)
         events = Events(self.stream.last)
-        async for piece in answer.pieces():
-            for event in events.feed(piece):
-                await self.stream.write(event)
-                self.stream.last = events.last
+        async with curio.meta.finalize(answer.pieces()) as pieces:
+            async for piece in pieces:
+                for event in events.feed(piece):
+                    await self.stream.write(event)
+                    self.stream.last = events.last
         if events.partial:
             raise BrokenAnswer("the stream ended within an event")
         return Outcome(Result.ANSWERED, "", answer.status, answer.headers, info=info)
--- a/src/hickorylever/direct/placing.py
+++ b/src/hickorylever/direct/placing.py
@@ -12,9 +12,9 @@
 from .endpoints import Endpoint
 from .records import Part
 
-FETCH_SHARE = 0.12  # Cost of a copied token against one that is prefilled.
-RUN_TOKENS = 40.0  # Prefill tokens that one running request slows a new one by.
-RANK_TOKENS = 900.0  # For each step down the agreed order.
+FETCH_SHARE = 0.3  # Cost of a copied token against one that is prefilled.
+RUN_TOKENS = 10.0  # Prefill tokens that one running request slows a new one by.
+RANK_TOKENS = 300.0  # For each step down the agreed order.
 FAR_TOKENS = 150.0  # For an endpoint in another failure domain.
 COLD_TOKENS = 4000.0  # For an endpoint that is still slow after its start.
 FAILING_TOKENS = 60000.0  # For an endpoint all of whose answers fail.
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -296,11 +296,9 @@
     await exchange.respond(400, body=b"malformed\n")
 
 
-async def main(settings: DirectSettings, codec, store_class) -> None:
-    """Run a router until SIGTERM."""
-    node = Node(settings, codec, store_class)
-    router = Router(node)
-    readiness = Readiness(node, codec.READY_PATH)
+def followers(node: Node) -> list[Follower]:
+    """Return what keeps the configuration and the endpoints up to date."""
+    codec = node.codec
     node.follower = Follower(
         node.store,
         codec.ENDPOINTS,
@@ -308,16 +306,21 @@
         node.take_endpoint_changes,
         node.chance,
     )
-    followers = [
-        Follower(
-            node.store,
-            codec.CONFIGURATION[0],
-            node.take_configuration_listing,
-            node.take_configuration_changes,
-            node.chance,
-        ),
-        node.follower,
-    ]
+    configuration = Follower(
+        node.store,
+        codec.CONFIGURATION[0],
+        node.take_configuration_listing,
+        node.take_configuration_changes,
+        node.chance,
+    )
+    return [configuration, node.follower]
+
+
+async def main(settings: DirectSettings, codec, store_class) -> None:
+    """Run a router until SIGTERM."""
+    node = Node(settings, codec, store_class)
+    router = Router(node)
+    readiness = Readiness(node, codec.READY_PATH)
     signals = Signals(signal.SIGHUP)
     log(Event.STARTED, f"{settings.vm} listens on {settings.address}:{settings.port}")
     async with curio.TaskGroup(wait=None) as group:
@@ -327,7 +330,7 @@
             node.expire,
             node.watch_settings,
             node.neighbours.run,
-            *(follower.run for follower in followers),
+            *(follower.run for follower in followers(node)),
         ):
             await group.spawn(supervise, task)
         while await signals.wait() is signal.SIGHUP:
--- /dev/null
+++ b/tests/direct_world.py
@@ -0,0 +1,190 @@
+"""Routers of hickorylever.direct before stand-ins of the platform, on loopback in one kernel."""
+
+import curio
+import msgspec
+
+from hickorylever import http, platform
+from hickorylever.direct.router import Node, Router, followers
+from hickorylever.direct.settings import DirectSettings
+from hickorylever.exceptions import ConnectionLost
+from hickorylever.standins.origin import Origin
+from hickorylever.standins.store import StandinStore
+
+HOST = "127.0.0.1"
+SITE = "desk.example"
+KEY = "key-1"
+PATIENCE = 5.0
+
+
+def route(name, kind, service, **more):
+    return {
+        "name": name,
+        "host": SITE,
+        "path-prefix": f"/{name}/",
+        "route-type": kind,
+        "service": service,
+        "timeout-ms": 2000,
+        "target-latency-ms": 100,
+        "priority": 1,
+        "max-attempts": 2,
+        **more,
+    }
+
+
+def configuration(version=1, **more):
+    return {
+        "version": version,
+        "routes": [
+            route("stream", "streaming", "engines", **{"max-attempts": 1}),
+            route("resumable/stream", "streaming", "engines", resumable=True),
+            route("safe", "safe", "engines"),
+            route("unsafe", "unsafe", "engines"),
+            route("public", "safe", "engines", public=True),
+            route("lone", "safe", "nobody"),
+        ],
+        "services": [{"name": "engines", "health-path": "/healthz", "max-connections": 100}],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 65536,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [{"name": "clerks", "api-keys": [KEY], "priority": 2}],
+        **more,
+    }
+
+
+def entry(port, service="engines", state="ready", **more):
+    return {
+        "service": service,
+        "address": f"{HOST}:{port}",
+        "zone": "a",
+        "version": "v1",
+        "max-batch-size": 8,
+        "state": state,
+        "warmup-left-ms": 0,
+        "seq": 1,
+        **more,
+    }
+
+
+class Reply:
+    """What a caller got; `body` is None when the connection ended before the whole answer."""
+
+    def __init__(self, status=0, headers=(), body=None):
+        self.status = status
+        self.headers = dict(headers)
+        self.body = body
+
+
+class DirectWorld:
+    """Use as ``async with`` inside a curio task.
+
+    :param scripts: a script of behaviours for each endpoint.
+    """
+
+    def __init__(self, *scripts, store=True):
+        self.store = StandinStore()
+        self.origins = [Origin(f"i-{n}", list(script)) for n, script in enumerate(scripts)]
+        self.tasks = []
+        self.client = http.Client()
+        self.with_store = store
+        self.requests = 0
+
+    async def __aenter__(self):
+        self.store_port = await self.serve(self.store.server)
+        self.ports = []
+        for origin in self.origins:
+            self.ports.append(await self.serve(origin.server))
+        await self.store.put("config", "main", configuration())
+        for origin, port in zip(self.origins, self.ports, strict=True):
+            await self.store.put("servers", origin.name, entry(port))
+        if self.with_store:
+            await self.start_router()
+        return self
+
+    async def __aexit__(self, *info):
+        for task in reversed(self.tasks):
+            await task.cancel()
+
+    async def serve(self, server):
+        listener = http.listen(HOST, 0)
+        self.tasks.append(await curio.spawn(server.serve, listener, daemon=True))
+        return listener.getsockname()[1]
+
+    def settings(self):
+        return DirectSettings(
+            path="",
+            vm="entry-1",
+            address=HOST,
+            failure_domain="a",
+            port=0,
+            ready_port=0,
+            peer_port=0,
+            metrics_port=0,
+            store=(HOST, self.store_port),
+            retry_allowance=100.0,
+        )
+
+    async def start_router(self):
+        self.node = Node(self.settings(), platform, platform.Store)
+        self.router = Router(self.node)
+        for follower in followers(self.node):
+            self.tasks.append(await curio.spawn(follower.run, daemon=True))
+        self.tasks.append(await curio.spawn(self.node.expire, daemon=True))
+        self.port = await self.serve(self.router.server)
+        await self.until(lambda: self.node.ready())
+
+    async def until(self, condition):
+        async with curio.timeout_after(PATIENCE):
+            while not condition():
+                await curio.sleep(0.005)
+
+    def headers(self, key=KEY, deadline=1500, parts="", **more):
+        self.requests += 1
+        fields = [
+            (b"hickorylever-attempt-id", b"%016x" % self.requests),
+            (b"hickorylever-deadline-ms", b"%d" % deadline),
+        ]
+        if key:
+            fields.append((b"authorization", f"Bearer {key}".encode()))
+        if parts:
+            fields.append((b"hickorylever-prompt-prefix", parts.encode()))
+        return fields + [(name.encode(), value.encode()) for name, value in more.items()]
+
+    async def ask(self, path, method="POST", headers=None, body=b"hello", host=SITE):
+        """Send a request on a connection of its own; return the :class:`Reply`."""
+        channel = await self.client.acquire(HOST, self.port, fresh=True)
+        try:
+            fields = self.headers() if headers is None else headers
+            await self.client.request(channel, method, path, fields, body, host)
+            answer = await self.client.answer(channel)
+            reply = Reply(answer.status, answer.headers)
+            reply.body = await answer.body()
+        except ConnectionLost:
+            reply = locals().get("reply") or Reply()
+        finally:
+            await channel.close()
+        return reply
+
+    @property
+    def runs(self):
+        return [run for origin in self.origins for run in origin.runs]
+
+
+def play(scenario, *scripts, **more):
+    """Run an async scenario in a world of its own."""
+
+    async def main():
+        async with curio.timeout_after(4 * PATIENCE), DirectWorld(*scripts, **more) as world:
+            return await scenario(world)
+
+    return curio.run(main)
+
+
+def events(*numbers):
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
+
+
+def spec(value):
+    return msgspec.json.encode(value)
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,73 @@
+import curio
+import pytest
+from direct_world import configuration, entry, play
+
+WELL = ("well",)
+
+
+@pytest.mark.parametrize("status", [503, 429, 500])
+def test_what_is_known_stays_in_force_while_the_store_fails(status):
+    async def scenario(world):
+        world.store.faults.status = status
+        await world.store.put("servers", "odd", {})
+        await world.until(world.node.cut_off)
+        assert (await world.ask("/safe/x")).status == 200
+        await world.store.remove("servers", "i-1")
+        world.store.faults.status = 0
+        await world.until(lambda: not world.node.cut_off())
+        assert (await world.ask("/safe/x")).status == 200
+        await world.until(lambda: len(world.node.directory.pool("engines")) == 1)
+
+    play(scenario, WELL, WELL)
+
+
+def test_a_lost_history_is_answered_by_a_list():
+    async def scenario(world):
+        await world.store.put("servers", "i-9", entry(1))
+        world.store.objects.pop(("servers", "i-1"))
+        world.store.revision += 5
+        world.store.compact()
+        await world.store.put("servers", "i-8", entry(2))
+        names = {"i-0", "i-8", "i-9"}
+        await world.until(lambda: set(world.node.directory.endpoints) == names)
+
+    play(scenario, WELL, WELL)
+
+
+def test_a_list_of_many_pages():
+    async def scenario(world):
+        world.store.page = 2
+        for number in range(7):
+            await world.store.put("servers", f"n-{number}", entry(number + 1))
+        await world.start_router()
+        assert len(world.node.directory.endpoints) == 8
+
+    play(scenario, WELL, store=False)
+
+
+def test_an_older_configuration_never_replaces_a_newer_one():
+    async def scenario(world):
+        await world.store.put("config", "main", configuration(version=5))
+        await world.until(lambda: world.node.routes.configuration.version == 5)
+        stale = world.node.stored_configuration.__class__("main", 1, b"{}")
+        world.node.take_stored(stale)
+        assert world.node.routes.configuration.version == 5
+
+    play(scenario, WELL)
+
+
+def test_an_unreadable_configuration_changes_nothing():
+    async def scenario(world):
+        await world.store.put("config", "main", {"version": "nine"})
+        await curio.sleep(0.05)
+        assert (await world.ask("/safe/x")).status == 200
+
+    play(scenario, WELL)
+
+
+def test_calls_stay_few_on_a_calm_day():
+    async def scenario(world):
+        await curio.sleep(0.3)
+        assert sum(world.store.calls.values()) <= 5
+
+    play(scenario, WELL)
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,66 @@
+import msgspec
+import pytest
+
+from hickorylever.direct import news
+from hickorylever.direct.news import Datagram, HeldNews, LoadNews, Outbox, Peers, decode, encode
+
+
+def test_datagrams_keep_their_content():
+    datagram = Datagram(7, 3, 4, loads=[LoadNews(1, 2, 3)], held=[HeldNews(1, "ab", 9)])
+    assert decode(encode(datagram)) == datagram
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"\x90", b"garbage" * 9, b"\x91\xa1x"])
+def test_malformed_datagrams_are_told_apart(data):
+    with pytest.raises(msgspec.DecodeError):
+        decode(data)
+
+
+def test_only_changes_are_told():
+    outbox = Outbox()
+    outbox.note_load("i-0", 1, 500.0)
+    outbox.note_held("i-0", "ab", 300, 0.0)
+    loads, held, _ = outbox.take(0.0)
+    assert (len(loads), len(held)) == (1, 1)
+    outbox.note_load("i-0", 1, 500.0)
+    outbox.note_held("i-0", "ab", 300, 1.0)
+    assert outbox.take(1.0) == ([], [], [])
+    outbox.note_load("i-0", 0, 0.0)
+    outbox.note_held("i-0", "ab", 300, news.REPEAT_AFTER)
+    loads, held, _ = outbox.take(news.REPEAT_AFTER)
+    assert (len(loads), len(held)) == (1, 1)
+
+
+def test_a_datagram_fits_a_packet():
+    outbox = Outbox()
+    for number in range(500):
+        outbox.note_load(f"i-{number}", 60, 123456.0)
+        outbox.note_held(f"i-{number}", "0123456789ab", 10000, 0.0)
+    loads, held, _ = outbox.take(0.0)
+    assert len(encode(Datagram(2**41, loads=loads, held=held))) < 2500
+    assert outbox.due(1.0, 0.04)
+
+
+@pytest.mark.parametrize(
+    ("waiting", "after", "due"),
+    [(False, 0.5, False), (False, news.HEARTBEAT, True), (True, 0.01, False), (True, 0.05, True)],
+)
+def test_when_a_datagram_is_due(waiting, after, due):
+    outbox = Outbox()
+    outbox.take(10.0)
+    if waiting:
+        outbox.note_crash(1, "i-0")
+    assert outbox.due(10.0 + after, 0.04) is due
+
+
+def test_routers_come_and_go():
+    peers = Peers("10.0.0.1")
+    peers.learn(["10.0.0.1", "10.0.0.2", "10.0.0.3"], 0.0)
+    assert [peer.address for peer in peers.away(2.0)] == ["10.0.0.2", "10.0.0.3"]
+    assert peers.away(2.1) == []
+    peers.heard("10.0.0.2", Datagram(1), 2.5)
+    assert [peer.address for peer in peers.alive(3.0)] == ["10.0.0.2"]
+    assert peers.alive(2.5 + news.ALIVE_TIME + 0.1) == []
+    assert peers.heard("10.0.0.2", Datagram(1, leaving=True), 9.0) is None
+    peers.away(news.FORGET_TIME + 1.0)
+    assert peers.table == {}
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,91 @@
+import pytest
+
+from hickorylever.direct.endpoints import Endpoint, PeerLoad
+from hickorylever.direct.placing import Ask, agreed_order, place
+from hickorylever.direct.records import EndpointEntry, Part
+
+PARTS = (Part("a1", 300), Part("b2", 10000), Part("c3", 200))
+MULTIPLE = 2.0
+
+
+def pool(count=6, domains="abc"):
+    return [
+        Endpoint(
+            EndpointEntry(f"i-{n}", "engines", "10.0.0.1", 80 + n, domains[n % len(domains)], 64)
+        )
+        for n in range(count)
+    ]
+
+
+def ask(**more):
+    return Ask(**{"now": 100.0, "failure_domain": "a", "parts": PARTS, **more})
+
+
+def test_routers_agree_without_talking():
+    first = [place(pool(), ask(), True, MULTIPLE).endpoint.name for _ in range(3)]
+    reversed_pool = list(reversed(pool()))
+    assert {*first, place(reversed_pool, ask(), True, MULTIPLE).endpoint.name} == {first[0]}
+
+
+def test_one_endpoint_less_moves_only_its_own_prompts():
+    endpoints = pool()
+    keys = [(Part("s", 100), Part(f"{n:x}", 500), Part("own", 20)) for n in range(200)]
+    before = [agreed_order(endpoints, key)[0].name for key in keys]
+    after = [agreed_order(endpoints[1:], key)[0].name for key in keys]
+    moved = [old for old, new in zip(before, after, strict=True) if old != new]
+    assert set(moved) == {"i-0"}
+
+
+def test_a_prompt_goes_where_it_is_held():
+    endpoints = pool()
+    holder = agreed_order(endpoints, PARTS)[2]
+    holder.held.note(PARTS, 0)
+    choice = place(endpoints, ask(), True, MULTIPLE)
+    assert choice.endpoint is holder
+    assert choice.uncached == 0
+
+
+def test_a_busy_holder_is_copied_from():
+    endpoints = pool()
+    holder = agreed_order(endpoints, PARTS)[0]
+    holder.held.note(PARTS, 0)
+    holder.prefill = 50000.0
+    choice = place(endpoints, ask(), True, MULTIPLE)
+    assert choice.endpoint is not holder
+    assert choice.source is holder
+
+
+@pytest.mark.parametrize("engine", [True, False])
+def test_no_endpoint_gets_more_than_its_bound(engine):
+    """Answers the load of one prompt that nearly all requests share."""
+    endpoints = pool()
+    for _ in range(120):
+        place(endpoints, ask(), engine, MULTIPLE).endpoint.running += 1
+    mean = 120 / len(endpoints)
+    assert max(endpoint.running for endpoint in endpoints) <= MULTIPLE * mean + 3
+
+
+def test_peers_loads_count_while_they_are_fresh():
+    endpoints = pool(2, "aa")
+    endpoints[0].peers["10.0.0.9"] = PeerLoad(9, 0.0, 99.5)
+    plain = ask(parts=())
+    assert place(endpoints, plain, False, MULTIPLE).endpoint.name == "i-1"
+    endpoints[1].running = 2
+    assert place(endpoints, ask(parts=(), now=200.0), False, MULTIPLE).endpoint.name == "i-0"
+
+
+@pytest.mark.parametrize(
+    ("change", "value"),
+    [("paused_until", 101.0), ("failures", 1.0), ("running", 10)],
+)
+def test_plain_requests_avoid_an_endpoint(change, value):
+    endpoints = pool(2, "ab")
+    assert place(endpoints, ask(parts=()), False, MULTIPLE).endpoint.name == "i-0"
+    setattr(endpoints[0], change, value)
+    assert place(endpoints, ask(parts=()), False, MULTIPLE).endpoint.name == "i-1"
+
+
+def test_nothing_usable():
+    endpoints = pool(1)
+    assert place(endpoints, ask(avoid=frozenset({"i-0"})), True, MULTIPLE) is None
+    assert place([], ask(), False, MULTIPLE) is None
