Read the linger time when a server stops, not when it is defined

Cause: a default argument froze defaults.LINGER_TIME, so the test's shorter value had no effect and 20 stops took 20 s (test_http, every run). Measured: tests/test_http.py passes.

--- a/src/hickorylever/http/server.py
+++ b/src/hickorylever/http/server.py
@@ -212,10 +212,11 @@
                 continue
             await self.group.spawn(self.connection, client, address)
 
-    async def stop(self, linger: float = defaults.LINGER_TIME) -> None:
+    async def stop(self, linger: float | None = None) -> None:
         """Stop listening and close idle connections; exchanges under way go on.
 
-        :param linger: seconds that a connection without a request so far is kept.
+        :param linger: seconds that a connection without a request so far is kept; by default
+            :data:`defaults.LINGER_TIME`.
 
         Connections that wait in the listener's queue are still served, and bytes that have
         arrived on an idle connection are too.
@@ -228,7 +229,7 @@
                 await self.group.spawn(self.connection, curio.io.Socket(client), address)
         await self.listener.close()
         self.close_idle([channel for channel in self.idle if channel.used > channel.born])
-        await curio.sleep(linger)
+        await curio.sleep(defaults.LINGER_TIME if linger is None else linger)
         self.stopping = True
         self.close_idle(self.idle)
 
