Let a few routers follow the store and the others pull changes, compressed

Change: Peers.must_follow (8 routers, fast links first), /state with revisions, zlib; large changes settle for 0.5 s; Channel.read_closed.

--- a/src/hickorylever/direct/discovery.py
+++ b/src/hickorylever/direct/discovery.py
@@ -12,20 +12,27 @@
 FIRST_PAUSE = 0.2  # Seconds.
 MAX_PAUSE = 1.0  # Seconds.
 JITTER = 0.3  # Share of a pause.
+LARGE_BYTES = 16 * 1024  # Of changes, from which on later ones are read as one list.
+SETTLE_PAUSE = 0.5  # Seconds after large changes; what came meanwhile is read once.
+IDLE_PAUSE = 0.25  # Seconds between looks whether this router is to follow.
 
 
 class Follower:
     """Keeps one kind of objects up to date.
 
+    :param wanted: tells whether this router follows the store itself.
     :param take_listing: called with a listing and whether the store was away before it.
     :param take_changes: called with changes.
     """
 
-    def __init__(self, store, kind: str, take_listing, take_changes, chance: random.Random):
+    def __init__(
+        self, store, kind: str, take_listing, take_changes, chance: random.Random, wanted
+    ):
         self.store = store
         self.kind = kind
         self.take_listing = take_listing
         self.take_changes = take_changes
+        self.wanted = wanted
         self.chance = chance
         self.revision: int | None = None
         self.reached = False
@@ -36,14 +43,23 @@
         """Follow until cancelled."""
         while True:
             try:
-                await self.step()
+                if self.wanted():
+                    await self.step()
+                else:
+                    await self.rest()
             except HistoryLost:
                 self.revision = None
             except HickoryleverError as error:
                 await self.lost(error)
 
+    async def rest(self) -> None:
+        """Leave the store to other routers for a moment."""
+        self.revision = None
+        await curio.sleep(IDLE_PAUSE)
+
     async def step(self) -> None:
         """List once, or watch once."""
+        changes = None
         if self.revision is None:
             listing = await self.store.list_kind(self.kind)
             self.take_listing(listing, not self.reached)
@@ -53,6 +69,9 @@
             self.take_changes(changes)
             self.revision = changes.revision
         self.found()
+        if changes is not None and sum(len(entry.spec) for entry in changes.objects) > LARGE_BYTES:
+            await curio.sleep(SETTLE_PAUSE)
+            self.revision = None
 
     def found(self) -> None:
         """Note that the store answers."""
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -1,5 +1,6 @@
 """Endpoints as a router knows them: entries of the store, and what its own requests met there."""
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -11,6 +12,7 @@
 FIRST_PAUSE = 0.25  # Seconds that an endpoint is left out after a failed connection.
 MAX_PAUSE = 2.0  # Seconds.
 FAILURE_WEIGHT = 0.2  # Weight of the latest answer in the share of failures.
+LOG_LENGTH = 256  # Changes kept for other routers.
 LOAD_LIFETIME = 1.0  # Seconds that a peer's figure of an endpoint's load counts.
 
 
@@ -88,6 +90,8 @@
         self.by_number: dict[int, Endpoint] = {}
         self.objects: dict[str, StoredObject] = {}
         self.newest = 0
+        self.log: deque[StoredObject] = deque(maxlen=LOG_LENGTH)
+        self.log_since = 0
 
     def pool(self, service: str) -> list[Endpoint]:
         """Return a service's endpoints."""
@@ -104,11 +108,14 @@
         for name in [name for name in self.endpoints if name not in present]:
             self.miss(name, now, patient)
         self.revision = listing.revision
+        self.log.clear()
+        self.log_since = self.newest
         self.index()
 
     def take_changes(self, objects: Iterable[StoredObject], revision: int, now: float) -> None:
         """Take changes in their order."""
         for entry in objects:
+            self.remember(entry)
             if entry.deleted:
                 self.remove(entry.name, entry.revision)
             else:
@@ -146,6 +153,18 @@
         self.endpoints.pop(name, None)
         self.objects.pop(name, None)
 
+    def remember(self, entry: StoredObject) -> None:
+        """Keep a change for other routers."""
+        if len(self.log) == LOG_LENGTH:
+            self.log_since = self.log[0].revision
+        self.log.append(entry)
+
+    def since(self, revision: int) -> list[StoredObject] | None:
+        """Return the changes after a revision, or None when they are not known any more."""
+        if revision < self.log_since:
+            return None
+        return [entry for entry in self.log if entry.revision > revision]
+
     def stored(self) -> list[StoredObject]:
         """Return the objects of the endpoints, for another router."""
         return list(self.objects.values())
--- a/src/hickorylever/direct/news.py
+++ b/src/hickorylever/direct/news.py
@@ -17,6 +17,7 @@
 FORGET_TIME = 60.0  # Seconds after which a router that is away is forgotten.
 FLUSH_INTERVAL = 0.04  # Seconds.
 FLUSH_PER_PEER = 0.006  # Seconds added for each router that is told.
+FOLLOWERS = 8  # Routers that follow the store.
 HELLO_INTERVAL = 1.5  # Seconds between tries to reach a router that is away.
 
 
@@ -49,6 +50,9 @@
     :param incarnation: one run of the sender; a new one starts without loads.
     :param configuration: revision of the configuration in force; 0 for none.
     :param endpoints: highest revision of an endpoint's entry that is known.
+    :param domain: number of the sender's failure domain.
+    :param rank: order among the routers that may follow the store; the lowest do.
+    :param following: the sender follows the store, and reaches it.
     :param answer: the sender wants a datagram back.
     :param leaving: the sender is shutting down.
     """
@@ -56,6 +60,9 @@
     incarnation: int
     configuration: int = 0
     endpoints: int = 0
+    domain: int = 0
+    rank: int = 0
+    following: bool = False
     answer: bool = False
     leaving: bool = False
     loads: list[LoadNews] = []
@@ -81,6 +88,12 @@
     return _decoder.decode(data)
 
 
+def follower_rank(address: str, link_mbps: float) -> int:
+    """Return a router's rank; routers with fast links tend to come first."""
+    number = xxhash.xxh3_64_intdigest(address.encode()) & 0xFFFFFFFF
+    return int(number / max(1.0, link_mbps))
+
+
 def short(name: str) -> int:
     """Return the number that stands for an endpoint in datagrams."""
     return xxhash.xxh3_64_intdigest(name.encode()) & 0xFFFFFFFF
@@ -101,6 +114,9 @@
     incarnation: int = 0
     configuration: int = 0
     endpoints: int = 0
+    domain: int = 0
+    rank: int = 0
+    following: bool = False
 
     def alive(self, now: float) -> bool:
         """Tell whether it was heard of lately."""
@@ -131,8 +147,19 @@
         peer.incarnation = datagram.incarnation
         peer.configuration = datagram.configuration
         peer.endpoints = datagram.endpoints
+        peer.domain = datagram.domain
+        peer.rank = datagram.rank
+        peer.following = datagram.following
         return peer
 
+    def must_follow(self, rank: int, now: float) -> bool:
+        """Tell whether a router of this rank follows the store itself.
+
+        Enough routers of lower rank that reach it spare the others the calls and the bytes.
+        """
+        lower = [peer for peer in self.alive(now) if peer.following and peer.rank < rank]
+        return len(lower) < FOLLOWERS
+
     def alive(self, now: float) -> list[Peer]:
         """Return the routers that were heard of lately."""
         return [peer for peer in self.table.values() if peer.alive(now)]
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -1,6 +1,8 @@
 """Routers among themselves: datagrams with news, and configurations on request."""
 
 import time
+import zlib
+from urllib.parse import parse_qs
 
 import curio
 import msgspec
@@ -10,13 +12,25 @@
 from ..exceptions import Conflict, ConnectionLost, HickoryleverError, Kind, RequestError
 from ..http import Client, Exchange, Server, listen
 from .endpoints import PeerLoad
-from .news import FLUSH_INTERVAL, FLUSH_PER_PEER, Datagram, Outbox, Peers, decode, encode
-from .records import Listing, Part, StoredObject
+from .news import (
+    FLUSH_INTERVAL,
+    FLUSH_PER_PEER,
+    Datagram,
+    Outbox,
+    Peer,
+    Peers,
+    decode,
+    encode,
+    follower_rank,
+    short,
+)
+from .records import Part, StoredObject
 
 TICK = 0.02  # Seconds.
 DATAGRAM_BYTES = 65536
 PULL_TIMEOUT = 1.0  # Seconds.
-PULL_PAUSE = 0.3  # Seconds that the store gets to tell the same itself.
+PULL_PAUSE = 0.5  # Seconds that the store gets to tell a follower the same itself.
+PULL_INTERVAL = 0.1  # Seconds between two pulls.
 REGISTER_PAUSE = 1.0  # Seconds.
 ROUTERS_NAMED = 64
 MALFORMED = (msgspec.DecodeError, TypeError, ValueError)
@@ -37,6 +51,10 @@
         self.server = Server(self.handle, refuse)
         self.sock = None
         self.behind_since: float | None = None
+        self.next_pull = 0.0
+        self.domain = short(node.settings.failure_domain)
+        self.rank = follower_rank(node.settings.address, node.settings.link_mbps)
+        self.compressed: tuple[object, bytes] = (None, b"")
 
     async def run(self) -> None:
         """Talk until cancelled."""
@@ -98,6 +116,9 @@
             self.incarnation,
             configuration=routes.configuration.revision if routes else 0,
             endpoints=node.directory.newest,
+            domain=self.domain,
+            rank=self.rank,
+            following=self.following(),
             **news,
         )
 
@@ -149,50 +170,93 @@
         for crash in datagram.crashes:
             self.node.crashes.note(crash.fingerprint, crash.endpoint, now)
 
-    async def catch_up(self, now: float, alive) -> None:
-        """Fetch the configuration or the endpoints from a router that knows later ones."""
+    def following(self) -> bool:
+        """Tell whether this router follows the store and reaches it."""
+        followers = self.node.followers
+        return bool(followers) and all(
+            follower.reached and follower.revision is not None for follower in followers
+        )
+
+    def must_follow(self) -> bool:
+        """Tell whether this router is to follow the store itself."""
+        return self.peers.must_follow(self.rank, time.monotonic())
+
+    async def catch_up(self, now: float, alive: list[Peer]) -> None:
+        """Fetch what other routers know of the store and this one does not."""
         node = self.node
         mine = node.routes.configuration.revision if node.routes else 0
-        ahead = [peer for peer in alive if peer.configuration > mine]
-        if not ahead and not node.cut_off():
-            self.behind_since = None
-            return
-        ahead += [peer for peer in alive if peer.endpoints > node.directory.newest]
+        ahead = [
+            peer
+            for peer in alive
+            if peer.configuration > mine or peer.endpoints > node.directory.newest
+        ]
         if not ahead:
             self.behind_since = None
             return
         if self.behind_since is None:
             self.behind_since = now
-        if now - self.behind_since < PULL_PAUSE:
+        patience = PULL_PAUSE if self.following() else 0.0
+        if now - self.behind_since < patience or now < self.next_pull:
             return
-        self.behind_since = None
-        await self.pull(node.chance.choice(ahead).address)
+        self.next_pull = now + PULL_INTERVAL
+        near = [peer for peer in ahead if peer.domain == self.domain]
+        await self.pull(node.chance.choice(near or ahead).address, mine)
 
-    async def pull(self, address: str) -> None:
+    async def pull(self, address: str, mine: int) -> None:
         """Fetch what a router believes, and take what is later than one's own."""
         node = self.node
+        target = f"/state?configuration={mine}&endpoints={node.directory.newest}"
         try:
             async with curio.timeout_after(PULL_TIMEOUT):
-                status, _, body = await self.client.fetch(
-                    address, node.settings.peer_port, "GET", "/state"
+                _, _, body = await self.client.fetch(
+                    address, node.settings.peer_port, "GET", target
                 )
-            state = msgspec.msgpack.decode(body, type=State)
-        except (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError) as error:
+            state = msgspec.msgpack.decode(zlib.decompress(body), type=State)
+        except (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError, zlib.error) as error:
             log(Event.SOURCE_FAILED, repr(error), peer=address)
             return
         if state.configuration is not None:
             node.take_stored(state.configuration)
-        if state.endpoints and (node.cut_off() or not node.listed):
-            node.take_peer_endpoints(Listing(tuple(state.endpoints), state.newest))
-        log(Event.STATE_PULLED, address, status=status, endpoints=len(state.endpoints))
+        node.take_peer_endpoints(state.endpoints, state.newest, state.complete)
+        log(
+            Event.STATE_PULLED,
+            address,
+            configuration=state.configuration.revision if state.configuration else 0,
+            endpoints=len(state.endpoints),
+            newest=state.newest,
+            complete=state.complete,
+        )
 
     async def handle(self, exchange: Exchange) -> None:
-        """Tell another router what this one believes."""
+        """Tell another router what this one believes and it does not."""
         if exchange.path != "/state":
             raise RequestError(Kind.NOT_FOUND)
+        query = parse_qs(exchange.query)
+        known = [int(query.get(name, ["0"])[0]) for name in ("configuration", "endpoints")]
+        state = self.state(*known)
+        content = msgspec.msgpack.encode(state)
+        if state.configuration is not None:
+            content = self.compressed_with(state.configuration.revision, content)
+        else:
+            content = zlib.compress(content, 1)
+        await exchange.respond(200, body=content)
+
+    def state(self, configuration: int, endpoints: int) -> "State":
+        """Return what a router with these revisions lacks."""
         node = self.node
-        state = State(node.stored_configuration, node.directory.stored(), node.directory.newest)
-        await exchange.respond(200, body=msgspec.msgpack.encode(state))
+        stored = node.stored_configuration
+        if stored is not None and stored.revision <= configuration:
+            stored = None
+        changes = node.directory.since(endpoints) if endpoints else None
+        entries = node.directory.stored() if changes is None else changes
+        return State(stored, entries, node.directory.newest, changes is None)
+
+    def compressed_with(self, revision: int, content: bytes) -> bytes:
+        """Return compressed content; large ones are kept while they stay the same."""
+        key = revision, hash(content)
+        if self.compressed[0] != key:
+            self.compressed = key, zlib.compress(content)
+        return self.compressed[1]
 
     async def leave(self) -> None:
         """Tell the others that this router ends."""
@@ -208,12 +272,16 @@
 class State(msgspec.Struct, array_like=True):
     """What a router believes: the operator's object and the endpoints' entries.
 
+    :param configuration: the operator's object, or None when the asker has it.
+    :param endpoints: every entry, or the changes that the asker lacks.
     :param newest: highest revision of an entry, or of the removal of one, that it knows.
+    :param complete: `endpoints` holds every entry.
     """
 
     configuration: StoredObject | None
     endpoints: list[StoredObject]
     newest: int
+    complete: bool
 
 
 def address_of(stored: StoredObject) -> str:
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -86,7 +86,7 @@
         self.listed = False
         self.draining = False
         self.neighbours = Neighbours(self)
-        self.follower: Follower | None = None
+        self.followers: list[Follower] = []
 
     def count_call(self, verb: str, result: str) -> None:
         """Count a call of the store."""
@@ -142,15 +142,19 @@
         self.directory.take_listing(listing, time.monotonic(), patient)
         self.listed = True
 
-    def take_peer_endpoints(self, listing: Listing) -> None:
-        """Take the list of endpoints that another router has."""
-        self.directory.take_listing(listing, time.monotonic(), patient=True)
-        self.directory.newest = max(self.directory.newest, listing.revision)
-        self.listed = True
+    def take_peer_endpoints(self, objects, newest: int, complete: bool) -> None:
+        """Take endpoints, or changes of them, that another router knows."""
+        now = time.monotonic()
+        if complete:
+            self.directory.take_listing(Listing(tuple(objects), newest), now, patient=True)
+            self.listed = True
+        else:
+            self.directory.take_changes(objects, newest, now)
+        self.directory.newest = max(self.directory.newest, newest)
 
     def cut_off(self) -> bool:
-        """Tell whether the store can't be asked for the endpoints."""
-        return self.follower is None or not self.follower.reached
+        """Tell whether the store does not answer this router."""
+        return not all(follower.reached for follower in self.followers)
 
     def take_endpoint_changes(self, changes: Changes) -> None:
         """Take changes of endpoints."""
@@ -298,22 +302,19 @@
 
 def followers(node: Node) -> list[Follower]:
     """Return what keeps the configuration and the endpoints up to date."""
-    codec = node.codec
-    node.follower = Follower(
-        node.store,
-        codec.ENDPOINTS,
-        node.take_endpoints,
-        node.take_endpoint_changes,
-        node.chance,
-    )
-    configuration = Follower(
-        node.store,
-        codec.CONFIGURATION[0],
-        node.take_configuration_listing,
-        node.take_configuration_changes,
-        node.chance,
+    kinds = (
+        (
+            node.codec.CONFIGURATION[0],
+            node.take_configuration_listing,
+            node.take_configuration_changes,
+        ),
+        (node.codec.ENDPOINTS, node.take_endpoints, node.take_endpoint_changes),
     )
-    return [configuration, node.follower]
+    node.followers = [
+        Follower(node.store, kind, listing, changes, node.chance, node.neighbours.must_follow)
+        for kind, listing, changes in kinds
+    ]
+    return node.followers
 
 
 async def main(settings: DirectSettings, codec, store_class) -> None:
--- a/src/hickorylever/direct/settings.py
+++ b/src/hickorylever/direct/settings.py
@@ -14,6 +14,7 @@
     :param peer_port: TCP and UDP port of the routers among themselves, the same on every VM.
     :param store: IP number and port of the platform's store.
     :param seeds: IP numbers of some routers, maybe stale.
+    :param link_mbps: speed of the VM's link in Mbit/s.
     :param drain_grace: from SIGTERM until the process is killed.
     :param retry_ratio: retries allowed per request, over all routers.
     :param retry_window: sliding window in which retries are counted.
@@ -33,6 +34,7 @@
     seeds: tuple[str, ...] = ()
     memory_bytes: int = 256 * 1024 * 1024
     max_descriptors: int = 1024
+    link_mbps: float = 1000.0
     drain_grace: float = 8.0
     retry_ratio: float = 0.2
     retry_window: float = 10.0
--- a/src/hickorylever/http/channel.py
+++ b/src/hickorylever/http/channel.py
@@ -29,6 +29,7 @@
 
     :param role: ``h11.SERVER`` or ``h11.CLIENT``.
     :param write_timeout: seconds that the peer may take to accept one piece of output.
+    :ivar read_closed: this end has closed its reading side, so an end of input tells nothing.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self.used = self.born
         self.ended = False
         self.idle_limit = math.inf
+        self.read_closed = False
 
     async def read(self) -> None:
         """Wait for bytes of the peer and give them to the parser.
--- a/src/hickorylever/http/presence.py
+++ b/src/hickorylever/http/presence.py
@@ -11,12 +11,12 @@
 
 async def caller_gone(exchange: Exchange) -> None:
     """Return when the caller has closed its connection; a request that it pipelines is left."""
-    sock = exchange.channel.sock
+    channel = exchange.channel
     try:
-        data = await sock.recv(1, stdsocket.MSG_PEEK)
+        data = await channel.sock.recv(1, stdsocket.MSG_PEEK)
     except OSError:
         return
-    if data:
+    if data or channel.read_closed:
         await curio.Event().wait()
 
 
--- a/src/hickorylever/http/server.py
+++ b/src/hickorylever/http/server.py
@@ -236,6 +236,7 @@
     def close_idle(self, channels) -> None:
         """Wake the readers of connections: what has arrived is read, then they end."""
         for channel in channels:
+            channel.read_closed = True
             with contextlib.suppress(OSError):
                 channel.raw.shutdown(stdsocket.SHUT_RD)
 
--- a/src/hickorylever/platform/settings.py
+++ b/src/hickorylever/platform/settings.py
@@ -32,6 +32,7 @@
 
     memory_mb: float = 256.0
     max_fds: int = 1024
+    link_mbps: float = 1000.0
 
 
 class WireBounds(Wire):
@@ -98,6 +99,7 @@
         seeds=tuple(seed for seed in seeds if seed != wire.ip),
         memory_bytes=int(wire.limits.memory_mb * MEGABYTE),
         max_descriptors=wire.limits.max_fds,
+        link_mbps=wire.limits.link_mbps,
         drain_grace=bounds.grace_s,
         retry_ratio=bounds.retry_budget_ratio,
         retry_window=bounds.retry_window_s,
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -406,6 +406,31 @@
     run(main)
 
 
+def test_a_request_read_during_the_stop_is_not_taken_for_abandoned():
+    async def answer(exchange):
+        await curio.sleep(0.05)
+        await exchange.respond(200, body=b"whole")
+
+    async def handle(exchange):
+        await http.while_wanted(exchange, answer, exchange)
+
+    async def main():
+        server = http.Server(handle, refuse)
+        task, port = await serving(server)
+        client = http.Client()
+        for target in ("/one", "/two"):
+            channel = await client.acquire(HOST, port)
+            await curio.sleep(0.01)
+            await client.request(channel, "GET", target)
+            if target == "/two":
+                server.close_idle(server.idle)
+            assert await (await client.answer(channel)).body() == b"whole"
+            await client.release(HOST, port, channel)
+        await task.cancel()
+
+    run(main)
+
+
 def test_idle_connections_are_reaped_and_never_raced():
     async def main():
         _, port = await serving(echo_server())
