--- a/src/hickorylever/direct/caches.py
+++ b/src/hickorylever/direct/caches.py
@@ -6,6 +6,7 @@
 from .records import Part
 
 MAX_PARTS = 4096
+TOLD_PARTS = 400  # Of an endpoint, told to a router that starts.
 
 
 class Holdings:
@@ -26,6 +27,10 @@
         while self.parts and (len(self.parts) > MAX_PARTS or (memory and self.tokens > memory)):
             self.tokens -= self.parts.popitem(last=False)[1]
 
+    def recent(self) -> dict[str, int]:
+        """Return the parts that were used last, oldest first, with their tokens."""
+        return dict(list(self.parts.items())[-TOLD_PARTS:])
+
     def cached(self, parts: Sequence[Part]) -> int:
         """Return the tokens at the start of a prompt that are held."""
         tokens = 0
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -6,7 +6,7 @@
 
 from .caches import Holdings
 from .news import short
-from .records import EndpointEntry, Listing, StoredObject
+from .records import EndpointEntry, Listing, Part, StoredObject
 
 RETURN_TIME = 2.0  # Seconds in which entries that lapsed during an outage come back.
 FIRST_PAUSE = 0.25  # Seconds that an endpoint is left out after a failed connection.
@@ -165,6 +165,17 @@
             return None
         return [entry for entry in self.log if entry.revision > revision]
 
+    def held(self) -> dict[str, dict[str, int]]:
+        """Return the prompt parts that each endpoint was lately sent, with their tokens."""
+        return {name: endpoint.held.recent() for name, endpoint in self.endpoints.items()}
+
+    def take_held(self, held: dict[str, dict[str, int]]) -> None:
+        """Take what another router knows of held prompt parts."""
+        for name, parts in held.items():
+            endpoint = self.endpoints.get(name)
+            if endpoint is not None:
+                endpoint.held.note([Part(part, tokens) for part, tokens in parts.items()], 0)
+
     def stored(self) -> list[StoredObject]:
         """Return the objects of the endpoints, for another router."""
         return list(self.objects.values())
--- a/src/hickorylever/direct/entry.py
+++ b/src/hickorylever/direct/entry.py
@@ -10,12 +10,13 @@
 from . import router
 
 EXIT_USAGE = 2
+LOG_RATE = 60  # Lines a second of each kind of event.
 
 
 def run(arguments: argparse.Namespace) -> None:
     """Run a router that forwards to endpoints itself, until SIGTERM."""
     settings = platform.load(arguments.settings)
-    events.configure("json", arguments.log_level)
+    events.configure_bounded(arguments.log_level, LOG_RATE)
     curio.run(router.main, settings, platform, platform.Store)
 
 
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -159,6 +159,8 @@
         """Log where a call goes and what decided it."""
         endpoint = choice.endpoint
         requests, prefill = endpoint.load(time.monotonic())
+        reuse = "copied" if choice.source else "rank_0" if choice.rank == 0 else "spilled"
+        self.node.metrics.placed.inc({"service": call.service.name, "reuse": reuse})
         log(
             Event.ENDPOINT_CHOSEN,
             endpoint.name,
--- /dev/null
+++ b/src/hickorylever/direct/metrics.py
@@ -0,0 +1,41 @@
+"""Metrics of a router that forwards to endpoints without sidecars."""
+
+from aioprometheus import Counter, Gauge, Histogram
+
+from ..metrics import LATENCY_BUCKETS, Metrics
+
+INF = float("inf")
+
+
+class DirectMetrics(Metrics):
+    """Counters, gauges and histograms; labels are names of routes, services and results only."""
+
+    def __init__(self):
+        super().__init__()
+        self.routed = self.make(
+            Counter, "hickorylever_routed_total", "Requests by route and kind of outcome"
+        )
+        self.seconds = self.histogram("hickorylever_routed_seconds", "Time to the whole answer")
+        self.first_event = self.histogram(
+            "hickorylever_first_event_seconds", "Time to the first event of a stream"
+        )
+        self.event_gap = self.histogram(
+            "hickorylever_event_gap_seconds", "Longest pause between events of a stream"
+        )
+        self.placed = self.make(
+            Counter, "hickorylever_placed_total", "Placings by service and reuse of the prompt"
+        )
+        self.budget_left = self.make(
+            Gauge, "hickorylever_retry_budget_left", "Retries allowed now, by service"
+        )
+        self.peers = self.make(Gauge, "hickorylever_peers", "Routers heard of lately")
+        self.endpoints = self.make(Gauge, "hickorylever_endpoints", "Known endpoints by service")
+        self.store_age = self.make(
+            Gauge, "hickorylever_store_age_seconds", "Time since the store last answered, by kind"
+        )
+        self.in_flight = self.make(Gauge, "hickorylever_in_flight", "Requests under way")
+        self.descriptors = self.make(Gauge, "hickorylever_descriptors", "Open descriptors")
+
+    def histogram(self, name: str, doc: str) -> Histogram:
+        """Return a new histogram of seconds in this process's registry."""
+        return Histogram(name, doc, registry=self.registry, buckets=(*LATENCY_BUCKETS, INF))
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -52,6 +52,7 @@
         self.sock = None
         self.behind_since: float | None = None
         self.next_pull = 0.0
+        self.synced = False
         self.domain = short(node.settings.failure_domain)
         self.rank = follower_rank(node.settings.address, node.settings.link_mbps)
         self.compressed: tuple[object, bytes] = (None, b"")
@@ -184,6 +185,10 @@
     async def catch_up(self, now: float, alive: list[Peer]) -> None:
         """Fetch what other routers know of the store and this one does not."""
         node = self.node
+        if alive and not self.synced and now >= self.next_pull:
+            self.next_pull = now + PULL_INTERVAL
+            self.synced = await self.pull(self.nearest(alive), 0, 0)
+            return
         mine = node.routes.configuration.revision if node.routes else 0
         ahead = [
             peer
@@ -199,13 +204,17 @@
         if now - self.behind_since < patience or now < self.next_pull:
             return
         self.next_pull = now + PULL_INTERVAL
-        near = [peer for peer in ahead if peer.domain == self.domain]
-        await self.pull(node.chance.choice(near or ahead).address, mine)
+        await self.pull(self.nearest(ahead), mine, node.directory.newest)
+
+    def nearest(self, peers: list[Peer]) -> str:
+        """Return the address of one of some routers, of the own failure domain if possible."""
+        near = [peer for peer in peers if peer.domain == self.domain]
+        return self.node.chance.choice(near or peers).address
 
-    async def pull(self, address: str, mine: int) -> None:
-        """Fetch what a router believes, and take what is later than one's own."""
+    async def pull(self, address: str, configuration: int, endpoints: int) -> bool:
+        """Fetch what a router believes beyond some revisions; tell whether it answered."""
         node = self.node
-        target = f"/state?configuration={mine}&endpoints={node.directory.newest}"
+        target = f"/state?configuration={configuration}&endpoints={endpoints}"
         try:
             async with curio.timeout_after(PULL_TIMEOUT):
                 _, _, body = await self.client.fetch(
@@ -214,10 +223,11 @@
             state = msgspec.msgpack.decode(zlib.decompress(body), type=State)
         except (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError, zlib.error) as error:
             log(Event.SOURCE_FAILED, repr(error), peer=address)
-            return
+            return False
         if state.configuration is not None:
             node.take_stored(state.configuration)
         node.take_peer_endpoints(state.endpoints, state.newest, state.complete)
+        node.directory.take_held(state.held)
         log(
             Event.STATE_PULLED,
             address,
@@ -226,6 +236,7 @@
             newest=state.newest,
             complete=state.complete,
         )
+        return True
 
     async def handle(self, exchange: Exchange) -> None:
         """Tell another router what this one believes and it does not."""
@@ -249,7 +260,8 @@
             stored = None
         changes = node.directory.since(endpoints) if endpoints else None
         entries = node.directory.stored() if changes is None else changes
-        return State(stored, entries, node.directory.newest, changes is None)
+        held = node.directory.held() if changes is None else {}
+        return State(stored, entries, node.directory.newest, changes is None, held)
 
     def compressed_with(self, revision: int, content: bytes) -> bytes:
         """Return compressed content; large ones are kept while they stay the same."""
@@ -276,12 +288,14 @@
     :param endpoints: every entry, or the changes that the asker lacks.
     :param newest: highest revision of an entry, or of the removal of one, that it knows.
     :param complete: `endpoints` holds every entry.
+    :param held: tokens of the prompt parts that each endpoint holds, for a router that starts.
     """
 
     configuration: StoredObject | None
     endpoints: list[StoredObject]
     newest: int
     complete: bool
+    held: dict[str, dict[str, int]] = {}
 
 
 def address_of(stored: StoredObject) -> str:
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -20,13 +20,13 @@
     SettingsError,
 )
 from ..http import Client, Exchange, Limits, Server, listen, while_wanted
-from ..metrics import Metrics
 from ..process import Signals, supervise
 from .budget import SharedBudget
 from .crashes import Crashes
 from .discovery import Follower
 from .endpoints import Directory
 from .forward import Call, Forwarder, fingerprint, forward
+from .metrics import DirectMetrics
 from .peers import Neighbours
 from .records import Changes, Configuration, Listing, StoredObject
 from .routes import Routes
@@ -73,7 +73,7 @@
         self.settings = settings
         self.codec = codec
         self.chance = random.Random()
-        self.metrics = Metrics()
+        self.metrics = DirectMetrics()
         self.client = Client(max_idle=ENDPOINT_IDLE)
         self.store = store_class(settings.store, Client(max_idle=ENDPOINT_IDLE), self.count_call)
         self.directory = Directory(codec.decode_endpoint, self.reject)
@@ -259,8 +259,7 @@
     def finish(self, exchange: Exchange, call: Call | None, kind: str, seconds: float) -> None:
         """Count and log one request."""
         route = call.route.name if call else ""
-        self.node.metrics.requests.inc({"application": "", "kind": kind})
-        self.node.metrics.latency.observe({"application": ""}, seconds)
+        self.count(call, kind, seconds)
         log(
             Event.REQUEST_REFUSED if kind else Event.REQUEST_DONE,
             kind or "answered",
@@ -273,6 +272,17 @@
             seconds=round(seconds, 4),
         )
 
+    def count(self, call: Call | None, kind: str, seconds: float) -> None:
+        """Count one request."""
+        metrics = self.node.metrics
+        labels = {"route": call.route.name if call else ""}
+        metrics.routed.inc({**labels, "kind": kind or "answered"})
+        metrics.seconds.observe(labels, seconds)
+        stream = call.stream if call else None
+        if stream is not None and stream.events:
+            metrics.first_event.observe(labels, stream.first - call.begun)
+            metrics.event_gap.observe(labels, stream.max_gap)
+
     async def drain(self) -> None:
         """Serve new connections for a time, then return when nothing is in flight."""
         await curio.sleep(LISTEN_TIME)
@@ -281,6 +291,35 @@
             await curio.sleep(DRAIN_POLL)
 
 
+class MetricsPage:
+    """Serves the metrics."""
+
+    def __init__(self, node: Node, router: Router):
+        self.node = node
+        self.router = router
+        self.server = Server(self.handle, refuse_plainly)
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer with the text exposition format."""
+        self.refresh()
+        fields = [(b"content-type", b"text/plain; version=0.0.4")]
+        await exchange.respond(200, fields, self.node.metrics.render())
+
+    def refresh(self) -> None:
+        """Set the gauges."""
+        node = self.node
+        metrics = node.metrics
+        now = time.monotonic()
+        metrics.in_flight.set({}, self.router.in_flight)
+        metrics.peers.set({}, len(node.neighbours.peers.alive(now)))
+        metrics.descriptors.set({}, len(os.listdir("/proc/self/fd")))
+        for service, pool in node.directory.pools.items():
+            metrics.endpoints.set({"service": service}, len(pool))
+            metrics.budget_left.set({"service": service}, node.budget.left(service, now))
+        for follower in node.followers:
+            metrics.store_age.set({"kind": follower.kind}, now - follower.heard)
+
+
 class Readiness:
     """Answers the balancer."""
 
@@ -326,6 +365,8 @@
     log(Event.STARTED, f"{settings.vm} listens on {settings.address}:{settings.port}")
     async with curio.TaskGroup(wait=None) as group:
         await group.spawn(readiness.server.serve, listen(settings.address, settings.ready_port))
+        page = MetricsPage(node, router)
+        await group.spawn(page.server.serve, listen(settings.address, settings.metrics_port))
         await group.spawn(router.server.serve, listen(settings.address, settings.port))
         for task in (
             node.expire,
--- a/src/hickorylever/direct/stream.py
+++ b/src/hickorylever/direct/stream.py
@@ -18,6 +18,7 @@
         self.begun = False
         self.events = 0
         self.reading = None
+        self.first = 0.0
         self.latest = 0.0
         self.max_gap = 0.0
 
@@ -32,7 +33,9 @@
         """Pass on one event."""
         self.events += 1
         now = time.monotonic()
-        if self.events > 1:
+        if self.events == 1:
+            self.first = now
+        else:
             self.max_gap = max(self.max_gap, now - self.latest)
         self.latest = now
         if self.reading is not None:
--- a/src/hickorylever/events.py
+++ b/src/hickorylever/events.py
@@ -2,6 +2,7 @@
 
 import enum
 import logging
+import os
 import sys
 import time
 
@@ -21,6 +22,7 @@
     READY = 101
     DRAINING = 102
     STOPPED = 103
+    LINES_LEFT_OUT = 106
     SETTINGS_RELOADED = 104
     SETTINGS_KEPT = 105
     TIMER_FAILED = 110
@@ -61,6 +63,11 @@
     OBJECTS_DELETED = 520
 
 
+# Events of requests that ended badly keep their lines longest.
+FAILURES = frozenset((Event.REQUEST_REFUSED, Event.ATTEMPT_FAILED, Event.ATTEMPT_LOST))
+FAILURE_FACTOR = 4
+
+
 def log(event: Event, message: str, level: int = logging.INFO, **fields: object) -> None:
     """Log one numbered event with named fields."""
     logger.log(level, message, extra={"event": event, "fields": fields})
@@ -102,6 +109,70 @@
         return text
 
 
+class BoundedHandler(logging.Handler):
+    """Writes lines to standard output, never waits for it, and bounds their number.
+
+    Each kind of event may have `rate` lines a second; failures have more. Lines that are left out
+    are counted, and told once a second.
+    """
+
+    def __init__(self, descriptor: int, rate: int, clock=time.monotonic):
+        super().__init__()
+        self.descriptor = descriptor
+        self.rate = rate
+        self.clock = clock
+        self.second = 0
+        self.counts: dict[int, int] = {}
+        self.left_out = 0
+        self.lost = 0
+        self.rest = b""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record, unless its kind had enough lines this second."""
+        second = int(self.clock())
+        if second != self.second:
+            self.begin_second(second)
+        event = int(getattr(record, "event", 0) or 0)
+        count = self.counts[event] = self.counts.get(event, 0) + 1
+        failure = event in FAILURES or record.levelno >= logging.WARNING
+        if count > self.rate * (FAILURE_FACTOR if failure else 1):
+            self.left_out += 1
+            return
+        self.write(self.format(record).encode() + b"\n")
+
+    def begin_second(self, second: int) -> None:
+        """Tell what the second before left out, and count anew."""
+        self.second = second
+        self.counts.clear()
+        left_out, lost = self.left_out, self.lost
+        if left_out or lost:
+            self.left_out = self.lost = 0
+            fields = {"left_out": left_out, "lost": lost}
+            record = logger.makeRecord(
+                logger.name,
+                logging.WARNING,
+                "",
+                0,
+                "log lines were left out",
+                (),
+                None,
+                extra={"event": Event.LINES_LEFT_OUT, "fields": fields},
+            )
+            self.write(self.format(record).encode() + b"\n")
+
+    def write(self, line: bytes) -> None:
+        """Write what the descriptor takes now; a line that it takes in part is finished first."""
+        try:
+            if self.rest:
+                self.rest = self.rest[os.write(self.descriptor, self.rest) :]
+            if self.rest:
+                self.lost += 1
+                return
+            self.rest = line[os.write(self.descriptor, line) :]
+        except OSError:  # Nobody reads: the line is counted as lost and told later.
+            self.lost += 1
+
+
 FORMATTERS = {"json": JSONFormatter, "text": TextFormatter}
 
 
@@ -109,6 +180,11 @@
     """Send log events to standard error in the given format."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(FORMATTERS[form]())
+    attach(handler, level)
+
+
+def attach(handler: logging.Handler, level: str) -> None:
+    """Send the program's events, and errors of curio's kernel, to one handler."""
     logger.handlers[:] = [handler]
     logger.setLevel(level.upper())
     logger.propagate = False
@@ -116,3 +192,15 @@
     kernel.handlers[:] = [handler]
     kernel.setLevel(logging.ERROR)
     kernel.propagate = False
+
+
+def configure_bounded(level: str, rate: int) -> None:
+    """Send log events to standard output as JSON, bounded and without ever blocking.
+
+    :param rate: lines a second of each kind of event.
+    """
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    handler = BoundedHandler(descriptor, rate)
+    handler.setFormatter(JSONFormatter())
+    attach(handler, level)
--- a/src/hickorylever/platform/names.py
+++ b/src/hickorylever/platform/names.py
@@ -40,3 +40,4 @@
 SETTINGS_VARIABLE = "HICKORYLEVER_SETTINGS"
 STATE_READY = "ready"
 STATES = (STATE_READY, "draining")
+METRICS_PORT = 9464  # As in deploy/system.toml.
--- a/src/hickorylever/platform/settings.py
+++ b/src/hickorylever/platform/settings.py
@@ -94,7 +94,7 @@
         port=split_address(wire.listen.frontend)[1],
         ready_port=split_address(wire.listen.ready)[1],
         peer_port=wire.internal_ports[0],
-        metrics_port=wire.internal_ports[-1],
+        metrics_port=names.METRICS_PORT,
         store=split_address(wire.platform.address),
         seeds=tuple(seed for seed in seeds if seed != wire.ip),
         memory_bytes=int(wire.limits.memory_mb * MEGABYTE),
