Give silent endpoints up sooner; ignore lists of peers that know less

Share of failures never decayed without requests. Change: first byte expected within 0.6 objectives and what is to be read; Endpoint.silent; half-life of failures; PeerSilent is no crash; three crashes make a suspect; /state only from routers that have listed, only newer lists.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -2,12 +2,13 @@
 
 import enum
 import time
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import curio
 import h11
 
-from ..exceptions import BrokenAnswer, ConnectionLost
+from ..exceptions import BrokenAnswer, ConnectionLost, PeerSilent
 from ..http import Answer, Channel, Client, header
 from .endpoints import Endpoint
 from .records import AnswerInfo
@@ -36,6 +37,7 @@
 
     :param status: of the endpoint's own answer; 0 when there was none.
     :param body: of an answer that is not a stream.
+    :param silent: this router gave up a connection that had not failed.
     """
 
     result: Result
@@ -44,6 +46,7 @@
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     body: bytes = b""
     info: AnswerInfo | None = None
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +66,7 @@
 
     :param stream: takes the head and the events of a streamed answer.
     :param first_byte: monotonic time by which an answer must have begun, or None.
+    :param longest_pause: seconds that a stream may pause before it is given up here, or None.
     """
 
     def __init__(
@@ -75,6 +79,7 @@
         deadline: float,
         repeatable: bool,
         first_byte: float | None = None,
+        longest_pause: float | None = None,
     ):
         self.client = client
         self.endpoint = endpoint
@@ -84,6 +89,7 @@
         self.deadline = deadline
         self.repeatable = repeatable
         self.first_byte = first_byte
+        self.longest_pause = longest_pause
         self.sent = False
         self.channel: Channel | None = None
 
@@ -98,6 +104,7 @@
             outcome = Outcome(Result.EXPIRED, "the time is over")
         except (ConnectionLost, h11.ProtocolError, BrokenAnswer) as error:
             outcome = Outcome(self.failure(), str(error) or repr(error))
+            outcome.silent = isinstance(error, PeerSilent)
         except BaseException:
             await self.close()
             raise
@@ -163,6 +170,7 @@
         """Return the answer to this request; late answers to earlier ones are dropped."""
         for _ in range(MAX_STALE_ANSWERS + 1):
             answer = await self.answer_in_time()
+            self.endpoint.heard = time.monotonic()
             info = self.read_answer(answer.status, answer.headers)
             if info.request_id == self.message.request_id:
                 return answer, info
@@ -178,7 +186,7 @@
         left = max(0.0, self.first_byte - time.monotonic())
         async with curio.ignore_after(left):
             return await self.client.answer(self.channel)
-        raise ConnectionLost("the endpoint does not answer")
+        raise PeerSilent("the endpoint does not answer")
 
     async def skip(self, answer: Answer) -> None:
         """Read an answer to another request to its end and await the next one."""
@@ -197,10 +205,22 @@
         await self.stream.start(answer)
         events = Events(self.stream.last)
         async with curio.meta.finalize(answer.pieces()) as pieces:
-            async for piece in pieces:
+            while (piece := await self.next_piece(pieces)) is not None:
+                self.endpoint.heard = time.monotonic()
                 for event in events.feed(piece):
                     await self.stream.write(event)
                     self.stream.last = events.last
         if events.partial:
             raise BrokenAnswer("the stream ended within an event")
         return Outcome(Result.ANSWERED, "", answer.status, answer.headers, info=info)
+
+    async def next_piece(self, pieces: AsyncIterator[bytes]) -> bytes | None:
+        """Return the next piece of a stream, or None at its end.
+
+        :raises PeerSilent: when the endpoint pauses for too long.
+        """
+        if self.longest_pause is None:
+            return await anext(pieces, None)
+        async with curio.ignore_after(self.longest_pause):
+            return await anext(pieces, None)
+        raise PeerSilent("the stream pauses")
--- a/src/hickorylever/direct/crashes.py
+++ b/src/hickorylever/direct/crashes.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 LIFETIME = 120.0  # Seconds.
-SUSPECT_CRASHES = 2
+SUSPECT_CRASHES = 3  # Fewer may be lost answers that no crash caused.
 MAX_MARKS = 4096
 
 
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -12,6 +12,9 @@
 FIRST_PAUSE = 0.25  # Seconds that an endpoint is left out after a failed connection.
 MAX_PAUSE = 2.0  # Seconds.
 FAILURE_WEIGHT = 0.2  # Weight of the latest answer in the share of failures.
+FAILURE_HALF_LIFE = 3.0  # Seconds in which an old share of failures halves.
+SILENCE = 0.4  # Seconds without a byte from an endpoint that works, beyond its prefill.
+PREFILL_RATE = 40_000.0  # Tokens a second that an engine reads at least.
 LOG_LENGTH = 256  # Changes kept for other routers.
 LOAD_LIFETIME = 1.0  # Seconds that a peer's figure of an endpoint's load counts.
 
@@ -31,7 +34,9 @@
 
     :param running: this router's requests there.
     :param prefill: tokens of their prompts that the endpoint has still to read.
-    :param failures: recent share of answers that were failures.
+    :param failed_share: share of answers that were failures, as of `failed_at`.
+    :param heard: when it last sent a byte of an answer.
+    :param busy_since: when the first of the requests under way was sent.
     :param paused_until: monotonic time until which no new work goes there.
     :param warm_at: monotonic time at which it is no longer slow after its start.
     :param missing_since: when its entry was first missing after an outage of the store.
@@ -40,7 +45,10 @@
     entry: EndpointEntry
     running: int = 0
     prefill: float = 0.0
-    failures: float = 0.0
+    failed_share: float = 0.0
+    failed_at: float = 0.0
+    heard: float = 0.0
+    busy_since: float = 0.0
     misses: int = 0
     paused_until: float = 0.0
     warm_at: float = 0.0
@@ -68,10 +76,30 @@
         self.misses += 1
         self.paused_until = now + min(MAX_PAUSE, FIRST_PAUSE * 2 ** (self.misses - 1))
 
-    def answered(self, failed: bool) -> None:
+    def failures(self, now: float) -> float:
+        """Return the recent share of answers that were failures."""
+        return self.failed_share * 0.5 ** ((now - self.failed_at) / FAILURE_HALF_LIFE)
+
+    def answered(self, failed: bool, now: float) -> None:
         """Note an answer's outcome."""
         self.misses = 0
-        self.failures += FAILURE_WEIGHT * (failed - self.failures)
+        share = self.failures(now)
+        self.failed_share = share + FAILURE_WEIGHT * (failed - share)
+        self.failed_at = now
+
+    def begin(self, tokens: float, now: float) -> None:
+        """Count a request that is sent there."""
+        if not self.running:
+            self.busy_since = now
+        self.running += 1
+        self.prefill += tokens
+
+    def silent(self, now: float) -> bool:
+        """Tell whether it has requests of this router and sends nothing for suspiciously long."""
+        if not self.running:
+            return False
+        quiet = now - max(self.heard, self.busy_since)
+        return quiet > SILENCE + self.prefill / PREFILL_RATE
 
 
 class Directory:
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -9,14 +9,16 @@
 from ..exceptions import Kind, Ran, RequestError
 from ..http import Exchange, end_to_end
 from .attempt import Attempt, Message, Outcome, Result
-from .endpoints import Endpoint
+from .endpoints import PREFILL_RATE, Endpoint
 from .placing import Ask, Choice, place, shared
 from .records import Account, Handover, RequestInfo, Route, RouteKind, Service
 from .stream import Stream
 
 MAX_TRIES = 6  # Endpoints tried for one request, with those that did not run it.
 MAX_REJECTIONS = 3  # Endpoints that may say that they did not run a request.
-FIRST_BYTE_OBJECTIVES = 4.0  # Objectives after which a silent endpoint is given up.
+PLAIN_OBJECTIVES = 4.0  # Objectives after which a silent plain endpoint is given up.
+STREAM_OBJECTIVES = 0.6  # The same for engines, so that the next one can still be on time.
+PAUSE_GAPS = 3.0  # Longest pauses on time, after which a stream is resumed elsewhere.
 MIN_FIRST_BYTE = 0.6  # Seconds.
 MARGIN = 0.02  # Seconds between an endpoint's time limit and the caller's.
 MIN_RETRY_TIME = 0.05  # Seconds that must be left for another attempt.
@@ -125,12 +127,11 @@
         engine = call.service.engine
         call.tried.add(endpoint.name)
         self.log_choice(call, choice)
-        endpoint.running += 1
-        endpoint.prefill += choice.uncached
+        began = time.monotonic()
+        endpoint.begin(choice.uncached, began)
         neighbours = self.node.neighbours
         reading = Reading(endpoint, choice.uncached, neighbours)
         neighbours.tell_load(endpoint)
-        began = time.monotonic()
         if engine and call.info.parts:
             endpoint.held.note(call.info.parts, engine.memory)
             for part in shared(call.info.parts):
@@ -145,7 +146,8 @@
             call.stream,
             call.deadline,
             call.route.repeatable,
-            self.first_byte(call, began),
+            self.first_byte(call, endpoint, began),
+            self.longest_pause(call),
         )
         try:
             outcome = await attempt.run()
@@ -171,16 +173,28 @@
             source=choice.source.name if choice.source else "",
             running=requests,
             prefill=round(prefill),
-            failures=round(endpoint.failures, 2),
+            failures=round(endpoint.failures(time.monotonic()), 2),
             view=self.node.directory.revision,
         )
 
-    def first_byte(self, call: Call, now: float) -> float | None:
+    def first_byte(self, call: Call, endpoint: Endpoint, now: float) -> float | None:
         """Return when a silent endpoint is given up, for requests that may go elsewhere."""
-        more = call.attempts + 1 < call.route.max_attempts
-        if not (call.route.repeatable and more):
+        if not self.may_move(call):
             return None
-        return now + max(MIN_FIRST_BYTE, FIRST_BYTE_OBJECTIVES * call.route.objective)
+        if call.service.engine is None:
+            return now + max(MIN_FIRST_BYTE, PLAIN_OBJECTIVES * call.route.objective)
+        reading = endpoint.prefill / PREFILL_RATE
+        return now + STREAM_OBJECTIVES * call.route.objective + reading
+
+    def longest_pause(self, call: Call) -> float | None:
+        """Return the pause after which a stream is resumed elsewhere, if it may be."""
+        if call.stream is None or call.route.max_gap is None or not self.may_move(call):
+            return None
+        return PAUSE_GAPS * call.route.max_gap
+
+    def may_move(self, call: Call) -> bool:
+        """Tell whether the call could go on at another endpoint after this attempt."""
+        return call.route.repeatable and call.attempts + 1 < call.route.max_attempts
 
     def message(self, call: Call, choice: Choice) -> Message:
         """Return the request as the endpoint gets it."""
@@ -217,9 +231,9 @@
         else:
             call.attempts += 1
             failed = result not in (Result.ANSWERED, Result.EXPIRED)
-            endpoint.answered(failed)
+            endpoint.answered(failed, now)
             call.ran = Ran.YES if outcome.status else Ran.UNKNOWN
-            if result in (Result.LOST, Result.BROKEN):
+            if result in (Result.LOST, Result.BROKEN) and not outcome.silent:
                 if self.node.crashes.note(call.fingerprint, endpoint.name, now):
                     self.node.neighbours.outbox.note_crash(call.fingerprint, endpoint.name)
             elif result is Result.ANSWERED:
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -9,7 +9,7 @@
 from curio import socket
 
 from ..events import Event, log
-from ..exceptions import Conflict, ConnectionLost, HickoryleverError, Kind, RequestError
+from ..exceptions import ANSWERS, Conflict, ConnectionLost, HickoryleverError, Kind, RequestError
 from ..http import Client, Exchange, Server, listen
 from .endpoints import PeerLoad
 from .news import (
@@ -217,9 +217,11 @@
         target = f"/state?configuration={configuration}&endpoints={endpoints}"
         try:
             async with curio.timeout_after(PULL_TIMEOUT):
-                _, _, body = await self.client.fetch(
+                status, _, body = await self.client.fetch(
                     address, node.settings.peer_port, "GET", target
                 )
+            if status != 200:
+                raise ConnectionLost(f"status {status}")
             state = msgspec.msgpack.decode(zlib.decompress(body), type=State)
         except (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError, zlib.error) as error:
             log(Event.SOURCE_FAILED, repr(error), peer=address)
@@ -242,6 +244,8 @@
         """Tell another router what this one believes and it does not."""
         if exchange.path != "/state":
             raise RequestError(Kind.NOT_FOUND)
+        if not self.node.listed:
+            raise RequestError(Kind.NOT_READY)
         query = parse_qs(exchange.query)
         known = [int(query.get(name, ["0"])[0]) for name in ("configuration", "endpoints")]
         state = self.state(*known)
@@ -307,5 +311,5 @@
 
 
 async def refuse(exchange: Exchange, error: RequestError) -> None:
-    """Answer a call that is not known."""
-    await exchange.respond(404, body=b"unknown\n")
+    """Answer a call that is not known, or comes before there is a state to tell."""
+    await exchange.respond(ANSWERS[error.kind].status, body=error.kind.value.encode())
--- a/src/hickorylever/direct/placing.py
+++ b/src/hickorylever/direct/placing.py
@@ -1,7 +1,8 @@
 """Choice of an endpoint for one request.
 
 Answers two loads: prompts with long shared parts, where an endpoint that holds the parts saves
-their prefill, and bursts, where the endpoint with the least to read answers first.
+their prefill; bursts, where the endpoint with the least to read answers first; and endpoints that
+fail or fall silent while their entry still says that they are ready.
 """
 
 from collections.abc import Iterable, Sequence
@@ -13,7 +14,7 @@
 from .records import Part
 
 FETCH_SHARE = 0.3  # Cost of a copied token against one that is prefilled.
-RUN_TOKENS = 10.0  # Prefill tokens that one running request slows a new one by.
+RUN_TOKENS = 20.0  # Prefill tokens that one running request slows a new one by.
 RANK_TOKENS = 300.0  # For each step down the agreed order.
 FAR_TOKENS = 150.0  # For an endpoint in another failure domain.
 COLD_TOKENS = 4000.0  # For an endpoint that is still slow after its start.
@@ -21,6 +22,8 @@
 RANKED = 4  # Steps of the agreed order that still differ.
 FAR_REQUESTS = 3.0  # Requests that a plain endpoint nearby may have more than a far one.
 FAILING_REQUESTS = 40.0
+SILENT_TOKENS = 40000.0  # For an endpoint that has work and sends nothing.
+SILENT_REQUESTS = 20.0
 BOUND_SLACK = 2  # Requests.
 
 
@@ -98,7 +101,12 @@
     def cost(endpoint: Endpoint) -> tuple[float, str]:
         requests, _ = endpoint.load(ask.now)
         far = endpoint.entry.failure_domain != ask.failure_domain
-        total = requests + FAR_REQUESTS * far + FAILING_REQUESTS * endpoint.failures
+        total = (
+            requests
+            + FAR_REQUESTS * far
+            + FAILING_REQUESTS * endpoint.failures(ask.now)
+            + SILENT_REQUESTS * endpoint.silent(ask.now)
+        )
         return total, endpoint.name
 
     return Choice(min(allowed, key=cost))
@@ -149,5 +157,6 @@
         + RANK_TOKENS * min(rank, RANKED)
         + FAR_TOKENS * far
         + COLD_TOKENS * (ask.now < endpoint.warm_at)
-        + FAILING_TOKENS * endpoint.failures
+        + FAILING_TOKENS * endpoint.failures(ask.now)
+        + SILENT_TOKENS * endpoint.silent(ask.now)
     )
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -145,6 +145,8 @@
     def take_peer_endpoints(self, objects, newest: int, complete: bool) -> None:
         """Take endpoints, or changes of them, that another router knows."""
         now = time.monotonic()
+        if newest <= self.directory.newest and self.listed:
+            return
         if complete:
             self.directory.take_listing(Listing(tuple(objects), newest), now, patient=True)
             self.listed = True
--- a/src/hickorylever/exceptions.py
+++ b/src/hickorylever/exceptions.py
@@ -134,6 +134,10 @@
     """A peer closed, reset or silently dropped a connection."""
 
 
+class PeerSilent(ConnectionLost):
+    """A peer sent nothing for longer than it was given; it may be at work still."""
+
+
 class CallerGone(HickoryleverError):  # noqa: N818
     """The caller closed its connection."""
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -71,3 +71,14 @@
         assert sum(world.store.calls.values()) <= 5
 
     play(scenario, WELL)
+
+
+@pytest.mark.parametrize("newest", [0, 3])
+def test_a_list_of_a_peer_that_knows_less_changes_nothing(newest):
+    async def scenario(world):
+        node = world.node
+        node.take_peer_endpoints([], newest, complete=True)
+        node.directory.expire(1e9)
+        assert len(node.directory.pool("engines")) == 2
+
+    play(scenario, WELL, WELL)
