Register a router before listing the others; trace command; tests of peers, logs and trace

Cause (found by tests/test_peers.py): two routers that start together both listed before either had written its object, so that neither knew the other. Change: write, then list; the datagram socket closes with its task; direct/ is split into node, pages, process and router; hickorylever trace ID FILE...

--- a/src/hickorylever/commands/__init__.py
+++ b/src/hickorylever/commands/__init__.py
@@ -79,4 +79,5 @@
     explain,  # noqa: F401
     roles,  # noqa: F401
     status,  # noqa: F401
+    trace,  # noqa: F401
 )
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from ..exceptions import ContentError
 from .caches import Holdings
 from .news import short
 from .records import EndpointEntry, Listing, Part, StoredObject
@@ -105,7 +106,7 @@
 class Directory:
     """Endpoints by name and by service.
 
-    :param decode: turns an object's name and spec into an entry, or raises.
+    :param decode: turns an object's name and spec into an entry, or raises :exc:`ContentError`.
     :param reject: called with the error of an entry that can't be read.
     """
 
@@ -156,7 +157,7 @@
         self.newest = max(self.newest, stored.revision)
         try:
             entry = self.decode(stored.name, stored.spec)
-        except Exception as error:  # Any writer may have made it.
+        except ContentError as error:
             self.reject(error)
             self.remove(stored.name)
             return
--- a/src/hickorylever/direct/entry.py
+++ b/src/hickorylever/direct/entry.py
@@ -7,7 +7,7 @@
 
 from .. import events, platform
 from ..exceptions import SettingsError
-from . import router
+from . import process
 
 EXIT_USAGE = 2
 LOG_RATE = 60  # Lines a second of each kind of event.
@@ -17,7 +17,7 @@
     """Run a router that forwards to endpoints itself, until SIGTERM."""
     settings = platform.load(arguments.settings)
     events.configure_bounded(arguments.log_level, LOG_RATE)
-    curio.run(router.main, settings, platform, platform.Store)
+    curio.run(process.main, settings, platform, platform.Store)
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -7,7 +7,7 @@
 
 from ..events import Event, log
 from ..exceptions import Kind, Ran, RequestError
-from ..http import Exchange, end_to_end
+from ..http import Exchange, end_to_end, header
 from .attempt import Attempt, Message, Outcome, Result
 from .endpoints import PREFILL_RATE, Endpoint
 from .placing import Ask, Choice, place, shared
@@ -213,7 +213,7 @@
         )
         headers = self.node.codec.forwarded(exchange.headers, handover)
         target = exchange.head.target.decode("ascii")
-        host = dict(exchange.headers).get(b"host", b"").decode("latin-1")
+        host = header(exchange.headers, b"host").decode("latin-1")
         return Message(call.info.id, exchange.method, target, host, headers, call.body)
 
     def note(self, call: Call, endpoint: Endpoint, outcome: Outcome, seconds: float) -> None:
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -63,7 +63,7 @@
         self.peers.learn(settings.seeds, time.monotonic())
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((settings.address, settings.peer_port))
-        async with curio.TaskGroup(wait=None) as group:
+        async with self.sock, curio.TaskGroup(wait=None) as group:
             listener = listen(settings.address, settings.peer_port)
             await group.spawn(self.server.serve, listener)
             await group.spawn(self.receive)
@@ -76,20 +76,28 @@
         """Write this router's address into the store, and read the others' once."""
         node = self.node
         name = node.settings.address.replace(".", "-")
+        spec = {"address": node.settings.address}
+        created = False
         while True:
             try:
+                if not created:
+                    await self.create(name, spec)
+                    created = True
+                # Listed after the write: of two that start together, one at least sees the other.
                 listing = await node.store.list_kind(node.codec.ROUTERS)
-                spec = {"address": node.settings.address}
-                if name not in [stored.name for stored in listing.objects]:
-                    await node.store.create(node.codec.ROUTERS, name, spec)
-                self.peers.learn(map(address_of, listing.objects), time.monotonic())
-                return
-            except Conflict:
+                self.peers.learn(filter(None, map(address_of, listing.objects)), time.monotonic())
                 return
             except HickoryleverError as error:
                 log(Event.STORE_LOST, str(error), kind="routers", revision=None)
                 await curio.sleep(REGISTER_PAUSE * (1 + node.chance.random()))
 
+    async def create(self, name: str, spec: dict) -> None:
+        """Write this router's object unless an earlier run of it did."""
+        try:
+            await self.node.store.create(self.node.codec.ROUTERS, name, spec)
+        except Conflict:
+            log(Event.PEER_HEARD, "this router's address was registered before", address=name)
+
     async def tick(self) -> None:
         """Send what is due, greet who is away, and fetch what others know."""
         now = time.monotonic()
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -4,7 +4,8 @@
 import msgspec
 
 from hickorylever import http, platform
-from hickorylever.direct.router import Node, Router, followers
+from hickorylever.direct.node import Node, followers
+from hickorylever.direct.router import Router
 from hickorylever.direct.settings import DirectSettings
 from hickorylever.exceptions import ConnectionLost
 from hickorylever.standins.origin import Origin
