Put the configuration's limits on callers in force

Cause: idle-timeout and header limits of the configuration were not applied. Change: Node.adopted, Router.take_limits, Limits.max_head.

--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -5,6 +5,7 @@
 import os
 import random
 import time
+from collections.abc import Callable
 
 import curio
 
@@ -62,6 +63,7 @@
         )
         self.crashes = Crashes()
         self.routes: Routes | None = None
+        self.adopted: list[Callable[[Routes], None]] = []
         self.stored_configuration: StoredObject | None = None
         self.listed = False
         self.draining = False
@@ -86,6 +88,8 @@
         if known is not None and configuration.revision <= known.configuration.revision:
             return False
         self.routes = Routes(configuration)
+        for call in self.adopted:
+            call(self.routes)
         self.metrics.revision.set({}, configuration.revision)
         log(
             Event.CONFIGURATION_ADOPTED,
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -1,5 +1,6 @@
 """Callers' requests: found a route for, forwarded, counted and logged."""
 
+import dataclasses
 import time
 from dataclasses import dataclass
 
@@ -59,8 +60,21 @@
     def __init__(self, node: Node):
         self.node = node
         self.forwarder = Forwarder(node)
-        self.server = Server(self.handle, self.refuse, Limits(max_age=float("inf")))
+        connections = node.settings.max_descriptors // 2
+        limits = Limits(max_age=float("inf"), max_connections=connections)
+        self.server = Server(self.handle, self.refuse, limits)
         self.in_flight = 0
+        node.adopted.append(self.take_limits)
+
+    def take_limits(self, routes: Routes) -> None:
+        """Put the configuration's limits on callers in force."""
+        limits = routes.limits
+        self.server.limits = dataclasses.replace(
+            self.server.limits,
+            header_timeout=limits.header_timeout,
+            idle_timeout=limits.idle_timeout,
+            max_head=limits.header_bytes,
+        )
 
     async def refuse(self, exchange: Exchange, error: RequestError) -> None:
         """Answer with an error of this router's own."""
--- a/src/hickorylever/http/headers.py
+++ b/src/hickorylever/http/headers.py
@@ -75,15 +75,16 @@
             raise RequestError(Kind.BAD_REQUEST, "the path escapes what needs no escape")
 
 
-def check_head(head: h11.Request) -> None:
+def check_head(head: h11.Request, max_size: int = defaults.MAX_HEADER_BYTES) -> None:
     """Refuse heads that two parsers could read differently.
 
+    :param max_size: bytes of the target and the headers.
     :raises RequestError: for too large a head, an ambiguous target, both lengths at once or a
         repeated header.
     """
     size = len(head.target) + sum(len(key) + len(value) + 4 for key, value in head.headers)
-    if size > defaults.MAX_HEADER_BYTES:
-        limit = f"at most {defaults.MAX_HEADER_BYTES} bytes are allowed"
+    if size > max_size:
+        limit = f"at most {max_size} bytes are allowed"
         raise RequestError(Kind.HEADERS_TOO_LARGE, limit)
     check_target(head.target)
     names = [key for key, _ in head.headers]
--- a/src/hickorylever/http/server.py
+++ b/src/hickorylever/http/server.py
@@ -27,6 +27,7 @@
     :param write_timeout: for the peer to accept one piece of an answer.
     :param max_connections: open at once; more are answered that there is no room.
     :param max_buffered: of all request bodies held at once.
+    :param max_head: of a request's head.
     :param max_age: connections older than this are closed after an answer.
     """
 
@@ -37,6 +38,7 @@
     max_connections: int = defaults.MAX_CONNECTIONS
     max_buffered: int = defaults.MAX_BUFFERED_BYTES
     max_age: float = defaults.MAX_CONNECTION_AGE
+    max_head: int = defaults.MAX_HEADER_BYTES
 
 
 class Exchange:
@@ -289,7 +291,7 @@
     async def handle(self, exchange: Exchange) -> None:
         """Run the handler; whatever it raises becomes an answer."""
         try:
-            check_head(exchange.head)
+            check_head(exchange.head, self.limits.max_head)
             await self.handler(exchange)
         except RequestError as error:
             await self.answer_error(exchange, error)
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -293,3 +293,35 @@
         await world.until(lambda: sum(origin.stopped for origin in world.origins) == 1)
 
     play(scenario, WELL, WELL)
+
+
+@pytest.mark.parametrize(
+    ("limit", "value", "headers", "body", "status"),
+    [
+        ("max-header-bytes", 400, [(b"x-long", b"x" * 500)], b"", 431),
+        ("max-body-bytes", 10, [], b"x" * 11, 413),
+        ("max-body-bytes", 10, [], b"x" * 10, 200),
+    ],
+)
+def test_the_configurations_limits_on_callers(limit, value, headers, body, status):
+    async def scenario(world):
+        changed = configuration(version=2)
+        changed["limits"][limit] = value
+        await world.store.put("config", "main", changed)
+        await world.until(lambda: world.node.routes.configuration.version == 2)
+        reply = await world.ask("/safe/x", headers=world.headers() + headers, body=body)
+        assert reply.status == status
+
+    play(scenario, WELL)
+
+
+def test_an_idle_connection_is_closed_at_the_configurations_limit():
+    async def scenario(world):
+        changed = configuration(version=2)
+        changed["limits"]["idle-timeout-ms"] = 80
+        await world.store.put("config", "main", changed)
+        await world.until(lambda: world.node.routes.configuration.version == 2)
+        channel = await world.client.acquire("127.0.0.1", world.port, fresh=True)
+        assert await curio.timeout_after(2.0, channel.sock.recv, 1) == b""
+
+    play(scenario, WELL)
