--- a/src/hickorylever/direct/__main__.py
+++ b/src/hickorylever/direct/__main__.py
@@ -1,5 +1,11 @@
+"""Listens for callers, then imports the rest: their connections wait and are not refused."""
+
 import sys
 
-from .entry import main
+from .listener import open_early
+
+listener = open_early(sys.argv[1:])
+
+from .entry import main  # noqa: E402
 
-sys.exit(main())
+sys.exit(main(listener=listener))
--- a/src/hickorylever/direct/process.py
+++ b/src/hickorylever/direct/process.py
@@ -1,6 +1,7 @@
 """One router process: listeners, tasks, signals and the end."""
 
 import signal
+import socket
 
 import curio
 
@@ -13,10 +14,28 @@
 from .settings import DirectSettings
 
 EXIT_MARGIN = 0.3  # Seconds before the process would be killed.
+START_WAIT = 0.3  # Seconds that first callers wait for a configuration.
+START_POLL = 0.01  # Seconds.
 
 
-async def main(settings: DirectSettings, codec, store_class) -> None:
-    """Run a router until SIGTERM."""
+async def accept_when_ready(node: Node, router: Router, listener: socket.socket | None) -> None:
+    """Serve callers once there is something to serve them with, or after a short wait."""
+    settings = node.settings
+    sock = curio.io.Socket(listener) if listener else listen(settings.address, settings.port)
+    waited = 0.0
+    while not node.ready() and waited < START_WAIT:
+        await curio.sleep(START_POLL)
+        waited += START_POLL
+    await router.server.serve(sock)
+
+
+async def main(
+    settings: DirectSettings, codec, store_class, listener: socket.socket | None = None
+) -> None:
+    """Run a router until SIGTERM.
+
+    :param listener: a socket that listens for callers already.
+    """
     node = Node(settings, codec, store_class)
     router = Router(node)
     readiness = Readiness(node, codec.READY_PATH)
@@ -26,7 +45,7 @@
         await group.spawn(readiness.server.serve, listen(settings.address, settings.ready_port))
         page = MetricsPage(node, router)
         await group.spawn(page.server.serve, listen(settings.address, settings.metrics_port))
-        await group.spawn(router.server.serve, listen(settings.address, settings.port))
+        await group.spawn(accept_when_ready, node, router, listener)
         for task in (
             node.expire,
             node.watch_settings,
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -162,6 +162,7 @@
     async def drain(self) -> None:
         """Serve new connections for a time, then return when nothing is in flight."""
         await curio.sleep(LISTEN_TIME)
-        await self.server.stop(LAST_REQUESTS)
+        if self.server.acceptor is not None:
+            await self.server.stop(LAST_REQUESTS)
         while self.in_flight:
             await curio.sleep(DRAIN_POLL)
--- a/src/hickorylever/platform/settings.py
+++ b/src/hickorylever/platform/settings.py
@@ -78,7 +78,7 @@
         table = tomllib.loads(Path(path).read_text(encoding="utf-8"))
         wire = msgspec.convert(table, WireSettings)
         return translate(path, wire)
-    except (OSError, ValueError, msgspec.ValidationError) as error:
+    except (OSError, ValueError, IndexError, msgspec.ValidationError) as error:
         raise SettingsError([f"{path}: {error}"]) from None
 
 
