--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -151,6 +151,11 @@
         )
         try:
             outcome = await attempt.run()
+        except BaseException:
+            call.path.append(f"{endpoint.name}@{endpoint.entry.failure_domain}:abandoned")
+            if attempt.sent:
+                call.ran = Ran.UNKNOWN
+            raise
         finally:
             endpoint.running -= 1
             reading.done()
--- a/src/hickorylever/direct/placing.py
+++ b/src/hickorylever/direct/placing.py
@@ -105,7 +105,7 @@
             requests
             + FAR_REQUESTS * far
             + FAILING_REQUESTS * endpoint.failures(ask.now)
-            + SILENT_REQUESTS * endpoint.silent(ask.now)
+            + SILENT_REQUESTS * endpoint.suspicious(ask.now)
         )
         return total, endpoint.name
 
@@ -158,5 +158,5 @@
         + FAR_TOKENS * far
         + COLD_TOKENS * (ask.now < endpoint.warm_at)
         + FAILING_TOKENS * endpoint.failures(ask.now)
-        + SILENT_TOKENS * endpoint.silent(ask.now)
+        + SILENT_TOKENS * endpoint.suspicious(ask.now)
     )
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -325,3 +325,18 @@
         assert await curio.timeout_after(2.0, channel.sock.recv, 1) == b""
 
     play(scenario, WELL)
+
+
+def test_the_log_of_a_caller_that_left_says_where_its_request_was(caplog):
+    async def scenario(world):
+        channel = await world.client.acquire("127.0.0.1", world.port, fresh=True)
+        await world.client.request(channel, "POST", "/unsafe/x", world.headers(), b"x", SITE)
+        await world.until(lambda: world.runs)
+        await channel.close()
+        await world.until(lambda: any(r.message == "caller_gone" for r in caplog.records))
+
+    with caplog.at_level("INFO", "hickorylever"):
+        play(scenario, ("silent",))
+    (fields,) = (r.fields for r in caplog.records if r.message == "caller_gone")
+    assert fields["path"] == ["i-0@a:abandoned"]
+    assert fields["ran"] == "unknown"
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -88,6 +88,19 @@
     play(scenario, 2)
 
 
+def test_a_silent_endpoint_is_told_to_the_others():
+    async def scenario(fleet):
+        first, second = fleet.nodes
+        first.directory.endpoints["i-0"].begin(0.0, time.monotonic())
+        seen = second.directory.endpoints["i-0"]
+        assert not seen.suspicious(time.monotonic())
+        await fleet.until(lambda: seen.suspicious(time.monotonic()))
+        seen.heard = time.monotonic()
+        assert not seen.suspicious(time.monotonic())
+
+    play(scenario, 2)
+
+
 def test_the_retry_budget_is_divided():
     async def scenario(fleet):
         await fleet.until(lambda: all(node.budget.routers == 3 for node in fleet.nodes))
