Tell engines' failures to the other routers; delete objects of routers that are gone

And objects of replaced routers stayed in the store for ever. Change: Datagram.failed, Peers.take_forgotten.

--- a/src/hickorylever/direct/news.py
+++ b/src/hickorylever/direct/news.py
@@ -54,6 +54,7 @@
     :param domain: number of the sender's failure domain.
     :param rank: order among the routers that may follow the store; the lowest do.
     :param following: the sender follows the store, and reaches it.
+    :param failed: engines that answered with a failure or broke off, once for each time.
     :param silent: endpoints that have work of the sender and send nothing.
     :param answer: the sender wants a datagram back.
     :param leaving: the sender is shutting down.
@@ -70,6 +71,7 @@
     loads: list[LoadNews] = []
     held: list[HeldNews] = []
     crashes: list[CrashNews] = []
+    failed: list[int] = []
     silent: list[int] = []
     routers: list[str] = []
 
@@ -132,6 +134,7 @@
     def __init__(self, own: str):
         self.own = own
         self.table: dict[str, Peer] = {}
+        self.forgotten: list[str] = []
 
     def learn(self, addresses: Iterable[str], now: float) -> None:
         """Add routers that somebody named."""
@@ -163,6 +166,12 @@
         lower = [peer for peer in self.alive(now) if peer.following and peer.rank < rank]
         return len(lower) < FOLLOWERS
 
+    def take_forgotten(self, rank: int, now: float) -> list[str]:
+        """Return the routers forgotten since the last call, if this one is to clean up."""
+        forgotten, self.forgotten = self.forgotten, []
+        first = all(peer.rank > rank for peer in self.alive(now))
+        return forgotten if first else []
+
     def alive(self, now: float) -> list[Peer]:
         """Return the routers that were heard of lately."""
         return [peer for peer in self.table.values() if peer.alive(now)]
@@ -172,6 +181,7 @@
         for address, peer in list(self.table.items()):
             if now - max(peer.heard, peer.known_since) > FORGET_TIME:
                 del self.table[address]
+                self.forgotten.append(address)
         due = [
             peer
             for peer in self.table.values()
@@ -191,6 +201,7 @@
     held: dict[tuple[int, str], int] = field(default_factory=dict)
     told_held: dict[tuple[int, str], float] = field(default_factory=dict)
     crashes: list[CrashNews] = field(default_factory=list)
+    failed: list[int] = field(default_factory=list)
     silent: dict[int, float] = field(default_factory=dict)
     sent: float = 0.0
 
@@ -213,6 +224,15 @@
         """Note that an endpoint broke off under a request."""
         self.crashes.append(CrashNews(fingerprint, endpoint))
 
+    def note_failed(self, endpoint: str) -> None:
+        """Note a failure of an engine."""
+        self.failed.append(short(endpoint))
+
+    def take_failed(self) -> list[int]:
+        """Return the failures that are to be told, and note them as told."""
+        failed, self.failed = self.failed[-MAX_ENTRIES:], []
+        return failed
+
     def note_silent(self, endpoint: str, now: float) -> bool:
         """Note that an endpoint is silent; tell whether the others are to hear it again now."""
         key = short(endpoint)
@@ -224,7 +244,7 @@
 
     def due(self, now: float, interval: float) -> bool:
         """Tell whether a datagram is to be sent."""
-        waiting = self.loads or self.held or self.crashes
+        waiting = self.loads or self.held or self.crashes or self.failed
         return now - self.sent >= (interval if waiting else HEARTBEAT)
 
     def take(self, now: float) -> tuple[list[LoadNews], list[HeldNews], list[CrashNews]]:
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -75,7 +75,7 @@
     async def register(self) -> None:
         """Write this router's address into the store, and read the others' once."""
         node = self.node
-        name = node.settings.address.replace(".", "-")
+        name = object_name(node.settings.address)
         spec = {"address": node.settings.address}
         created = False
         while True:
@@ -115,7 +115,8 @@
                 await self.send(data, peer.address)
         if self.outbox.due(now, interval):
             loads, held, crashes = self.outbox.take(now)
-            data = encode(self.datagram(loads=loads, held=held, crashes=crashes))
+            failed = self.outbox.take_failed()
+            data = encode(self.datagram(loads=loads, held=held, crashes=crashes, failed=failed))
             for peer in alive:
                 await self.send(data, peer.address)
         away = self.peers.away(now)
@@ -124,8 +125,18 @@
             data = encode(self.datagram(answer=True, routers=names))
             for peer in away:
                 await self.send(data, peer.address)
+        for address in self.peers.take_forgotten(self.rank, now):
+            await curio.spawn(self.clean_up, address, daemon=True)
         await self.catch_up(now, alive)
 
+    async def clean_up(self, address: str) -> None:
+        """Delete the object of a router that has not been heard of for long."""
+        try:
+            await self.node.store.delete(self.node.codec.ROUTERS, object_name(address))
+            log(Event.OBJECTS_DELETED, f"router {address}", peer=address)
+        except HickoryleverError as error:
+            log(Event.STORE_LOST, str(error), kind="routers", revision=None)
+
     def datagram(self, **news) -> Datagram:
         """Return a datagram with this router's revisions."""
         node = self.node
@@ -185,6 +196,10 @@
             endpoint = by_number.get(held.endpoint)
             if endpoint is not None:
                 endpoint.held.note((Part(held.part, held.tokens),), 0)
+        for number in datagram.failed:
+            endpoint = by_number.get(number)
+            if endpoint is not None:
+                endpoint.answered(True, now)
         for number in datagram.silent:
             endpoint = by_number.get(number)
             if endpoint is not None:
@@ -323,6 +338,11 @@
     held: dict[str, dict[str, int]] = {}
 
 
+def object_name(address: str) -> str:
+    """Return the name of a router's object."""
+    return address.replace(".", "-")
+
+
 def address_of(stored: StoredObject) -> str:
     """Return the IP number in a router's object, or an empty string."""
     try:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -101,6 +101,19 @@
     play(scenario, 2)
 
 
+def test_failures_of_an_engine_reach_the_others():
+    """Answers the load of an engine that fails part of its requests."""
+
+    async def scenario(fleet):
+        first, second = fleet.nodes
+        seen = second.directory.endpoints["i-0"]
+        for _ in range(3):
+            first.neighbours.outbox.note_failed("i-0")
+        await fleet.until(lambda: seen.failures(time.monotonic()) > 0.4)
+
+    play(scenario, 2)
+
+
 def test_the_retry_budget_is_divided():
     async def scenario(fleet):
         await fleet.until(lambda: all(node.budget.routers == 3 for node in fleet.nodes))
@@ -168,3 +181,18 @@
         assert fleet.nodes[1].ready()
 
     play(scenario, 2)
+
+
+def test_the_object_of_a_router_that_is_gone_is_deleted(monkeypatch):
+    monkeypatch.setattr(news, "FORGET_TIME", 1.5)
+
+    async def scenario(fleet):
+        await fleet.store.put("hickorylever-routers", "127-0-1-99", {"address": "127.0.1.99"})
+        for node in fleet.nodes:
+            node.neighbours.peers.learn(["127.0.1.99"], time.monotonic())
+        gone = ("hickorylever-routers", "127-0-1-99")
+        await fleet.until(lambda: gone not in fleet.store.objects)
+        assert fleet.store.calls["DELETE"] == 1
+        assert ("hickorylever-routers", "127-0-1-1") in fleet.store.objects
+
+    play(scenario, 2)
