Never end a resumed stream by another answer; pull in tasks of their own

Causes, found by reading: a resumed stream that was answered 404 ended as if it were complete; a caller's Last-Event-Id on a route that can't be resumed dropped events; a pull from a peer that did not answer held back datagrams for 1 s. Change: BrokenAnswer for such answers; Stream's last event only where a route is resumable; spawn_pull. Two of the tests fail before.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -153,6 +153,8 @@
             raise BrokenAnswer("the answer is not the endpoint's own")
         if self.streamed(answer):
             return await self.pass_on(answer, info)
+        if self.stream is not None and self.stream.begun:
+            raise BrokenAnswer(f"a resumed stream was answered with status {answer.status}")
         body = await answer.body()
         result = Result.ANSWERED if answer.status < 500 else Result.FAILED
         return Outcome(result, "", answer.status, answer.headers, body, info)
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -115,6 +115,8 @@
 class Directory:
     """Endpoints by name and by service.
 
+    :ivar newest: highest revision of an entry, or of the removal of one, that is known.
+
     :param decode: turns an object's name and spec into an entry, or raises :exc:`ContentError`.
     :param reject: called with the error of an entry that can't be read.
     """
@@ -122,7 +124,6 @@
     def __init__(self, decode, reject=lambda error: None):
         self.decode = decode
         self.reject = reject
-        self.revision = 0
         self.endpoints: dict[str, Endpoint] = {}
         self.pools: dict[str, list[Endpoint]] = {}
         self.by_number: dict[int, Endpoint] = {}
@@ -145,7 +146,6 @@
             self.take(entry, now)
         for name in [name for name in self.endpoints if name not in present]:
             self.miss(name, now, patient)
-        self.revision = listing.revision
         self.log.clear()
         self.log_since = self.newest
         self.index()
@@ -158,7 +158,7 @@
                 self.remove(entry.name, entry.revision)
             else:
                 self.take(entry, now)
-        self.revision = max(self.revision, revision)
+        self.newest = max(self.newest, revision)
         self.index()
 
     def take(self, stored: StoredObject, now: float) -> None:
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -179,7 +179,7 @@
             running=requests,
             prefill=round(prefill),
             failures=round(endpoint.failures(time.monotonic()), 2),
-            view=self.node.directory.revision,
+            view=self.node.directory.newest,
         )
 
     def first_byte(self, call: Call, endpoint: Endpoint, now: float) -> float | None:
@@ -328,5 +328,6 @@
 async def forward(forwarder: Forwarder, call: Call) -> None:
     """Prepare a call's stream and run it."""
     if call.route.kind is RouteKind.STREAM:
-        call.stream = Stream(call.exchange, call.info.last_event or None)
+        after = call.info.last_event if call.route.resumable else None
+        call.stream = Stream(call.exchange, after or None)
     await forwarder.run(call)
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -138,10 +138,6 @@
             self.directory.take_changes(objects, newest, now)
         self.directory.newest = max(self.directory.newest, newest)
 
-    def cut_off(self) -> bool:
-        """Tell whether the store does not answer this router."""
-        return not all(follower.reached for follower in self.followers)
-
     def take_endpoint_changes(self, changes: Changes) -> None:
         """Take changes of endpoints."""
         self.directory.take_changes(changes.objects, changes.revision, time.monotonic())
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -53,6 +53,7 @@
         self.behind_since: float | None = None
         self.next_pull = 0.0
         self.synced = False
+        self.pulling = False
         self.domain = short(node.settings.failure_domain)
         self.rank = follower_rank(node.settings.address, node.settings.link_mbps)
         self.compressed: tuple[object, bytes] = (None, b"")
@@ -129,6 +130,14 @@
             await curio.spawn(self.clean_up, address, daemon=True)
         await self.catch_up(now, alive)
 
+    async def spawn_pull(self, peers: list[Peer], configuration: int, endpoints: int) -> None:
+        """Pull in a task of its own, one at a time, so that datagrams go on meanwhile."""
+        self.next_pull = time.monotonic() + PULL_INTERVAL
+        if not self.pulling:
+            self.pulling = True
+            address = self.nearest(peers)
+            await curio.spawn(self.pull, address, configuration, endpoints, daemon=True)
+
     async def clean_up(self, address: str) -> None:
         """Delete the object of a router that has not been heard of for long."""
         try:
@@ -222,8 +231,7 @@
         """Fetch what other routers know of the store and this one does not."""
         node = self.node
         if alive and not self.synced and now >= self.next_pull:
-            self.next_pull = now + PULL_INTERVAL
-            self.synced = await self.pull(self.nearest(alive), 0, 0)
+            await self.spawn_pull(alive, 0, 0)
             return
         mine = node.routes.configuration.revision if node.routes else 0
         ahead = [
@@ -239,29 +247,33 @@
         patience = PULL_PAUSE if self.following() else 0.0
         if now - self.behind_since < patience or now < self.next_pull:
             return
-        self.next_pull = now + PULL_INTERVAL
-        await self.pull(self.nearest(ahead), mine, node.directory.newest)
+        await self.spawn_pull(ahead, mine, node.directory.newest)
 
     def nearest(self, peers: list[Peer]) -> str:
         """Return the address of one of some routers, of the own failure domain if possible."""
         near = [peer for peer in peers if peer.domain == self.domain]
         return self.node.chance.choice(near or peers).address
 
-    async def pull(self, address: str, configuration: int, endpoints: int) -> bool:
-        """Fetch what a router believes beyond some revisions; tell whether it answered."""
-        node = self.node
+    async def pull(self, address: str, configuration: int, endpoints: int) -> None:
+        """Fetch what a router believes beyond some revisions."""
         target = f"/state?configuration={configuration}&endpoints={endpoints}"
         try:
             async with curio.timeout_after(PULL_TIMEOUT):
                 status, _, body = await self.client.fetch(
-                    address, node.settings.peer_port, "GET", target
+                    address, self.node.settings.peer_port, "GET", target
                 )
             if status != 200:
                 raise ConnectionLost(f"status {status}")
-            state = msgspec.msgpack.decode(zlib.decompress(body), type=State)
+            self.take_state(address, msgspec.msgpack.decode(zlib.decompress(body), type=State))
+            self.synced = True
         except (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError, zlib.error) as error:
             log(Event.SOURCE_FAILED, repr(error), peer=address)
-            return False
+        finally:
+            self.pulling = False
+
+    def take_state(self, address: str, state: "State") -> None:
+        """Take what is later than one's own."""
+        node = self.node
         if state.configuration is not None:
             node.take_stored(state.configuration)
         node.take_peer_endpoints(state.endpoints, state.newest, state.complete)
@@ -274,7 +286,6 @@
             newest=state.newest,
             complete=state.complete,
         )
-        return True
 
     async def handle(self, exchange: Exchange) -> None:
         """Tell another router what this one believes and it does not."""
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -192,7 +192,8 @@
             try:
                 event = await channel.receive()
             except h11.RemoteProtocolError as error:
-                raise ConnectionLost(str(error)) from error
+                detail = "the peer closed before an answer" if channel.ended else str(error)
+                raise ConnectionLost(detail) from error
             if isinstance(event, h11.Response):
                 channel.idle_limit = idle_limit(event.headers)
                 return Answer(channel, event)
--- a/src/hickorylever/standins/origin.py
+++ b/src/hickorylever/standins/origin.py
@@ -206,6 +206,21 @@
     await exchange.end()
 
 
+@behaviours.register("from_the_start")
+async def ignore_the_resume(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run and send the whole stream, whatever event the request goes on after."""
+    origin.run(exchange, body)
+    await origin.stream(exchange, 1, origin.events)
+    await exchange.end()
+
+
+@behaviours.register("unknown")
+async def answer_unknown(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run and answer that there is nothing of that name."""
+    origin.run(exchange, body)
+    await exchange.respond(404, origin.fields(exchange), b"unknown")
+
+
 @behaviours.register("gap")
 async def skip_an_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Leave an event of a stream out."""
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -141,6 +141,9 @@
             while not condition():
                 await curio.sleep(0.005)
 
+    def cut_off(self):
+        return not all(follower.reached for follower in self.node.followers)
+
     def headers(self, key=KEY, deadline=1500, parts="", **more):
         self.requests += 1
         fields = [
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -62,6 +62,9 @@
         (["short", "well"], True, [1, 2]),
         (["gap", "well"], True, [1, 2]),
         (["broken"], False, [1, 3]),
+        (["broken", "unknown"], False, [1, 3]),
+        (["broken", "fail"], False, [1, 3]),
+        (["broken", "shed"], False, [1]),
     ],
 )
 def test_a_resumable_stream_goes_on_elsewhere(script, whole, first_events):
@@ -340,3 +343,15 @@
     (fields,) = (r.fields for r in caplog.records if r.message == "caller_gone")
     assert fields["path"] == ["i-0@a:abandoned"]
     assert fields["ran"] == "unknown"
+
+
+def test_a_resume_that_a_route_does_not_allow_is_left_to_the_endpoint():
+    async def scenario(world):
+        headers = world.headers(**{"last-event-id": "4"})
+        reply = await world.ask(STREAM, headers=headers)
+        assert reply.body == events(5, 6)
+        world.origins[0].script = ["from_the_start"]
+        reply = await world.ask(STREAM, headers=headers)
+        assert reply.body == events(1, 2, 3, 4, 5, 6)
+
+    play(scenario, WELL)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,11 +10,11 @@
     async def scenario(world):
         world.store.faults.status = status
         await world.store.put("servers", "odd", {})
-        await world.until(world.node.cut_off)
+        await world.until(world.cut_off)
         assert (await world.ask("/safe/x")).status == 200
         await world.store.remove("servers", "i-1")
         world.store.faults.status = 0
-        await world.until(lambda: not world.node.cut_off())
+        await world.until(lambda: not world.cut_off())
         assert (await world.ask("/safe/x")).status == 200
         await world.until(lambda: len(world.node.directory.pool("engines")) == 1)
 
