--- a/src/hickorylever/commands/__init__.py
+++ b/src/hickorylever/commands/__init__.py
@@ -78,6 +78,7 @@
     demo,  # noqa: F401
     explain,  # noqa: F401
     roles,  # noqa: F401
+    soak,  # noqa: F401
     status,  # noqa: F401
     trace,  # noqa: F401
 )
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -1,6 +1,5 @@
 """Endpoints as a router knows them: entries of the store, and what its own requests met there."""
 
-import math
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -16,10 +15,9 @@
 FAILURE_WEIGHT = 0.2  # Weight of the latest answer in the share of failures.
 FAILURE_HALF_LIFE = 3.0  # Seconds in which an old share of failures halves.
 SILENCE = 0.4  # Seconds without a byte from an endpoint that works, beyond its prefill.
-TOLD_LIFETIME = 1.0  # Seconds that another router's word of silence counts.
 PREFILL_RATE = 40_000.0  # Tokens a second that an engine reads at least.
 LOG_LENGTH = 256  # Changes kept for other routers.
-LOAD_LIFETIME = 1.0  # Seconds that a peer's figure of an endpoint's load counts.
+LOAD_LIFETIME = 4.0  # Seconds that a peer's load counts; only changes are told.
 
 
 @dataclass(slots=True)
@@ -39,7 +37,6 @@
     :param prefill: tokens of their prompts that the endpoint has still to read.
     :param failed_share: share of answers that were failures, as of `failed_at`.
     :param heard: when it last sent a byte of an answer.
-    :param told_silent: when another router last said that it is silent.
     :param busy_since: when the first of the requests under way was sent.
     :param paused_until: monotonic time until which no new work goes there.
     :param warm_at: monotonic time at which it is no longer slow after its start.
@@ -53,7 +50,6 @@
     failed_at: float = 0.0
     heard: float = 0.0
     busy_since: float = 0.0
-    told_silent: float = -math.inf
     misses: int = 0
     paused_until: float = 0.0
     warm_at: float = 0.0
@@ -76,11 +72,6 @@
         requests = self.running + sum(load.requests for load in fresh)
         return requests, self.prefill + sum(load.prefill for load in fresh)
 
-    def suspicious(self, now: float) -> bool:
-        """Tell whether this or another router finds it silent."""
-        told = now - self.told_silent <= TOLD_LIFETIME and self.heard < self.told_silent
-        return told or self.silent(now)
-
     def pause(self, now: float) -> None:
         """Leave the endpoint out after a failed connection, longer each time in a row."""
         self.misses += 1
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -237,8 +237,6 @@
             call.attempts += 1
             failed = result not in (Result.ANSWERED, Result.EXPIRED)
             endpoint.answered(failed, now)
-            if failed and call.service.engine is not None:
-                self.node.neighbours.outbox.note_failed(endpoint.name)
             call.ran = Ran.YES if outcome.status else Ran.UNKNOWN
             if result in (Result.LOST, Result.BROKEN) and not outcome.silent:
                 if self.node.crashes.note(call.fingerprint, endpoint.name, now):
--- a/src/hickorylever/direct/news.py
+++ b/src/hickorylever/direct/news.py
@@ -12,7 +12,6 @@
 
 MAX_ENTRIES = 60  # Of one kind in a datagram, so that it fits a packet.
 REPEAT_AFTER = 4.0  # Seconds after which a held part that is used again is told again.
-SILENT_AGAIN = 0.5  # Seconds after which an endpoint that is still silent is told again.
 HEARTBEAT = 1.0  # Seconds without news after which an empty datagram is sent.
 ALIVE_TIME = 4.0  # Seconds without a datagram after which a router counts as away.
 FORGET_TIME = 60.0  # Seconds after which a router that is away is forgotten.
@@ -54,8 +53,6 @@
     :param domain: number of the sender's failure domain.
     :param rank: order among the routers that may follow the store; the lowest do.
     :param following: the sender follows the store, and reaches it.
-    :param failed: engines that answered with a failure or broke off, once for each time.
-    :param silent: endpoints that have work of the sender and send nothing.
     :param answer: the sender wants a datagram back.
     :param leaving: the sender is shutting down.
     """
@@ -71,8 +68,6 @@
     loads: list[LoadNews] = []
     held: list[HeldNews] = []
     crashes: list[CrashNews] = []
-    failed: list[int] = []
-    silent: list[int] = []
     routers: list[str] = []
 
 
@@ -201,8 +196,6 @@
     held: dict[tuple[int, str], int] = field(default_factory=dict)
     told_held: dict[tuple[int, str], float] = field(default_factory=dict)
     crashes: list[CrashNews] = field(default_factory=list)
-    failed: list[int] = field(default_factory=list)
-    silent: dict[int, float] = field(default_factory=dict)
     sent: float = 0.0
 
     def note_load(self, endpoint: str, requests: int, prefill: float) -> None:
@@ -224,27 +217,9 @@
         """Note that an endpoint broke off under a request."""
         self.crashes.append(CrashNews(fingerprint, endpoint))
 
-    def note_failed(self, endpoint: str) -> None:
-        """Note a failure of an engine."""
-        self.failed.append(short(endpoint))
-
-    def take_failed(self) -> list[int]:
-        """Return the failures that are to be told, and note them as told."""
-        failed, self.failed = self.failed[-MAX_ENTRIES:], []
-        return failed
-
-    def note_silent(self, endpoint: str, now: float) -> bool:
-        """Note that an endpoint is silent; tell whether the others are to hear it again now."""
-        key = short(endpoint)
-        told = self.silent.get(key, -SILENT_AGAIN)
-        if now - told < SILENT_AGAIN:
-            return False
-        self.silent[key] = now
-        return True
-
     def due(self, now: float, interval: float) -> bool:
         """Tell whether a datagram is to be sent."""
-        waiting = self.loads or self.held or self.crashes or self.failed
+        waiting = self.loads or self.held or self.crashes
         return now - self.sent >= (interval if waiting else HEARTBEAT)
 
     def take(self, now: float) -> tuple[list[LoadNews], list[HeldNews], list[CrashNews]]:
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -105,19 +105,9 @@
         alive = self.peers.alive(now)
         self.node.budget.routers = len(self.peers.table) + 1
         interval = FLUSH_INTERVAL + FLUSH_PER_PEER * len(alive)
-        silent = [
-            short(endpoint.name)
-            for endpoint in self.node.directory.endpoints.values()
-            if endpoint.silent(now) and self.outbox.note_silent(endpoint.name, now)
-        ]
-        if silent:
-            data = encode(self.datagram(silent=silent))
-            for peer in alive:
-                await self.send(data, peer.address)
         if self.outbox.due(now, interval):
             loads, held, crashes = self.outbox.take(now)
-            failed = self.outbox.take_failed()
-            data = encode(self.datagram(loads=loads, held=held, crashes=crashes, failed=failed))
+            data = encode(self.datagram(loads=loads, held=held, crashes=crashes))
             for peer in alive:
                 await self.send(data, peer.address)
         away = self.peers.away(now)
@@ -205,14 +195,6 @@
             endpoint = by_number.get(held.endpoint)
             if endpoint is not None:
                 endpoint.held.note((Part(held.part, held.tokens),), 0)
-        for number in datagram.failed:
-            endpoint = by_number.get(number)
-            if endpoint is not None:
-                endpoint.answered(True, now)
-        for number in datagram.silent:
-            endpoint = by_number.get(number)
-            if endpoint is not None:
-                endpoint.told_silent = now
         for crash in datagram.crashes:
             self.node.crashes.note(crash.fingerprint, crash.endpoint, now)
 
--- a/src/hickorylever/direct/placing.py
+++ b/src/hickorylever/direct/placing.py
@@ -14,7 +14,7 @@
 from .records import Part
 
 FETCH_SHARE = 0.3  # Cost of a copied token against one that is prefilled.
-RUN_TOKENS = 20.0  # Prefill tokens that one running request slows a new one by.
+RUN_TOKENS = 40.0  # Prefill tokens that one running request slows a new one by.
 RANK_TOKENS = 300.0  # For each step down the agreed order.
 FAR_TOKENS = 150.0  # For an endpoint in another failure domain.
 COLD_TOKENS = 4000.0  # For an endpoint that is still slow after its start.
@@ -25,6 +25,7 @@
 SILENT_TOKENS = 40000.0  # For an endpoint that has work and sends nothing.
 SILENT_REQUESTS = 20.0
 BOUND_SLACK = 2  # Requests.
+BOUND_PART = 0.4  # Of the allowed excess over the mean that is used, since loads are known late.
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +77,8 @@
 def within_bound(pool: list[Endpoint], multiple: float, now: float) -> list[Endpoint]:
     """Return the endpoints that hold no more than a multiple of the pool's mean."""
     loads = {endpoint.name: endpoint.load(now)[0] for endpoint in pool}
-    limit = multiple * sum(loads.values()) / max(1, len(pool)) + BOUND_SLACK
+    mean = sum(loads.values()) / max(1, len(pool))
+    limit = (1.0 + BOUND_PART * (multiple - 1.0)) * mean + BOUND_SLACK
     return [endpoint for endpoint in pool if loads[endpoint.name] + 1 <= limit] or pool
 
 
@@ -105,7 +107,7 @@
             requests
             + FAR_REQUESTS * far
             + FAILING_REQUESTS * endpoint.failures(ask.now)
-            + SILENT_REQUESTS * endpoint.suspicious(ask.now)
+            + SILENT_REQUESTS * endpoint.silent(ask.now)
         )
         return total, endpoint.name
 
@@ -158,5 +160,5 @@
         + FAR_TOKENS * far
         + COLD_TOKENS * (ask.now < endpoint.warm_at)
         + FAILING_TOKENS * endpoint.failures(ask.now)
-        + SILENT_TOKENS * endpoint.suspicious(ask.now)
+        + SILENT_TOKENS * endpoint.silent(ask.now)
     )
--- /dev/null
+++ b/src/hickorylever/soak/proxy.py
@@ -0,0 +1,72 @@
+"""A loopback proxy in front of one endpoint, whose connections can be made to misbehave."""
+
+import socket as stdsocket
+
+import curio
+
+from ..exceptions import ConnectionLost
+from ..http import connect, listen
+
+HOST = "127.0.0.1"
+PIECE_BYTES = 65536
+
+
+class Proxy:
+    """Passes connections on.
+
+    :ivar delay: seconds that each piece is held back.
+    :ivar silent: pieces are dropped both ways, and connections stay open.
+    :ivar one_way: pieces of answers are dropped.
+    """
+
+    def __init__(self, port: int):
+        self.port = port
+        self.listener = listen(HOST, 0)
+        self.address = f"{HOST}:{self.listener.getsockname()[1]}"
+        self.delay = 0.0
+        self.silent = False
+        self.one_way = False
+        self.open: set = set()
+
+    async def run(self) -> None:
+        """Accept connections until cancelled."""
+        async with self.listener, curio.TaskGroup(wait=None) as group:
+            while True:
+                caller, _ = await self.listener.accept()
+                await group.spawn(self.relay, caller)
+
+    async def relay(self, caller) -> None:
+        """Relay one connection until one end closes."""
+        try:
+            endpoint = await connect(HOST, self.port)
+        except ConnectionLost:
+            await caller.close()
+            return
+        pair = (caller, endpoint)
+        self.open.add(pair)
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self.pump, caller, endpoint, False)
+                await group.spawn(self.pump, endpoint, caller, True)
+        finally:
+            self.open.discard(pair)
+            for sock in pair:
+                await sock.close()
+
+    async def pump(self, source, target, answers: bool) -> None:
+        """Copy one direction."""
+        try:
+            while data := await source.recv(PIECE_BYTES):
+                if self.delay:
+                    await curio.sleep(self.delay)
+                if self.silent or (answers and self.one_way):
+                    continue
+                await target.sendall(data)
+        except OSError:
+            return  # The other direction ends with this one.
+
+    async def reset(self) -> None:
+        """Cut every open connection."""
+        for pair in list(self.open):
+            for sock in pair:
+                sock._socket.shutdown(stdsocket.SHUT_RDWR)
--- a/src/hickorylever/standins/origin.py
+++ b/src/hickorylever/standins/origin.py
@@ -16,6 +16,9 @@
 Behaviour = Callable[..., object]
 behaviours: Registry[Behaviour] = Registry("behaviour of an endpoint")
 
+# Behaviours that end when the connection does; the others close it themselves or end at once.
+STOPPED_WITH_CALLER = ("well", "silent", "late", "from_the_start")
+
 
 @dataclass(frozen=True, slots=True)
 class Run:
@@ -59,7 +62,10 @@
             await exchange.respond(421, [(names.ENDPOINT, self.name.encode())])
             return
         step = self.script.pop(0) if len(self.script) > 1 else self.script[0]
-        await while_wanted(exchange, behaviours[step], self, exchange, body)
+        if step in STOPPED_WITH_CALLER:
+            await while_wanted(exchange, behaviours[step], self, exchange, body)
+        else:
+            await behaviours[step](self, exchange, body)
 
     def run(self, exchange: Exchange, body: bytes) -> int:
         """Note that a request runs; return the event that its stream begins at."""
@@ -103,7 +109,9 @@
     except curio.CancelledError:
         origin.stopped += 1
         raise
-    await exchange.respond(200, origin.fields(exchange), b"done by " + origin.name.encode())
+    request_id = header(exchange.headers, names.ATTEMPT_ID)
+    body = b"done by %s for %s" % (origin.name.encode(), request_id)
+    await exchange.respond(200, origin.fields(exchange), body)
 
 
 @behaviours.register("shed")
