Choose an engine in linear time; keep sums of the loads that peers tell

Change: what each engine holds is looked up once, the two best sources serve all candidates, and an endpoint keeps sums of its peers' loads. test_peers_loads_count_while_they_are_fresh now expires loads by the call that the router makes; its two assertions are the same.

--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -17,15 +17,19 @@
 SILENCE = 0.4  # Seconds without a byte from an endpoint that works, beyond its prefill.
 PREFILL_RATE = 40_000.0  # Tokens a second that an engine reads at least.
 LOG_LENGTH = 256  # Changes kept for other routers.
-LOAD_LIFETIME = 4.0  # Seconds that a peer's load counts; only changes are told.
+LOAD_LIFETIME = 4.0  # Seconds that a peer's load counts; it is told again sooner.
 
 
 @dataclass(slots=True)
 class PeerLoad:
-    """What another router has under way at an endpoint."""
+    """What another router has under way at an endpoint.
+
+    :param prefill: prompt tokens that the endpoint has still to read.
+    :param time: when the router told it.
+    """
 
     requests: int
-    prefill: float
+    prefill: int
     time: float
 
 
@@ -41,6 +45,9 @@
     :param paused_until: monotonic time until which no new work goes there.
     :param warm_at: monotonic time at which it is no longer slow after its start.
     :param missing_since: when its entry was first missing after an outage of the store.
+    :param peers: what other routers have under way there, by their address.
+    :param peer_requests: sum over `peers`.
+    :param peer_prefill: sum over `peers`.
     """
 
     entry: EndpointEntry
@@ -55,6 +62,8 @@
     warm_at: float = 0.0
     missing_since: float | None = None
     peers: dict[str, PeerLoad] = field(default_factory=dict)
+    peer_requests: int = 0
+    peer_prefill: int = 0
     held: Holdings = field(default_factory=Holdings)
 
     @property
@@ -66,11 +75,30 @@
         """Tell whether new work may go there."""
         return not self.entry.draining and now >= self.paused_until
 
-    def load(self, now: float) -> tuple[int, float]:
+    def load(self) -> tuple[int, float]:
         """Return requests and prompt tokens under way there, by all routers that tell."""
-        fresh = [load for load in self.peers.values() if now - load.time <= LOAD_LIFETIME]
-        requests = self.running + sum(load.requests for load in fresh)
-        return requests, self.prefill + sum(load.prefill for load in fresh)
+        return self.running + self.peer_requests, self.prefill + self.peer_prefill
+
+    def take_load(self, router: str, load: PeerLoad) -> None:
+        """Take what another router has under way there; an idle one is forgotten."""
+        self.forget_load(router)
+        if load.requests or load.prefill:
+            self.peers[router] = load
+            self.peer_requests += load.requests
+            self.peer_prefill += load.prefill
+
+    def forget_load(self, router: str) -> None:
+        """Forget what a router has under way there."""
+        load = self.peers.pop(router, None)
+        if load is not None:
+            self.peer_requests -= load.requests
+            self.peer_prefill -= load.prefill
+
+    def expire_loads(self, now: float) -> None:
+        """Forget the loads of routers that tell nothing any more."""
+        for router, load in list(self.peers.items()):
+            if now - load.time > LOAD_LIFETIME:
+                self.forget_load(router)
 
     def pause(self, now: float) -> None:
         """Leave the endpoint out after a failed connection, longer each time in a row."""
@@ -210,7 +238,9 @@
         return list(self.objects.values())
 
     def expire(self, now: float) -> None:
-        """Forget endpoints whose entries have not come back."""
+        """Forget endpoints whose entries have not come back, and loads of routers gone silent."""
+        for endpoint in self.endpoints.values():
+            endpoint.expire_loads(now)
         overdue = [
             name
             for name, endpoint in self.endpoints.items()
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -165,7 +165,7 @@
     def log_choice(self, call: Call, choice: Choice) -> None:
         """Log where a call goes and what decided it."""
         endpoint = choice.endpoint
-        requests, prefill = endpoint.load(time.monotonic())
+        requests, prefill = endpoint.load()
         reuse = "copied" if choice.source else "rank_0" if choice.rank == 0 else "spilled"
         self.node.metrics.placed.inc({"service": call.service.name, "reuse": reuse})
         log(
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -190,7 +190,7 @@
         for load in datagram.loads:
             endpoint = by_number.get(load.endpoint)
             if endpoint is not None:
-                endpoint.peers[address] = PeerLoad(load.requests, load.prefill, now)
+                endpoint.take_load(address, PeerLoad(load.requests, load.prefill, now))
         for held in datagram.held:
             endpoint = by_number.get(held.endpoint)
             if endpoint is not None:
--- a/src/hickorylever/direct/placing.py
+++ b/src/hickorylever/direct/placing.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from heapq import nlargest
 
 import xxhash
 
@@ -51,12 +52,14 @@
     :param uncached: prompt tokens that the endpoint will read.
     :param source: an endpoint that holds more of the prompt, to copy from.
     :param rank: steps down the agreed order.
+    :param cost: of the choice, in prefill tokens.
     """
 
     endpoint: Endpoint
     uncached: float = 0.0
     source: Endpoint | None = None
     rank: int = 0
+    cost: float = 0.0
 
 
 def shared(parts: Sequence[Part]) -> Sequence[Part]:
@@ -74,12 +77,29 @@
     return sorted(pool, key=score, reverse=True)
 
 
-def within_bound(pool: list[Endpoint], multiple: float, now: float) -> list[Endpoint]:
-    """Return the endpoints that hold no more than a multiple of the pool's mean."""
-    loads = {endpoint.name: endpoint.load(now)[0] for endpoint in pool}
-    mean = sum(loads.values()) / max(1, len(pool))
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint with the figures that one choice needs.
+
+    :param requests: under way there, by all routers that tell.
+    :param prefill: prompt tokens that it has still to read.
+    :param held: tokens at the prompt's start that it holds.
+    :param rank: steps down the agreed order.
+    """
+
+    endpoint: Endpoint
+    requests: int
+    prefill: float
+    held: int = 0
+    rank: int = 0
+
+
+def within_bound(candidates: list[Candidate], multiple: float) -> list[Candidate]:
+    """Return the candidates that hold no more than a multiple of their mean."""
+    mean = sum(candidate.requests for candidate in candidates) / max(1, len(candidates))
     limit = (1.0 + BOUND_PART * (multiple - 1.0)) * mean + BOUND_SLACK
-    return [endpoint for endpoint in pool if loads[endpoint.name] + 1 <= limit] or pool
+    allowed = [candidate for candidate in candidates if candidate.requests + 1 <= limit]
+    return allowed or candidates
 
 
 def place(pool: list[Endpoint], ask: Ask, engine: bool, multiple: float) -> Choice | None:
@@ -91,72 +111,77 @@
     ]
     if not usable:
         return None
-    allowed = within_bound(usable, multiple, ask.now)
     if engine and ask.parts:
-        return place_prompt(pool, allowed, ask)
-    return place_plain(allowed, ask)
+        return place_prompt(pool, usable, ask, multiple)
+    return place_plain(usable, ask, multiple)
 
 
-def place_plain(allowed: list[Endpoint], ask: Ask) -> Choice:
+def place_plain(usable: list[Endpoint], ask: Ask, multiple: float) -> Choice:
     """Return the endpoint with the fewest requests, preferring near ones."""
+    candidates = [Candidate(endpoint, *endpoint.load()) for endpoint in usable]
 
-    def cost(endpoint: Endpoint) -> tuple[float, str]:
-        requests, _ = endpoint.load(ask.now)
+    def cost(candidate: Candidate) -> tuple[float, str]:
+        endpoint = candidate.endpoint
         far = endpoint.entry.failure_domain != ask.failure_domain
         total = (
-            requests
+            candidate.requests
             + FAR_REQUESTS * far
             + FAILING_REQUESTS * endpoint.failures(ask.now)
             + SILENT_REQUESTS * endpoint.silent(ask.now)
         )
         return total, endpoint.name
 
-    return Choice(min(allowed, key=cost))
+    return Choice(min(within_bound(candidates, multiple), key=cost).endpoint)
 
 
-def place_prompt(pool: list[Endpoint], allowed: list[Endpoint], ask: Ask) -> Choice:
+def place_prompt(
+    pool: list[Endpoint], usable: list[Endpoint], ask: Ask, multiple: float
+) -> Choice:
     """Return the engine where a prompt is read soonest."""
     order = agreed_order(pool, ask.parts)
-    choices = [
-        (rank, endpoint, find_source(order, endpoint, ask))
+    held = {endpoint.name: endpoint.held.cached(ask.parts) for endpoint in order}
+    sources = best_sources(order, held, ask.now)
+    names = {endpoint.name for endpoint in usable}
+    candidates = [
+        Candidate(endpoint, *endpoint.load(), held[endpoint.name], rank)
         for rank, endpoint in enumerate(order)
-        if endpoint in allowed
+        if endpoint.name in names
+    ]
+    choices = [
+        choose_source(candidate, sources, held, ask)
+        for candidate in within_bound(candidates, multiple)
     ]
-    best = min(choices, key=lambda entry: prompt_cost(*entry, ask))
-    rank, endpoint, source = best
-    return Choice(endpoint, uncached_tokens(endpoint, source, ask), source, rank)
-
-
-def find_source(order: list[Endpoint], endpoint: Endpoint, ask: Ask) -> Endpoint | None:
-    """Return the first endpoint of the order that holds more of the prompt, if any."""
-    have = endpoint.held.cached(ask.parts)
-    best = None
-    for other in order:
-        if other is endpoint or ask.now < other.paused_until:
-            continue
-        held = other.held.cached(ask.parts)
-        if held > have:
-            best, have = other, held
-    return best
-
-
-def uncached_tokens(endpoint: Endpoint, source: Endpoint | None, ask: Ask) -> float:
-    """Return the prefill that a prompt costs an engine, copied tokens at their smaller cost."""
+    return min(choices, key=lambda choice: choice.cost)
+
+
+def best_sources(order: list[Endpoint], held: dict[str, int], now: float) -> list[Endpoint]:
+    """Return the two endpoints that hold most of a prompt, of those that may be copied from."""
+    able = [endpoint for endpoint in order if now >= endpoint.paused_until]
+    return nlargest(2, able, key=lambda endpoint: held[endpoint.name])
+
+
+def choose_source(
+    candidate: Candidate, sources: list[Endpoint], held: dict[str, int], ask: Ask
+) -> Choice:
+    """Return the choice of a candidate, with what to copy from where."""
+    endpoint = candidate.endpoint
+    others = [other for other in sources if other is not endpoint]
+    source = others[0] if others and held[others[0].name] > candidate.held else None
+    copied = held[source.name] - candidate.held if source else 0
     total = max(ask.prompt_tokens, sum(part.tokens for part in ask.parts))
-    held = endpoint.held.cached(ask.parts)
-    copied = max(0, source.held.cached(ask.parts) - held) if source else 0
-    return total - held - copied * (1.0 - FETCH_SHARE)
+    uncached = total - candidate.held - copied * (1.0 - FETCH_SHARE)
+    cost = uncached + standing_cost(candidate, ask)
+    return Choice(endpoint, uncached, source, candidate.rank, cost)
 
 
-def prompt_cost(rank: int, endpoint: Endpoint, source: Endpoint | None, ask: Ask) -> float:
-    """Return the cost of placing a prompt at an engine, in prefill tokens."""
-    requests, prefill = endpoint.load(ask.now)
+def standing_cost(candidate: Candidate, ask: Ask) -> float:
+    """Return what placing any prompt at a candidate costs, in prefill tokens."""
+    endpoint = candidate.endpoint
     far = endpoint.entry.failure_domain != ask.failure_domain
     return (
-        prefill
-        + uncached_tokens(endpoint, source, ask)
-        + RUN_TOKENS * requests
-        + RANK_TOKENS * min(rank, RANKED)
+        candidate.prefill
+        + RUN_TOKENS * candidate.requests
+        + RANK_TOKENS * min(candidate.rank, RANKED)
         + FAR_TOKENS * far
         + COLD_TOKENS * (ask.now < endpoint.warm_at)
         + FAILING_TOKENS * endpoint.failures(ask.now)
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -49,6 +49,7 @@
         "limit": round(call.deadline - call.begun, 3),
         "path": call.path,
         "events": stream.events if stream else 0,
+        "first": round(stream.first - call.begun, 3) if stream and stream.events else 0.0,
         "gap": round(stream.max_gap, 3) if stream else 0.0,
         "parts": [f"{part.id}:{part.tokens}" for part in call.info.parts],
     }
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -67,13 +67,53 @@
 
 def test_peers_loads_count_while_they_are_fresh():
     endpoints = pool(2, "aa")
-    endpoints[0].peers["10.0.0.9"] = PeerLoad(9, 0.0, 99.5)
+    endpoints[0].take_load("10.0.0.9", PeerLoad(9, 0, 99.5))
     plain = ask(parts=())
     assert place(endpoints, plain, False, MULTIPLE).endpoint.name == "i-1"
     endpoints[1].running = 2
+    for endpoint in endpoints:
+        endpoint.expire_loads(200.0)
     assert place(endpoints, ask(parts=(), now=200.0), False, MULTIPLE).endpoint.name == "i-0"
 
 
+def test_loads_add_up_over_routers():
+    (endpoint,) = pool(1)
+    endpoint.running, endpoint.prefill = 1, 10.0
+    for router, requests, prefill, total in [
+        ("10.0.0.8", 2, 100, (3, 110.0)),
+        ("10.0.0.9", 3, 1000, (6, 1110.0)),
+        ("10.0.0.8", 5, 0, (9, 1010.0)),
+        ("10.0.0.9", 0, 0, (6, 10.0)),
+        ("10.0.0.8", 0, 0, (1, 10.0)),
+    ]:
+        endpoint.take_load(router, PeerLoad(requests, prefill, 100.0))
+        assert endpoint.load() == total
+    assert not endpoint.peers
+
+
+@pytest.mark.parametrize(
+    ("holders", "paused", "source"),
+    [
+        ({1: PARTS[:1], 2: PARTS[:2]}, (), 2),
+        ({1: PARTS[:1], 2: PARTS[:2]}, (2,), 1),
+        ({0: PARTS[:2], 2: PARTS[:2]}, (), None),
+        ({}, (), None),
+    ],
+)
+def test_a_prompt_is_copied_from_the_endpoint_that_holds_most(holders, paused, source):
+    endpoints = agreed_order(pool(), PARTS)
+    for number, parts in holders.items():
+        endpoints[number].held.note(parts, 0)
+        endpoints[number].prefill = 90000.0
+    for number in paused:
+        endpoints[number].paused_until = 101.0
+    if 0 in holders:
+        endpoints[0].prefill = 0.0
+    choice = place(endpoints, ask(), True, MULTIPLE)
+    assert choice.endpoint is endpoints[0]
+    assert choice.source is (None if source is None else endpoints[source])
+
+
 @pytest.mark.parametrize(
     ("change", "value"),
     [("paused_until", 101.0), ("failed_share", 1.0), ("running", 10)],
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -128,6 +128,8 @@
 
     def flush(self, now, router):
         """Let a router tell the others what is due."""
+        for endpoint in self.views[router]:
+            endpoint.expire_loads(now)
         interval = FLUSH_INTERVAL + FLUSH_PER_PEER * (self.load.routers - 1)
         outbox = self.outboxes[router]
         if outbox.due(now, interval):
@@ -140,7 +142,7 @@
     def hear(self, now, router, sender, loads):
         for load in loads:
             endpoint = self.views[router][self.numbers[load.endpoint]]
-            endpoint.peers[str(sender)] = PeerLoad(load.requests, load.prefill, now)
+            endpoint.take_load(str(sender), PeerLoad(load.requests, load.prefill, now))
 
     def tell(self, router, endpoint):
         self.outboxes[router].note_load(endpoint.name, endpoint.running, endpoint.prefill)
@@ -167,7 +169,7 @@
         endpoint = choice.endpoint
         number = int(endpoint.name[2:])
         mean = sum(self.held) / self.load.engines
-        seen = sum(other.load(now)[0] for other in self.views[router]) / self.load.engines
+        seen = sum(other.load()[0] for other in self.views[router]) / self.load.engines
         self.placed.append(Placed(now, self.held[number], mean, seen))
         for view in self.views:
             view[number].held.note(parts[:1], 0)
