Let routers take followers' places one after the other; settling routers still follow

A follower that let large changes settle had no revision to watch from and told the others that it did not follow; all 20 other routers then listed 320 kB each from the store over 10 Mbit/s (trial that prints lists: 26 lists of the configuration within 0.25 s at second 20).

Change: a settling router still follows; a router's word that it follows counts 1.6 s; where some are lacking, the others begin one after the other, 0.05 s apart by rank. Datagrams hold at most 40 entries of a kind, so that they fit a packet of 1,400 bytes (2,065 before).

Tests that failed first: tests/test_news.py (others take the place, a silent router is replaced, a datagram fits a packet), tests/test_discovery.py (still follows while large changes settle).

--- a/src/hickorylever/direct/discovery.py
+++ b/src/hickorylever/direct/discovery.py
@@ -23,6 +23,7 @@
     :param wanted: tells whether this router follows the store itself.
     :param take_listing: called with a listing and whether the store was away before it.
     :param take_changes: called with changes.
+    :ivar settling: a large change came; the next list has what follows it.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         self.chance = chance
         self.revision: int | None = None
         self.reached = False
+        self.settling = False
         self.heard = 0.0
         self.pause = FIRST_PAUSE
 
@@ -52,8 +54,14 @@
             except HickoryleverError as error:
                 await self.lost(error)
 
+    @property
+    def following(self) -> bool:
+        """Tell whether this router learns of changes from the store itself."""
+        return self.reached and (self.settling or self.revision is not None)
+
     async def rest(self) -> None:
         """Leave the store to other routers for a moment."""
+        self.settling = False
         self.revision = None
         await curio.sleep(IDLE_PAUSE)
 
@@ -64,12 +72,14 @@
             listing = await self.store.list_kind(self.kind)
             self.take_listing(listing, not self.reached)
             self.revision = listing.revision
+            self.settling = False
         else:
             changes = await self.store.watch(self.kind, self.revision, WATCH_WAIT)
             self.take_changes(changes)
             self.revision = changes.revision
         self.found()
         if changes is not None and sum(len(entry.spec) for entry in changes.objects) > LARGE_BYTES:
+            self.settling = True
             await curio.sleep(SETTLE_PAUSE)
             self.revision = None
 
@@ -86,6 +96,7 @@
         if self.reached:
             log(Event.STORE_LOST, str(error), kind=self.kind, revision=self.revision)
         self.reached = False
+        self.settling = False
         self.revision = None
         await curio.sleep(self.pause * (1 + self.chance.uniform(-JITTER, JITTER)))
         self.pause = min(MAX_PAUSE, 2 * self.pause)
--- a/src/hickorylever/direct/news.py
+++ b/src/hickorylever/direct/news.py
@@ -10,7 +10,7 @@
 import msgspec
 import xxhash
 
-MAX_ENTRIES = 60  # Of one kind in a datagram, so that it fits a packet.
+MAX_ENTRIES = 40  # Of one kind in a datagram, so that it fits a packet.
 REPEAT_AFTER = 4.0  # Seconds after which a held part that is used again is told again.
 LOAD_REPEAT = 1.2  # Seconds after which an unchanged load is told again; see LOAD_LIFETIME.
 HEARTBEAT = 1.0  # Seconds without news after which an empty datagram is sent.
@@ -19,6 +19,8 @@
 FLUSH_INTERVAL = 0.04  # Seconds.
 FLUSH_PER_PEER = 0.006  # Seconds added for each router that is told.
 FOLLOWERS = 8  # Routers that follow the store.
+FOLLOWING_TIME = 1.6  # Seconds that a router's word counts that it follows.
+FOLLOW_STEP = 0.05  # Seconds that each further router waits before it follows too.
 HELLO_INTERVAL = 1.5  # Seconds between tries to reach a router that is away.
 
 
@@ -123,14 +125,22 @@
         """Tell whether it was heard of lately."""
         return self.heard > 0 and now - self.heard <= ALIVE_TIME
 
+    def follows(self, now: float) -> bool:
+        """Tell whether it said lately that it follows the store."""
+        return self.following and now - self.heard <= FOLLOWING_TIME
+
 
 class Peers:
-    """The other routers, by IP number."""
+    """The other routers, by IP number.
+
+    :ivar lacking_since: when too few routers were first seen to follow the store, or None.
+    """
 
     def __init__(self, own: str):
         self.own = own
         self.table: dict[str, Peer] = {}
         self.forgotten: list[str] = []
+        self.lacking_since: float | None = None
 
     def learn(self, addresses: Iterable[str], now: float) -> None:
         """Add routers that somebody named."""
@@ -157,10 +167,18 @@
     def must_follow(self, rank: int, now: float) -> bool:
         """Tell whether a router of this rank follows the store itself.
 
-        Enough routers of lower rank that reach it spare the others the calls and the bytes.
+        Enough routers of lower rank that reach it spare the others the calls and the bytes. Where
+        some are lacking, the others take their place one after the other by rank.
         """
-        lower = [peer for peer in self.alive(now) if peer.following and peer.rank < rank]
-        return len(lower) < FOLLOWERS
+        lower = [peer for peer in self.alive(now) if peer.rank < rank]
+        following = sum(peer.follows(now) for peer in lower)
+        if following >= FOLLOWERS:
+            self.lacking_since = None
+            return False
+        if self.lacking_since is None:
+            self.lacking_since = now
+        patience = FOLLOW_STEP * max(0, len(lower) + 1 - FOLLOWERS)
+        return now - self.lacking_since >= patience
 
     def take_forgotten(self, rank: int, now: float) -> list[str]:
         """Return the routers forgotten since the last call, if this one is to clean up."""
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -201,9 +201,7 @@
     def following(self) -> bool:
         """Tell whether this router follows the store and reaches it."""
         followers = self.node.followers
-        return bool(followers) and all(
-            follower.reached and follower.revision is not None for follower in followers
-        )
+        return bool(followers) and all(follower.following for follower in followers)
 
     def must_follow(self) -> bool:
         """Tell whether this router is to follow the store itself."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -82,3 +82,19 @@
         assert len(node.directory.pool("engines")) == 2
 
     play(scenario, WELL, WELL)
+
+
+def test_a_router_still_follows_while_large_changes_settle():
+    async def scenario(world):
+        routes = configuration()["routes"]
+        many = [{**routes[0], "name": f"r-{n}", "path-prefix": f"/r-{n}/"} for n in range(200)]
+        large = configuration(version=7, routes=routes + many)
+        await world.store.put("config", "main", large)
+        await world.until(lambda: world.node.routes.configuration.version == 7)
+        assert world.node.neighbours.following()
+        await world.store.put("config", "main", {**large, "version": 8})
+        while world.node.routes.configuration.version == 7:
+            assert world.node.neighbours.following()
+            await curio.sleep(0.005)
+
+    play(scenario, WELL)
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -37,7 +37,7 @@
         outbox.note_load(f"i-{number}", 60, 123456.0)
         outbox.note_held(f"i-{number}", "0123456789ab", 10000, 0.0)
     loads, held, _ = outbox.take(0.0)
-    assert len(encode(Datagram(2**41, loads=loads, held=held))) < 2500
+    assert len(encode(Datagram(2**41, loads=loads, held=held))) < 1400
     assert outbox.due(1.0, 0.04)
 
 
@@ -64,3 +64,59 @@
     assert peers.heard("10.0.0.2", Datagram(1, leaving=True), 9.0) is None
     peers.away(news.FORGET_TIME + 1.0)
     assert peers.table == {}
+
+
+def follower(rank, following=True):
+    return Datagram(1, rank=rank, following=following)
+
+
+@pytest.mark.parametrize(
+    ("following", "rank", "after", "follows"),
+    [
+        ((), 0, 0.0, True),
+        (range(news.FOLLOWERS - 1), 100, 0.0, True),
+        (range(news.FOLLOWERS), 100, 60.0, False),
+        (range(1, 20), 0, 0.0, True),
+        (range(19), 100, 60.0, False),
+    ],
+)
+def test_few_routers_follow_the_store(following, rank, after, follows):
+    peers = Peers("10.0.0.200")
+    for number in following:
+        peers.heard(f"10.0.0.{number}", follower(number), 10.0)
+    assert peers.must_follow(rank, 10.0) is follows
+    for number in following:
+        peers.heard(f"10.0.0.{number}", follower(number), 10.0 + after)
+    assert peers.must_follow(rank, 10.0 + after) is follows
+
+
+def test_others_take_the_place_of_followers_one_after_the_other():
+    """Answers the load of a store that a whole fleet would list at once."""
+    count, lost, lag = 28, 5, 4
+    fleet = [Peers(f"10.0.0.{number}") for number in range(count)]
+    history = [[number < news.FOLLOWERS for number in range(count)]]
+    started = set()
+    for step in range(80):
+        now = 10.0 + step * 0.05
+        told = history[max(0, step - lag)]
+        following = []
+        for rank, peers in enumerate(fleet):
+            for other in range(count):
+                if other != rank:
+                    peers.heard(f"10.0.0.{other}", follower(other, told[other]), now)
+            able = rank >= lost or step < 20
+            following.append(able and peers.must_follow(rank, now))
+        started |= {rank for rank in range(count) if following[rank]}
+        history.append(following)
+    expected = set(range(lost, lost + news.FOLLOWERS))
+    assert {rank for rank in range(count) if following[rank]} == expected
+    assert len(started) <= news.FOLLOWERS + lost + lag
+
+
+def test_a_router_that_went_silent_is_soon_replaced():
+    peers = Peers("10.0.0.200")
+    for number in range(news.FOLLOWERS):
+        peers.heard(f"10.0.0.{number}", follower(number), 10.0)
+    assert not peers.must_follow(100, 10.0 + news.FOLLOWING_TIME)
+    assert not peers.must_follow(100, 10.1 + news.FOLLOWING_TIME)
+    assert peers.must_follow(100, 10.2 + news.FOLLOWING_TIME)
