Let a starting router ask the others before the store

Change: a starting router that knows of others gives them 0.05 s to answer, and one that has the configuration 0.5 s to send it, before it lists. tests/test_news.py plays the cases (failed first).

--- a/src/hickorylever/direct/discovery.py
+++ b/src/hickorylever/direct/discovery.py
@@ -14,7 +14,7 @@
 JITTER = 0.3  # Share of a pause.
 LARGE_BYTES = 16 * 1024  # Of changes, from which on later ones are read as one list.
 SETTLE_PAUSE = 0.5  # Seconds after large changes; what came meanwhile is read once.
-IDLE_PAUSE = 0.25  # Seconds between looks whether this router is to follow.
+IDLE_PAUSE = 0.05  # Seconds between looks whether this router is to follow.
 
 
 class Follower:
--- a/src/hickorylever/direct/news.py
+++ b/src/hickorylever/direct/news.py
@@ -21,6 +21,8 @@
 FOLLOWERS = 8  # Routers that follow the store.
 FOLLOWING_TIME = 1.6  # Seconds that a router's word counts that it follows.
 FOLLOW_STEP = 0.05  # Seconds that each further router waits before it follows too.
+HELLO_WAIT = 0.05  # Seconds that a starting router gives the others to answer.
+PULL_WAIT = 0.5  # Seconds that it gives one that knows the configuration to send it.
 HELLO_INTERVAL = 1.5  # Seconds between tries to reach a router that is away.
 
 
@@ -133,11 +135,13 @@
 class Peers:
     """The other routers, by IP number.
 
+    :param began: when this router started.
     :ivar lacking_since: when too few routers were first seen to follow the store, or None.
     """
 
-    def __init__(self, own: str):
+    def __init__(self, own: str, began: float = 0.0):
         self.own = own
+        self.began = began
         self.table: dict[str, Peer] = {}
         self.forgotten: list[str] = []
         self.lacking_since: float | None = None
@@ -164,13 +168,18 @@
         peer.following = datagram.following
         return peer
 
-    def must_follow(self, rank: int, now: float) -> bool:
+    def must_follow(self, rank: int, now: float, empty: bool = False) -> bool:
         """Tell whether a router of this rank follows the store itself.
 
         Enough routers of lower rank that reach it spare the others the calls and the bytes. Where
         some are lacking, the others take their place one after the other by rank.
+
+        :param empty: this router knows no configuration or no endpoints yet.
         """
-        lower = [peer for peer in self.alive(now) if peer.rank < rank]
+        alive = self.alive(now)
+        if empty and self.table and now - self.began < self.start_wait(alive):
+            return False
+        lower = [peer for peer in alive if peer.rank < rank]
         following = sum(peer.follows(now) for peer in lower)
         if following >= FOLLOWERS:
             self.lacking_since = None
@@ -180,6 +189,13 @@
         patience = FOLLOW_STEP * max(0, len(lower) + 1 - FOLLOWERS)
         return now - self.lacking_since >= patience
 
+    def start_wait(self, alive: list[Peer]) -> float:
+        """Return the seconds in which a starting router leaves the store alone.
+
+        A router that knows the configuration sends it compressed.
+        """
+        return PULL_WAIT if any(peer.configuration for peer in alive) else HELLO_WAIT
+
     def take_forgotten(self, rank: int, now: float) -> list[str]:
         """Return the routers forgotten since the last call, if this one is to clean up."""
         forgotten, self.forgotten = self.forgotten, []
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -44,7 +44,8 @@
 
     def __init__(self, node):
         self.node = node
-        self.peers = Peers(node.settings.address)
+        self.peers = Peers(node.settings.address, time.monotonic())
+        self.peers.learn(node.settings.seeds, time.monotonic())
         self.outbox = Outbox()
         self.incarnation = time.time_ns() // 1_000_000
         self.client = Client()
@@ -61,7 +62,6 @@
     async def run(self) -> None:
         """Talk until cancelled."""
         settings = self.node.settings
-        self.peers.learn(settings.seeds, time.monotonic())
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind((settings.address, settings.peer_port))
         async with self.sock, curio.TaskGroup(wait=None) as group:
@@ -205,7 +205,9 @@
 
     def must_follow(self) -> bool:
         """Tell whether this router is to follow the store itself."""
-        return self.peers.must_follow(self.rank, time.monotonic())
+        node = self.node
+        empty = node.routes is None or not node.listed
+        return self.peers.must_follow(self.rank, time.monotonic(), empty)
 
     async def catch_up(self, now: float, alive: list[Peer]) -> None:
         """Fetch what other routers know of the store and this one does not."""
--- a/tests/test_news.py
+++ b/tests/test_news.py
@@ -120,3 +120,24 @@
     assert not peers.must_follow(100, 10.0 + news.FOLLOWING_TIME)
     assert not peers.must_follow(100, 10.1 + news.FOLLOWING_TIME)
     assert peers.must_follow(100, 10.2 + news.FOLLOWING_TIME)
+
+
+@pytest.mark.parametrize(
+    ("seeds", "configuration", "after", "follows"),
+    [
+        ((), 0, 0.0, True),
+        (("10.0.0.2",), None, 0.0, False),
+        (("10.0.0.2",), None, news.HELLO_WAIT, True),
+        (("10.0.0.2",), 0, news.HELLO_WAIT, True),
+        (("10.0.0.2",), 7, news.HELLO_WAIT, False),
+        (("10.0.0.2",), 7, news.PULL_WAIT, True),
+    ],
+)
+def test_a_starting_router_asks_the_others_first(seeds, configuration, after, follows):
+    peers = Peers("10.0.0.1", began=10.0)
+    peers.learn(seeds, 10.0)
+    for address in seeds if configuration is not None else ():
+        peers.heard(address, Datagram(1, configuration), 10.0)
+    now = 10.0 + after
+    assert peers.must_follow(0, now, empty=True) is follows
+    assert peers.must_follow(0, now, empty=False)
