Decode only the routes that changed

Cause: decoding 1,730 routes took 18 ms of a core, 58 ms on a router of 0.387 cores, and each of 25 versions of a storm differs in one route.

--- a/src/hickorylever/platform/documents.py
+++ b/src/hickorylever/platform/documents.py
@@ -1,5 +1,6 @@
 """Objects that the operator and the endpoints keep in the store."""
 
+from functools import lru_cache
 from typing import Annotated
 
 import msgspec
@@ -20,6 +21,7 @@
 from . import names
 
 MILLISECOND = 0.001  # Seconds.
+KEPT_ROUTES = 8192  # Decoded routes that later versions of the configuration may use again.
 
 KINDS = {
     "safe": RouteKind.IDEMPOTENT,
@@ -96,10 +98,13 @@
 
 
 class WireConfiguration(Wire):
-    """The whole configuration. `version` grows in uneven steps."""
+    """The whole configuration.
+
+    `version` grows in uneven steps; `routes` are :class:`WireRoute`, decoded one by one.
+    """
 
     version: int
-    routes: list[WireRoute]
+    routes: list[msgspec.Raw]
     services: list[WireService]
     limits: WireLimits
     tenants: list[WireAccount] | None = None
@@ -117,6 +122,9 @@
     born: int | None = None
 
 
+route_decoder = msgspec.json.Decoder(WireRoute)
+
+
 def decode_configuration(spec: msgspec.Raw, revision: int) -> Configuration:
     """Return the configuration from the operator's object.
 
@@ -125,7 +133,7 @@
     """
     try:
         wire = msgspec.json.decode(spec, type=WireConfiguration)
-        routes = tuple(decode_route(route) for route in wire.routes)
+        routes = tuple(decode_route(bytes(route)) for route in wire.routes)
     except (msgspec.DecodeError, KeyError, ValueError) as error:
         raise ContentError(f"the configuration can't be read: {error}") from None
     limits = wire.limits
@@ -149,8 +157,10 @@
     )
 
 
-def decode_route(wire: WireRoute) -> Route:
-    """Return one route."""
+@lru_cache(KEPT_ROUTES)
+def decode_route(content: bytes) -> Route:
+    """Return one route; most routes of a new version are those of the version before."""
+    wire = route_decoder.decode(content)
     backings = tuple(Backing(entry.service, entry.weight) for entry in wire.backends or ())
     if not backings and wire.service:
         backings = (Backing(wire.service, 1.0),)
