Give an attempt up only where another one may be made, and wait longer for a busy engine

Each one given up added work to a full pool.

Change: direct/patience.py works out how long an attempt waits, from the unread prompts and the requests of all routers; when that time is over it goes on waiting unless another endpoint, the budget and the time allow another attempt. Answer.piece() can be called again after a cancellation.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -2,7 +2,6 @@
 
 import enum
 import time
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import curio
@@ -11,6 +10,7 @@
 from ..exceptions import BrokenAnswer, ConnectionLost, PeerSilent
 from ..http import Answer, Channel, Client, header
 from .endpoints import Endpoint
+from .patience import CHECK_INTERVAL, Patience
 from .records import AnswerInfo
 from .sse import Events
 
@@ -65,8 +65,7 @@
     """Sends one request to one endpoint and reads its answer.
 
     :param stream: takes the head and the events of a streamed answer.
-    :param first_byte: monotonic time by which an answer must have begun, or None.
-    :param longest_pause: seconds that a stream may pause before it is given up here, or None.
+    :param patience: how long a silent endpoint is waited for; None for until the deadline.
     """
 
     def __init__(
@@ -78,8 +77,7 @@
         stream,
         deadline: float,
         repeatable: bool,
-        first_byte: float | None = None,
-        longest_pause: float | None = None,
+        patience: Patience | None = None,
     ):
         self.client = client
         self.endpoint = endpoint
@@ -88,8 +86,7 @@
         self.stream = stream
         self.deadline = deadline
         self.repeatable = repeatable
-        self.first_byte = first_byte
-        self.longest_pause = longest_pause
+        self.patience = patience
         self.sent = False
         self.channel: Channel | None = None
 
@@ -182,13 +179,27 @@
         raise ConnectionLost("the connection holds answers to other requests")
 
     async def answer_in_time(self) -> Answer:
-        """Return the next answer's head."""
-        if self.first_byte is None:
-            return await self.client.answer(self.channel)
-        left = max(0.0, self.first_byte - time.monotonic())
-        async with curio.ignore_after(left):
+        """Return the next answer's head.
+
+        :raises PeerSilent: when it takes too long and the request could go on elsewhere.
+        """
+        if self.patience is None:
             return await self.client.answer(self.channel)
-        raise PeerSilent("the endpoint does not answer")
+        left = max(0.0, self.patience.first - time.monotonic())
+        return await self.await_endpoint(left, self.client.answer, self.channel)
+
+    async def await_endpoint(self, seconds: float, receive, *arguments):
+        """Await what an endpoint sends.
+
+        :param seconds: after which the endpoint is given up if the request could go on elsewhere.
+        :raises PeerSilent: when the endpoint is given up.
+        """
+        while True:
+            async with curio.ignore_after(seconds):
+                return await receive(*arguments)
+            if self.patience.movable():
+                raise PeerSilent("the endpoint sends nothing")
+            seconds = CHECK_INTERVAL
 
     async def skip(self, answer: Answer) -> None:
         """Read an answer to another request to its end and await the next one."""
@@ -206,23 +217,20 @@
         """Pass a stream on, event by event."""
         await self.stream.start(answer)
         events = Events(self.stream.last)
-        async with curio.meta.finalize(answer.pieces()) as pieces:
-            while (piece := await self.next_piece(pieces)) is not None:
-                self.endpoint.heard = time.monotonic()
-                for event in events.feed(piece):
-                    await self.stream.write(event)
-                    self.stream.last = events.last
+        while (piece := await self.next_piece(answer)) is not None:
+            self.endpoint.heard = time.monotonic()
+            for event in events.feed(piece):
+                await self.stream.write(event)
+                self.stream.last = events.last
         if events.partial:
             raise BrokenAnswer("the stream ended within an event")
         return Outcome(Result.ANSWERED, "", answer.status, answer.headers, info=info)
 
-    async def next_piece(self, pieces: AsyncIterator[bytes]) -> bytes | None:
+    async def next_piece(self, answer: Answer) -> bytes | None:
         """Return the next piece of a stream, or None at its end.
 
         :raises PeerSilent: when the endpoint pauses for too long.
         """
-        if self.longest_pause is None:
-            return await anext(pieces, None)
-        async with curio.ignore_after(self.longest_pause):
-            return await anext(pieces, None)
-        raise PeerSilent("the stream pauses")
+        if self.patience is None or self.patience.pause is None:
+            return await answer.piece()
+        return await self.await_endpoint(self.patience.pause, answer.piece)
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -9,17 +9,14 @@
 from ..exceptions import Kind, Ran, RequestError
 from ..http import Exchange, end_to_end, header
 from .attempt import Attempt, Message, Outcome, Result
-from .endpoints import PREFILL_RATE, Endpoint
+from .endpoints import Endpoint
+from .patience import Patience, first_answer_time, longest_pause
 from .placing import Ask, Choice, place, shared
 from .records import Account, Handover, RequestInfo, Route, RouteKind, Service
 from .stream import Stream
 
 MAX_TRIES = 6  # Endpoints tried for one request, with those that did not run it.
 MAX_REJECTIONS = 3  # Endpoints that may say that they did not run a request.
-PLAIN_OBJECTIVES = 4.0  # Objectives after which a silent plain endpoint is given up.
-STREAM_OBJECTIVES = 0.6  # The same for engines, so that the next one can still be on time.
-PAUSE_GAPS = 3.0  # Longest pauses on time, after which a stream is resumed elsewhere.
-MIN_FIRST_BYTE = 0.6  # Seconds.
 MARGIN = 0.02  # Seconds between an endpoint's time limit and the caller's.
 MIN_RETRY_TIME = 0.05  # Seconds that must be left for another attempt.
 RETRY_PAUSE = 0.25  # Seconds after which a refused caller may come back.
@@ -146,8 +143,7 @@
             call.stream,
             call.deadline,
             call.route.repeatable,
-            self.first_byte(call, endpoint, began),
-            self.longest_pause(call),
+            self.patience(call, endpoint, began),
         )
         try:
             outcome = await attempt.run()
@@ -182,25 +178,32 @@
             view=self.node.directory.newest,
         )
 
-    def first_byte(self, call: Call, endpoint: Endpoint, now: float) -> float | None:
-        """Return when a silent endpoint is given up, for requests that may go elsewhere."""
+    def patience(self, call: Call, endpoint: Endpoint, now: float) -> Patience | None:
+        """Return how long an attempt waits, or None where only the deadline ends it."""
         if not self.may_move(call):
             return None
-        if call.service.engine is None:
-            return now + max(MIN_FIRST_BYTE, PLAIN_OBJECTIVES * call.route.objective)
-        reading = endpoint.prefill / PREFILL_RATE
-        return now + STREAM_OBJECTIVES * call.route.objective + reading
-
-    def longest_pause(self, call: Call) -> float | None:
-        """Return the pause after which a stream is resumed elsewhere, if it may be."""
-        if call.stream is None or call.route.max_gap is None or not self.may_move(call):
-            return None
-        return PAUSE_GAPS * call.route.max_gap
+        seconds = first_answer_time(call.route, call.service.engine, *endpoint.load())
+        pause = longest_pause(call.route) if call.stream is not None else None
+        return Patience(now + seconds, pause, lambda: self.movable(call))
 
     def may_move(self, call: Call) -> bool:
-        """Tell whether the call could go on at another endpoint after this attempt."""
+        """Tell whether the rules let the call go on elsewhere after this attempt."""
         return call.route.repeatable and call.attempts + 1 < call.route.max_attempts
 
+    def movable(self, call: Call) -> bool:
+        """Tell whether the call could go on at another endpoint now."""
+        now = time.monotonic()
+        service = call.service.name
+        return (
+            call.deadline - now >= MIN_RETRY_TIME
+            and self.node.budget.left(service, now) >= 1.0
+            and any(
+                endpoint.usable(now) and not endpoint.silent(now)
+                for endpoint in self.node.directory.pool(service)
+                if endpoint.name not in call.tried
+            )
+        )
+
     def message(self, call: Call, choice: Choice) -> Message:
         """Return the request as the endpoint gets it."""
         exchange = call.exchange
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -33,22 +33,31 @@
         self.headers = list(response.headers)
         self.whole = False
 
+    async def piece(self) -> bytes | None:
+        """Return the next bytes of the body, or None at its end.
+
+        A cancelled call loses nothing; the next one goes on.
+
+        :raises ConnectionLost: when the body ends early.
+        """
+        try:
+            event = await self.channel.receive()
+        except h11.RemoteProtocolError as error:
+            raise ConnectionLost(str(error)) from error
+        if isinstance(event, h11.EndOfMessage):
+            self.whole = True
+            return None
+        if not isinstance(event, h11.Data):
+            raise ConnectionLost("the peer closed within a body")
+        return bytes(event.data)
+
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the body's bytes.
 
         :raises ConnectionLost: when the body ends early.
         """
-        while True:
-            try:
-                event = await self.channel.receive()
-            except h11.RemoteProtocolError as error:
-                raise ConnectionLost(str(error)) from error
-            if isinstance(event, h11.EndOfMessage):
-                self.whole = True
-                return
-            if not isinstance(event, h11.Data):
-                raise ConnectionLost("the peer closed within a body")
-            yield bytes(event.data)
+        while (piece := await self.piece()) is not None:
+            yield piece
 
     async def body(self, limit: int = defaults.MAX_ANSWER_BYTES) -> bytes:
         """Return the whole body, at most `limit` bytes."""
--- a/src/hickorylever/standins/origin.py
+++ b/src/hickorylever/standins/origin.py
@@ -17,7 +17,8 @@
 behaviours: Registry[Behaviour] = Registry("behaviour of an endpoint")
 
 # Behaviours that end when the connection does; the others close it themselves or end at once.
-STOPPED_WITH_CALLER = ("well", "silent", "late", "from_the_start")
+STOPPED_WITH_CALLER = ("well", "silent", "late", "from_the_start", "slow")
+SLOW_TIME = 0.9  # Seconds.
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +115,13 @@
     await exchange.respond(200, origin.fields(exchange), body)
 
 
+@behaviours.register("slow")
+async def run_slowly(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run well, after longer than an endpoint is waited for."""
+    await curio.sleep(SLOW_TIME)
+    await run_well(origin, exchange, body)
+
+
 @behaviours.register("shed")
 async def shed(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Refuse without running."""
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -1,5 +1,7 @@
 """Requests through a router of hickorylever.direct, as callers and endpoints see them."""
 
+import math
+
 import curio
 import pytest
 from direct_world import SITE, configuration, entry, events, play
@@ -298,6 +300,27 @@
     play(scenario, WELL, WELL)
 
 
+@pytest.mark.parametrize("path", ["/safe/x", RESUMABLE])
+@pytest.mark.parametrize("reason", ["no budget", "no other endpoint", "the other one leaves"])
+def test_a_slow_endpoint_is_waited_for_where_no_other_may_be_asked(path, reason):
+    """Answers the load of a pool with more work than it can do at once."""
+
+    async def scenario(world):
+        if reason == "no budget":
+            world.node.budget.allowance = world.node.budget.ratio = 0.0
+        for endpoint in world.node.directory.pool("engines"):
+            endpoint.paused_until = math.inf if reason == "no other endpoint" else 0.0
+        chosen = world.node.directory.endpoints["i-0"]
+        chosen.paused_until = 0.0
+        if reason == "the other one leaves":
+            await world.store.put("servers", "i-1", entry(world.ports[1], state="draining"))
+            await world.until(lambda: world.node.directory.endpoints["i-1"].entry.draining)
+        reply = await world.ask(path)
+        assert (reply.status, len(world.runs)) == (200, 1)
+
+    play(scenario, ("slow",), ("slow",))
+
+
 @pytest.mark.parametrize(
     ("limit", "value", "headers", "body", "status"),
     [
