Let requests wait in line for an endpoint with room; refuse those that would wait in vain

Change: an endpoint has room while it gets to a new request within 0.4 s and has a free slot (direct/room.py); placing prefers those with room; where none has, requests stand in line (direct/waiting.py): those that can still be on time first, by rank, every fifth turn for the rank that went without one for longest. Who would not be served in time is refused at once as not run, with returns spread at the rate of the line. A request that may have run is never refused so.

Tests: tests/test_waiting.py plays 0.3 to 4 times a pool's capacity in virtual time: nobody refused or late while there is room; at 1.3 and 2 times 85% of what is done is on time, 90% of the most urgent rank, each rank served at least a quarter as often as all; tests/test_placing.py: room.

--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -8,6 +8,7 @@
 from .caches import Holdings
 from .news import short
 from .records import EndpointEntry, Listing, Part, StoredObject
+from .room import PREFILL_RATE
 
 RETURN_TIME = 2.0  # Seconds in which entries that lapsed during an outage come back.
 FIRST_PAUSE = 0.25  # Seconds that an endpoint is left out after a failed connection.
@@ -15,7 +16,6 @@
 FAILURE_WEIGHT = 0.2  # Weight of the latest answer in the share of failures.
 FAILURE_HALF_LIFE = 3.0  # Seconds in which an old share of failures halves.
 SILENCE = 0.4  # Seconds without a byte from an endpoint that works, beyond its prefill.
-PREFILL_RATE = 40_000.0  # Tokens a second that an engine reads at least.
 LOG_LENGTH = 256  # Changes kept for other routers.
 LOAD_LIFETIME = 4.0  # Seconds that a peer's load counts; it is told again sooner.
 
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -3,6 +3,7 @@
 import time
 from dataclasses import dataclass, field
 
+import curio
 import xxhash
 
 from ..events import Event, log
@@ -10,11 +11,13 @@
 from ..http import Exchange, end_to_end, header
 from .attempt import Attempt, Message, Outcome, Result
 from .endpoints import Endpoint
-from .patience import Patience, first_answer_time, longest_pause
+from .patience import Patience, caller_patience, first_answer_time, longest_pause
 from .placing import Ask, Choice, place, shared
 from .records import Account, Handover, RequestInfo, Route, RouteKind, Service
 from .stream import Stream
+from .waiting import Line, Wish
 
+ROOM_POLL = 0.01  # Seconds between looks of the first in a line whether there is room.
 MAX_TRIES = 6  # Endpoints tried for one request, with those that did not run it.
 MAX_REJECTIONS = 3  # Endpoints that may say that they did not run a request.
 MARGIN = 0.02  # Seconds between an endpoint's time limit and the caller's.
@@ -30,6 +33,7 @@
     :param deadline: monotonic seconds; the earlier of the caller's and the route's.
     :param fingerprint: the same for every copy of the request.
     :param ran: the strongest claim about execution that is known.
+    :param waited: seconds in line for an endpoint with room.
     """
 
     exchange: Exchange
@@ -44,6 +48,7 @@
     ran: Ran = Ran.NO
     attempts: int = 0
     rejections: int = 0
+    waited: float = 0.0
     tried: set[str] = field(default_factory=set)
     path: list[str] = field(default_factory=list)
     stream: Stream | None = None
@@ -77,6 +82,7 @@
 
     def __init__(self, node):
         self.node = node
+        self.lines: dict[str, Line] = {}
 
     async def run(self, call: Call) -> None:
         """Answer a call.
@@ -85,7 +91,7 @@
         """
         last: Outcome | None = None
         for _ in range(MAX_TRIES):
-            choice = self.choose(call)
+            choice = await self.place(call)
             if choice is None:
                 break
             outcome = await self.attempt(call, choice)
@@ -104,19 +110,69 @@
             return last
         return outcome
 
+    async def place(self, call: Call) -> Choice | None:
+        """Return where the call goes next, once there is room; None where it can't go on.
+
+        A stream that has begun does not wait.
+
+        :raises RequestError: when a call that has not run found no room in time.
+        """
+        choice = self.choose(call)
+        line = self.lines.setdefault(call.service.name, Line())
+        begun = call.stream is not None and call.stream.begun
+        if choice is None or begun or (choice.room and not line.tickets):
+            return choice
+        return await self.wait_in_line(call, line)
+
+    async def wait_in_line(self, call: Call, line: Line) -> Choice | None:
+        """Return where the call goes when its turn has come.
+
+        :raises RequestError: when it did not come in time and the call has not run.
+        """
+        joined = time.monotonic()
+        leaves = call.deadline
+        if call.stream is not None:
+            leaves = min(leaves, call.begun + caller_patience(call.route))
+        wish = Wish(call.rank, call.begun, call.route.objective, leaves, self.node.draining)
+        ticket = line.join(wish, joined)
+        choice = None
+        try:
+            while not line.hopeless(ticket, now := time.monotonic()):
+                if line.first(now) is not ticket:
+                    await line.wake_first(now)
+                    await ticket.wait(now)
+                    continue
+                choice = self.choose(call)
+                if choice is None or choice.room:
+                    return choice
+                choice = None
+                await curio.sleep(ROOM_POLL)
+        finally:
+            now = time.monotonic()
+            line.leave(ticket, choice is not None, now)
+            call.waited += now - joined
+            labels = {"service": call.service.name, "result": "placed" if choice else "left"}
+            self.node.metrics.waited.observe(labels, now - joined)
+            await line.wake_first(now)
+        if call.ran is not Ran.NO:
+            return None
+        pause = line.retry_after(now, call.deadline - now)
+        detail = f"no endpoint had room for {now - joined:.3f} s"
+        raise RequestError(Kind.OVERLOADED, detail, Ran.NO, pause)
+
     def choose(self, call: Call) -> Choice | None:
-        """Return where the call goes next."""
+        """Return the best endpoint for the call now."""
         node = self.node
         ask = Ask(
             now=time.monotonic(),
             failure_domain=node.settings.failure_domain,
+            multiple=node.settings.load_multiple,
+            engine=call.service.engine,
             parts=call.info.parts,
             prompt_tokens=call.info.prompt_tokens,
             avoid=frozenset(call.tried),
         )
-        pool = node.directory.pool(call.service.name)
-        engine = call.service.engine is not None
-        return place(pool, ask, engine, node.settings.load_multiple)
+        return place(node.directory.pool(call.service.name), ask)
 
     async def attempt(self, call: Call, choice: Choice) -> Outcome:
         """Hand the call to one endpoint and note what came of it."""
@@ -175,6 +231,7 @@
             running=requests,
             prefill=round(prefill),
             failures=round(endpoint.failures(time.monotonic()), 2),
+            waited=round(call.waited, 3),
             view=self.node.directory.newest,
         )
 
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -22,6 +22,12 @@
         self.event_gap = self.histogram(
             "hickorylever_event_gap_seconds", "Longest pause between events of a stream"
         )
+        self.waited = self.histogram(
+            "hickorylever_wait_seconds", "Time in line for an endpoint with room, by result"
+        )
+        self.waiting = self.make(
+            Gauge, "hickorylever_waiting", "Requests in line for an endpoint with room, by service"
+        )
         self.placed = self.make(
             Counter, "hickorylever_placed_total", "Placings by service and reuse of the prompt"
         )
--- a/src/hickorylever/direct/pages.py
+++ b/src/hickorylever/direct/pages.py
@@ -34,6 +34,8 @@
         for service, pool in node.directory.pools.items():
             metrics.endpoints.set({"service": service}, len(pool))
             metrics.budget_left.set({"service": service}, node.budget.left(service, now))
+        for service, line in self.router.forwarder.lines.items():
+            metrics.waiting.set({"service": service}, len(line.tickets))
         for follower in node.followers:
             metrics.store_age.set({"kind": follower.kind}, now - follower.heard)
 
--- a/src/hickorylever/direct/patience.py
+++ b/src/hickorylever/direct/patience.py
@@ -7,14 +7,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .endpoints import PREFILL_RATE
 from .records import Engine, Route
+from .room import backlog_time
 
 PLAIN_OBJECTIVES = 4.0  # Objectives after which a silent plain endpoint is given up.
 STREAM_OBJECTIVES = 0.6  # The same for engines, so that the next one can still be on time.
 PAUSE_GAPS = 3.0  # Longest pauses on time, after which a stream is resumed elsewhere.
 MIN_FIRST_BYTE = 0.6  # Seconds.
-SLOT_TIME = 2.0  # Seconds that a request holds a slot of an engine.
+CALLER_SECONDS = 2.0  # Without an event, after which callers leave a stream at the soonest.
+CALLER_OBJECTIVES = 4.0  # The same in objectives; the longest of the three counts.
+CALLER_GAPS = 8.0  # The same in longest pauses on time.
 CHECK_INTERVAL = 0.1  # Seconds until an attempt that could not go elsewhere is looked at again.
 
 
@@ -32,16 +34,6 @@
     movable: Callable[[], bool]
 
 
-def backlog_time(engine: Engine, requests: int, prefill: float) -> float:
-    """Return the seconds until an engine gets to a new request.
-
-    :param requests: under way there.
-    :param prefill: prompt tokens that it has still to read.
-    """
-    waiting = max(0, requests - engine.slots)
-    return prefill / PREFILL_RATE + waiting * SLOT_TIME / engine.slots
-
-
 def first_answer_time(route: Route, engine: Engine | None, requests: int, prefill: float) -> float:
     """Return the seconds after which an answer should have begun.
 
@@ -50,9 +42,15 @@
     """
     if engine is None:
         return max(MIN_FIRST_BYTE, PLAIN_OBJECTIVES * route.objective)
-    return STREAM_OBJECTIVES * route.objective + backlog_time(engine, requests, prefill)
+    return STREAM_OBJECTIVES * route.objective + backlog_time(engine.slots, requests, prefill)
 
 
 def longest_pause(route: Route) -> float | None:
     """Return the pause after which a stream is resumed elsewhere, if it may be."""
     return None if route.max_gap is None else PAUSE_GAPS * route.max_gap
+
+
+def caller_patience(route: Route) -> float:
+    """Return the seconds without an event after which callers leave a stream."""
+    by_gap = CALLER_GAPS * (route.max_gap or 0.0)
+    return max(CALLER_SECONDS, CALLER_OBJECTIVES * route.objective, by_gap)
--- a/src/hickorylever/direct/placing.py
+++ b/src/hickorylever/direct/placing.py
@@ -12,7 +12,8 @@
 import xxhash
 
 from .endpoints import Endpoint
-from .records import Part
+from .records import Engine, Part
+from .room import has_room
 
 FETCH_SHARE = 0.3  # Cost of a copied token against one that is prefilled.
 RUN_TOKENS = 40.0  # Prefill tokens that one running request slows a new one by.
@@ -33,6 +34,8 @@
 class Ask:
     """What is to be placed.
 
+    :param multiple: of the mean load; no endpoint should hold more.
+    :param engine: shape of the service's engines; None for a plain service.
     :param parts: of the prompt; empty for a plain service.
     :param failure_domain: of this router.
     :param avoid: endpoints that were tried.
@@ -40,6 +43,8 @@
 
     now: float
     failure_domain: str
+    multiple: float
+    engine: Engine | None = None
     parts: Sequence[Part] = ()
     prompt_tokens: int = 0
     avoid: frozenset[str] = frozenset()
@@ -53,6 +58,7 @@
     :param source: an endpoint that holds more of the prompt, to copy from.
     :param rank: steps down the agreed order.
     :param cost: of the choice, in prefill tokens.
+    :param room: the endpoint gets to the request soon.
     """
 
     endpoint: Endpoint
@@ -60,6 +66,7 @@
     source: Endpoint | None = None
     rank: int = 0
     cost: float = 0.0
+    room: bool = True
 
 
 def shared(parts: Sequence[Part]) -> Sequence[Part]:
@@ -84,25 +91,37 @@
     :param requests: under way there, by all routers that tell.
     :param prefill: prompt tokens that it has still to read.
     :param held: tokens at the prompt's start that it holds.
+    :param room: it gets to one more request soon.
     :param rank: steps down the agreed order.
     """
 
     endpoint: Endpoint
     requests: int
     prefill: float
+    room: bool
     held: int = 0
     rank: int = 0
 
 
+def measure(endpoint: Endpoint, ask: Ask, held: int = 0, rank: int = 0) -> Candidate:
+    """Return an endpoint as a candidate."""
+    requests, prefill = endpoint.load()
+    room = has_room(endpoint.entry, ask.engine, requests, prefill)
+    return Candidate(endpoint, requests, prefill, room, held, rank)
+
+
 def within_bound(candidates: list[Candidate], multiple: float) -> list[Candidate]:
-    """Return the candidates that hold no more than a multiple of their mean."""
+    """Return the candidates that hold no more than a multiple of their mean.
+
+    Those with room go before those without.
+    """
     mean = sum(candidate.requests for candidate in candidates) / max(1, len(candidates))
     limit = (1.0 + BOUND_PART * (multiple - 1.0)) * mean + BOUND_SLACK
-    allowed = [candidate for candidate in candidates if candidate.requests + 1 <= limit]
-    return allowed or candidates
+    allowed = [entry for entry in candidates if entry.requests + 1 <= limit] or candidates
+    return [entry for entry in allowed if entry.room] or allowed
 
 
-def place(pool: list[Endpoint], ask: Ask, engine: bool, multiple: float) -> Choice | None:
+def place(pool: list[Endpoint], ask: Ask) -> Choice | None:
     """Return the best endpoint for a request, or None when none may be used."""
     usable = [
         endpoint
@@ -111,14 +130,14 @@
     ]
     if not usable:
         return None
-    if engine and ask.parts:
-        return place_prompt(pool, usable, ask, multiple)
-    return place_plain(usable, ask, multiple)
+    if ask.engine is not None and ask.parts:
+        return place_prompt(pool, usable, ask)
+    return place_plain(usable, ask)
 
 
-def place_plain(usable: list[Endpoint], ask: Ask, multiple: float) -> Choice:
+def place_plain(usable: list[Endpoint], ask: Ask) -> Choice:
     """Return the endpoint with the fewest requests, preferring near ones."""
-    candidates = [Candidate(endpoint, *endpoint.load()) for endpoint in usable]
+    candidates = [measure(endpoint, ask) for endpoint in usable]
 
     def cost(candidate: Candidate) -> tuple[float, str]:
         endpoint = candidate.endpoint
@@ -131,25 +150,24 @@
         )
         return total, endpoint.name
 
-    return Choice(min(within_bound(candidates, multiple), key=cost).endpoint)
+    best = min(within_bound(candidates, ask.multiple), key=cost)
+    return Choice(best.endpoint, room=best.room)
 
 
-def place_prompt(
-    pool: list[Endpoint], usable: list[Endpoint], ask: Ask, multiple: float
-) -> Choice:
+def place_prompt(pool: list[Endpoint], usable: list[Endpoint], ask: Ask) -> Choice:
     """Return the engine where a prompt is read soonest."""
     order = agreed_order(pool, ask.parts)
     held = {endpoint.name: endpoint.held.cached(ask.parts) for endpoint in order}
     sources = best_sources(order, held, ask.now)
     names = {endpoint.name for endpoint in usable}
     candidates = [
-        Candidate(endpoint, *endpoint.load(), held[endpoint.name], rank)
+        measure(endpoint, ask, held[endpoint.name], rank)
         for rank, endpoint in enumerate(order)
         if endpoint.name in names
     ]
     choices = [
         choose_source(candidate, sources, held, ask)
-        for candidate in within_bound(candidates, multiple)
+        for candidate in within_bound(candidates, ask.multiple)
     ]
     return min(choices, key=lambda choice: choice.cost)
 
@@ -171,7 +189,7 @@
     total = max(ask.prompt_tokens, sum(part.tokens for part in ask.parts))
     uncached = total - candidate.held - copied * (1.0 - FETCH_SHARE)
     cost = uncached + standing_cost(candidate, ask)
-    return Choice(endpoint, uncached, source, candidate.rank, cost)
+    return Choice(endpoint, uncached, source, candidate.rank, cost, candidate.room)
 
 
 def standing_cost(candidate: Candidate, ask: Ask) -> float:
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -2,10 +2,11 @@
 
 from hickorylever.direct.endpoints import Endpoint, PeerLoad
 from hickorylever.direct.placing import Ask, agreed_order, place
-from hickorylever.direct.records import EndpointEntry, Part
+from hickorylever.direct.records import EndpointEntry, Engine, Part
 
 PARTS = (Part("a1", 300), Part("b2", 10000), Part("c3", 200))
 MULTIPLE = 2.0
+ENGINE = Engine(slots=64, memory=500_000, event_tokens=5)
 
 
 def pool(count=6, domains="abc"):
@@ -18,13 +19,18 @@
 
 
 def ask(**more):
-    return Ask(**{"now": 100.0, "failure_domain": "a", "parts": PARTS, **more})
+    known = {"now": 100.0, "failure_domain": "a", "multiple": MULTIPLE, "engine": ENGINE}
+    return Ask(**{**known, "parts": PARTS, **more})
+
+
+def plain(**more):
+    return ask(engine=None, parts=(), **more)
 
 
 def test_routers_agree_without_talking():
-    first = [place(pool(), ask(), True, MULTIPLE).endpoint.name for _ in range(3)]
+    first = [place(pool(), ask()).endpoint.name for _ in range(3)]
     reversed_pool = list(reversed(pool()))
-    assert {*first, place(reversed_pool, ask(), True, MULTIPLE).endpoint.name} == {first[0]}
+    assert {*first, place(reversed_pool, ask()).endpoint.name} == {first[0]}
 
 
 def test_one_endpoint_less_moves_only_its_own_prompts():
@@ -40,7 +46,7 @@
     endpoints = pool()
     holder = agreed_order(endpoints, PARTS)[2]
     holder.held.note(PARTS, 0)
-    choice = place(endpoints, ask(), True, MULTIPLE)
+    choice = place(endpoints, ask())
     assert choice.endpoint is holder
     assert choice.uncached == 0
 
@@ -50,17 +56,17 @@
     holder = agreed_order(endpoints, PARTS)[0]
     holder.held.note(PARTS, 0)
     holder.prefill = 50000.0
-    choice = place(endpoints, ask(), True, MULTIPLE)
+    choice = place(endpoints, ask())
     assert choice.endpoint is not holder
     assert choice.source is holder
 
 
-@pytest.mark.parametrize("engine", [True, False])
+@pytest.mark.parametrize("engine", [ENGINE, None])
 def test_no_endpoint_gets_more_than_its_bound(engine):
     """Answers the load of one prompt that nearly all requests share."""
     endpoints = pool()
     for _ in range(120):
-        place(endpoints, ask(), engine, MULTIPLE).endpoint.running += 1
+        place(endpoints, ask(engine=engine)).endpoint.running += 1
     mean = 120 / len(endpoints)
     assert max(endpoint.running for endpoint in endpoints) <= MULTIPLE * mean + 3
 
@@ -68,12 +74,11 @@
 def test_peers_loads_count_while_they_are_fresh():
     endpoints = pool(2, "aa")
     endpoints[0].take_load("10.0.0.9", PeerLoad(9, 0, 99.5))
-    plain = ask(parts=())
-    assert place(endpoints, plain, False, MULTIPLE).endpoint.name == "i-1"
+    assert place(endpoints, plain()).endpoint.name == "i-1"
     endpoints[1].running = 2
     for endpoint in endpoints:
         endpoint.expire_loads(200.0)
-    assert place(endpoints, ask(parts=(), now=200.0), False, MULTIPLE).endpoint.name == "i-0"
+    assert place(endpoints, plain(now=200.0)).endpoint.name == "i-0"
 
 
 def test_loads_add_up_over_routers():
@@ -109,7 +114,7 @@
         endpoints[number].paused_until = 101.0
     if 0 in holders:
         endpoints[0].prefill = 0.0
-    choice = place(endpoints, ask(), True, MULTIPLE)
+    choice = place(endpoints, ask())
     assert choice.endpoint is endpoints[0]
     assert choice.source is (None if source is None else endpoints[source])
 
@@ -120,26 +125,56 @@
 )
 def test_plain_requests_avoid_an_endpoint(change, value):
     endpoints = pool(2, "ab")
-    assert place(endpoints, ask(parts=()), False, MULTIPLE).endpoint.name == "i-0"
+    assert place(endpoints, plain()).endpoint.name == "i-0"
     setattr(endpoints[0], change, value)
     endpoints[0].failed_at = 100.0
-    assert place(endpoints, ask(parts=()), False, MULTIPLE).endpoint.name == "i-1"
+    assert place(endpoints, plain()).endpoint.name == "i-1"
 
 
 def test_nothing_usable():
     endpoints = pool(1)
-    assert place(endpoints, ask(avoid=frozenset({"i-0"})), True, MULTIPLE) is None
-    assert place([], ask(), False, MULTIPLE) is None
+    assert place(endpoints, ask(avoid=frozenset({"i-0"}))) is None
+    assert place([], plain()) is None
+
+
+@pytest.mark.parametrize(
+    ("change", "engine", "room"),
+    [
+        ({"running": 63}, ENGINE, True),
+        ({"running": 64}, ENGINE, False),
+        ({"prefill": 15_000.0}, ENGINE, True),
+        ({"prefill": 20_000.0}, ENGINE, False),
+        ({"running": 127}, None, True),
+        ({"running": 128}, None, False),
+    ],
+)
+def test_a_choice_tells_whether_there_is_room(change, engine, room):
+    (endpoint,) = endpoints = pool(1)
+    for name, value in change.items():
+        setattr(endpoint, name, value)
+    assert place(endpoints, ask(engine=engine)).room is room
+
+
+def test_an_endpoint_with_room_goes_before_one_that_holds_the_prompt():
+    """Answers the load of more requests for one prompt than its engine has slots."""
+    endpoints = pool(2, "aa")
+    holder = place(endpoints, ask()).endpoint
+    holder.held.note(PARTS, 0)
+    holder.running = 64
+    (other,) = [endpoint for endpoint in endpoints if endpoint is not holder]
+    other.running = 60
+    choice = place(endpoints, ask())
+    assert (choice.endpoint, choice.room, choice.source) == (other, True, holder)
 
 
-@pytest.mark.parametrize("parts", [PARTS, ()])
-def test_an_endpoint_that_falls_silent_gets_no_more_requests(parts):
+@pytest.mark.parametrize("request_of", [ask, plain])
+def test_an_endpoint_that_falls_silent_gets_no_more_requests(request_of):
     """Answers the load of an endpoint that goes dark with requests under way."""
     endpoints = pool(2, "aa")
-    first = place(endpoints, ask(parts=parts), bool(parts), 4.0).endpoint
+    first = place(endpoints, request_of(multiple=4.0)).endpoint
     first.begin(0.0, 100.0)
     first.heard = 100.1
-    soon = ask(parts=parts, now=100.3)
-    assert place(endpoints, soon, bool(parts), 4.0).endpoint is first or not parts
-    later = ask(parts=parts, now=100.9)
-    assert place(endpoints, later, bool(parts), 4.0).endpoint is not first
+    soon = request_of(multiple=4.0, now=100.3)
+    assert place(endpoints, soon).endpoint is first or request_of is plain
+    later = request_of(multiple=4.0, now=100.9)
+    assert place(endpoints, later).endpoint is not first
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -12,12 +12,13 @@
 from hickorylever.direct.endpoints import Endpoint, PeerLoad
 from hickorylever.direct.news import FLUSH_INTERVAL, FLUSH_PER_PEER, Outbox, short
 from hickorylever.direct.placing import Ask, place
-from hickorylever.direct.records import EndpointEntry, Part
+from hickorylever.direct.records import EndpointEntry, Engine, Part
 
 READ_RATE = 64_000.0  # Prompt tokens a second that an engine reads.
 DELAY = 0.02  # Seconds that a datagram takes.
 DOMAINS = "abcd"
 MULTIPLE = 2.0
+ENGINE = Engine(slots=64, memory=500_000, event_tokens=5)
 
 
 @dataclass(frozen=True)
@@ -164,8 +165,8 @@
             Part(f"s{kind.shared}-{subject}", kind.shared),
             Part(f"o{len(self.placed)}", kind.own),
         )
-        ask = Ask(now, DOMAINS[router % 4], parts, kind.shared + kind.own)
-        choice = place(self.views[router], ask, True, MULTIPLE)
+        ask = Ask(now, DOMAINS[router % 4], MULTIPLE, ENGINE, parts, kind.shared + kind.own)
+        choice = place(self.views[router], ask)
         endpoint = choice.endpoint
         number = int(endpoint.name[2:])
         mean = sum(self.held) / self.load.engines
