Forget the loads of a router that ended or started anew at once

Cause: seen while reading: a router that was killed kept its loads at the others for four seconds, which now also takes room away.

Change: its loads go when it says that it leaves, and when a datagram of a new run comes. tests/test_peers.py test_loads_of_a_router_that_ended_are_forgotten failed first, both cases.

--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -237,6 +237,11 @@
         """Return the objects of the endpoints, for another router."""
         return list(self.objects.values())
 
+    def forget_router(self, router: str) -> None:
+        """Forget the loads of a router that ended or started anew."""
+        for endpoint in self.endpoints.values():
+            endpoint.forget_load(router)
+
     def expire(self, now: float) -> None:
         """Forget endpoints whose entries have not come back, and loads of routers gone silent."""
         for endpoint in self.endpoints.values():
--- a/src/hickorylever/direct/peers.py
+++ b/src/hickorylever/direct/peers.py
@@ -172,7 +172,10 @@
     async def take(self, address: str, datagram: Datagram) -> None:
         """Take one datagram."""
         now = time.monotonic()
-        new = address not in self.peers.table or not self.peers.table[address].alive(now)
+        known = self.peers.table.get(address)
+        new = known is None or not known.alive(now)
+        if datagram.leaving or (known and known.incarnation != datagram.incarnation):
+            self.node.directory.forget_router(address)
         peer = self.peers.heard(address, datagram, now)
         if peer is None:
             return
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,7 +8,8 @@
 from direct_world import DirectWorld, configuration, entry
 
 from hickorylever import platform
-from hickorylever.direct import news
+from hickorylever.direct import endpoints, news
+from hickorylever.direct.news import Outbox
 from hickorylever.direct.node import Node, followers
 from hickorylever.direct.records import Part
 
@@ -77,6 +78,28 @@
     play(scenario, 3)
 
 
+@pytest.mark.parametrize("ends_by", ["leaving", "a new start"])
+def test_loads_of_a_router_that_ended_are_forgotten(ends_by, monkeypatch):
+    """Answers the load of a fleet whose routers are killed and started again."""
+    monkeypatch.setattr(endpoints, "LOAD_LIFETIME", 60.0)
+
+    async def scenario(fleet):
+        first, second = fleet.nodes
+        endpoint = first.directory.endpoints["i-0"]
+        endpoint.begin(500.0, 0.0)
+        first.neighbours.tell_load(endpoint)
+        seen = second.directory.endpoints["i-0"]
+        await fleet.until(lambda: seen.load() == (1, 500))
+        if ends_by == "leaving":
+            await first.neighbours.leave()
+        else:
+            first.neighbours.incarnation += 1
+            first.neighbours.outbox = Outbox()
+        await fleet.until(lambda: seen.load() == (0, 0))
+
+    play(scenario, 2)
+
+
 def test_crashes_reach_the_others():
     async def scenario(fleet):
         first, second = fleet.nodes
