Rebuild the soak with more faults and checks; keep the platform's words in one folder; cut the circle

Cause: the soak had five checks, one proxy per endpoint and the store's address without any; its world and the stand-ins of the store and of endpoints held the platform's words outside the adapter; two soaks at once shared their loopback addresses; six modules imported each other in a circle.

Change: the stand-ins are platform/standins, which writes documents and settings from the product's records (test: they are read back). The soak has 18 faults (new: all killed, crash, partition, slow store, late writes), callers that leave early and ask for one version's route, and eight checks (new: no way back of a configuration, leaving endpoints, planned work, an end in time), each with a test that it finds its broken promise. Each soak has a loopback network of its own. environment.py knows the parts above it by protocols (parts.py); tests/test_layers.py keeps layers and circles.

--- a/src/hickorylever/commands/soak.py
+++ b/src/hickorylever/commands/soak.py
@@ -5,6 +5,8 @@
 
 from . import EXIT_FAILED, command
 
+MAX_LINES = 20  # Of broken promises that are shown for a seed.
+
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add seeds and length."""
@@ -24,7 +26,7 @@
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         report = run(seed, arguments.seconds, arguments.routers)
         print(report.summary(), flush=True)
-        for line in report.broken:
+        for line in report.broken[:MAX_LINES]:
             print(f"  broken: {line}", flush=True)
         for ip, text in report.logs.items() if arguments.keep else ():
             Path(arguments.keep, f"seed-{seed}-{ip}.log").write_text(text)
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -4,7 +4,6 @@
 import time
 import uuid
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 from . import defaults
 from .decisions.affinity import View
@@ -23,15 +22,12 @@
 from .metrics import Metrics
 from .objects import Platform
 from .packets import Phase
+from .parts import ClaimKeeper, Membership
 from .records import Application, ClientAccount, Endpoint, Fleet, Member, Revision, Stamp
 from .settings import Settings, split_address
 from .silence import Silence
 from .timers import Timers
 
-if TYPE_CHECKING:
-    from .controllers.claims import Claims
-    from .gossip import Gossip
-
 
 class Environment:
     """What the parts of one process share.
@@ -61,8 +57,8 @@
         self.register_pause = 0.0
         self.incarnations: dict[str, str] = {}
         self.stamps: dict[str, Stamp] = {}
-        self.claims: Claims | None = None
-        self.gossip: Gossip | None = None
+        self.claims: ClaimKeeper | None = None
+        self.gossip: Membership | None = None
         self.retries = RetryBudget(defaults.RETRY_SHARE, defaults.RETRY_BURST)
         self.view = View(
             loads=self.loads,
--- a/src/hickorylever/platform/names.py
+++ b/src/hickorylever/platform/names.py
@@ -39,5 +39,6 @@
 ROUTERS = "hickorylever-routers"
 SETTINGS_VARIABLE = "HICKORYLEVER_SETTINGS"
 STATE_READY = "ready"
-STATES = (STATE_READY, "draining")
+STATE_DRAINING = "draining"
+STATES = (STATE_READY, STATE_DRAINING)
 METRICS_PORT = 9464  # As in deploy/system.toml.
--- /dev/null
+++ b/src/hickorylever/platform/standins/documents.py
@@ -0,0 +1,114 @@
+"""What the operator, the endpoints and the platform write, from the product's own records."""
+
+from typing import Any
+
+import msgspec
+
+from ...direct.records import Configuration, EndpointEntry, Route, Service
+from ...direct.settings import DirectSettings
+from .. import names
+from ..documents import (
+    KINDS,
+    MILLISECOND,
+    WireAccount,
+    WireBacking,
+    WireEndpoint,
+    WireEngine,
+    WireLimits,
+    WireRoute,
+    WireService,
+)
+
+KIND_NAMES = {kind: name for name, kind in KINDS.items()}
+
+SETTINGS = """\
+node-name = "{settings.vm}"
+ip = "{settings.address}"
+zone = "{settings.failure_domain}"
+internal-ports = [{settings.peer_port}, {settings.peer_port}]
+seeds = {seeds}
+[listen]
+frontend = "{settings.address}:{settings.port}"
+ready = "{settings.address}:{settings.ready_port}"
+[platform]
+address = "{store}"
+[limits]
+max-fds = {settings.max_descriptors}
+[bounds]
+grace-s = {settings.drain_grace}
+retry-allowance = {settings.retry_allowance}
+cap-factor = {settings.load_multiple}
+"""
+
+
+def milliseconds(seconds: float) -> float:
+    """Return a time as the platform writes it."""
+    return round(seconds / MILLISECOND, 3)
+
+
+def encode_configuration(configuration: Configuration) -> dict[str, Any]:
+    """Return the operator's document; the revision is the store's to set."""
+    limits = configuration.limits
+    document = {
+        "version": configuration.version,
+        "routes": [encode_route(route) for route in configuration.routes],
+        "services": [encode_service(service) for service in configuration.services],
+        "limits": WireLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            milliseconds(limits.header_timeout),
+            milliseconds(limits.idle_timeout),
+        ),
+    }
+    if configuration.accounts is not None:
+        document["tenants"] = [
+            WireAccount(account.name, list(account.keys), account.rank)
+            for account in configuration.accounts
+        ]
+    return msgspec.to_builtins(document)
+
+
+def encode_route(route: Route) -> WireRoute:
+    """Return a route's document."""
+    return WireRoute(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.prefix,
+        route_type=KIND_NAMES[route.kind],
+        timeout_ms=milliseconds(route.timeout),
+        backends=[WireBacking(backing.service, backing.weight) for backing in route.backings],
+        target_latency_ms=milliseconds(route.objective),
+        priority=route.rank,
+        max_attempts=route.max_attempts,
+        public=route.public,
+        resumable=route.resumable,
+        target_gap_ms=None if route.max_gap is None else milliseconds(route.max_gap),
+    )
+
+
+def encode_service(service: Service) -> WireService:
+    """Return a service's document."""
+    engine = service.engine
+    shape = WireEngine(engine.slots, engine.memory, engine.event_tokens) if engine else None
+    return WireService(service.name, service.health_path, service.max_connections, shape)
+
+
+def encode_endpoint(entry: EndpointEntry) -> dict[str, Any]:
+    """Return an endpoint's document."""
+    wire = WireEndpoint(
+        service=entry.service,
+        address=f"{entry.address}:{entry.port}",
+        zone=entry.failure_domain,
+        max_batch_size=entry.slots,
+        state=names.STATE_DRAINING if entry.draining else names.STATE_READY,
+        warmup_left_ms=milliseconds(entry.cold_for),
+        born=entry.born or None,
+    )
+    return msgspec.to_builtins(wire)
+
+
+def encode_settings(settings: DirectSettings) -> str:
+    """Return a router's settings file."""
+    address, port = settings.store
+    seeds = [f"{seed}:1" for seed in settings.seeds]
+    return SETTINGS.format(settings=settings, seeds=seeds, store=f"{address}:{port}")
--- a/src/hickorylever/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -3,15 +3,16 @@
 What it does with each request is scripted: by default it runs the request well.
 """
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import curio
 
-from ..http import Exchange, Server, header, while_wanted
-from ..node import refuse
-from ..platform import names
-from ..registry import Registry
+from ...http import Exchange, Server, header, while_wanted
+from ...node import refuse
+from ...registry import Registry
+from .. import names
 
 Behaviour = Callable[..., object]
 behaviours: Registry[Behaviour] = Registry("behaviour of an endpoint")
@@ -23,7 +24,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """A request that the endpoint began to run."""
+    """A request that the endpoint began to run, at a monotonic time."""
 
     request_id: str
     method: str
@@ -31,6 +32,7 @@
     headers: dict[bytes, bytes]
     body: bytes
     first_event: int
+    time: float
 
 
 @dataclass
@@ -74,7 +76,8 @@
         target = exchange.head.target.decode()
         request_id = header(exchange.headers, names.ATTEMPT_ID).decode()
         headers = dict(exchange.headers)
-        self.runs.append(Run(request_id, exchange.method, target, headers, body, first))
+        now = time.monotonic()
+        self.runs.append(Run(request_id, exchange.method, target, headers, body, first, now))
         return first
 
     def fields(self, exchange: Exchange) -> list[tuple[bytes, bytes]]:
@@ -82,6 +85,12 @@
         request_id = header(exchange.headers, names.ATTEMPT_ID)
         return [(names.ATTEMPT_ID, request_id), (names.STAMP, self.name.encode())]
 
+    def whole_answer(self, exchange: Exchange, body: bytes, length: int | None = None) -> bytes:
+        """Return an answer's bytes; `length` may say another size of the body."""
+        head = b"".join(b"%s: %s\r\n" % field for field in self.fields(exchange))
+        size = len(body) if length is None else length
+        return b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s" % (head, size, body)
+
     async def stream(self, exchange: Exchange, first: int, last: int) -> None:
         """Send events `first` to `last` of a stream."""
         await exchange.start(
@@ -163,11 +172,8 @@
 async def truncated(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Run and break off within the body."""
     origin.run(exchange, body)
-    head = b"".join(b"%s: %s\r\n" % field for field in origin.fields(exchange))
     exchange.closing = True
-    await exchange.channel.sock.sendall(
-        b"HTTP/1.1 200 OK\r\n" + head + b"Content-Length: 100\r\n\r\npart"
-    )
+    await exchange.channel.sock.sendall(origin.whole_answer(exchange, b"part", 100))
     await exchange.channel.finish()
 
 
@@ -189,10 +195,8 @@
 async def answer_twice(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Run well; the same answer arrives again before the next one on the connection."""
     origin.run(exchange, body)
-    head = b"".join(b"%s: %s\r\n" % field for field in origin.fields(exchange))
-    answer = b"HTTP/1.1 200 OK\r\n" + head + b"Content-Length: 5\r\n\r\nstale"
     await exchange.respond(200, origin.fields(exchange), b"done")
-    origin.late_answer = answer
+    origin.late_answer = origin.whole_answer(exchange, b"stale")
 
 
 @behaviours.register("late")
@@ -205,7 +209,10 @@
 
 @behaviours.register("broken")
 async def broken(origin: Origin, exchange: Exchange, body: bytes) -> None:
-    """Break a stream off in the middle of an event."""
+    """Break a stream off in the middle of an event, or another answer within its body."""
+    if not streamed(exchange):
+        await truncated(origin, exchange, body)
+        return
     first = origin.run(exchange, body)
     await origin.stream(exchange, first, first + 1)
     await exchange.write(b"id: %d\nda" % (first + 2))
@@ -215,7 +222,10 @@
 
 @behaviours.register("short")
 async def end_short(origin: Origin, exchange: Exchange, body: bytes) -> None:
-    """End a stream properly, but within an event."""
+    """End a stream properly, but within an event; break another answer off."""
+    if not streamed(exchange):
+        await truncated(origin, exchange, body)
+        return
     first = origin.run(exchange, body)
     await origin.stream(exchange, first, first)
     await exchange.write(b"id: %d\nda" % (first + 1))
--- a/src/hickorylever/standins/store.py
+++ b/src/hickorylever/platform/standins/store.py
@@ -6,8 +6,8 @@
 import curio
 import msgspec
 
-from ..http import Exchange, Server, listen
-from ..node import refuse, respond_json
+from ...http import Exchange, Server, listen
+from ...node import refuse, respond_json
 
 PAGE = 500  # Objects in one page of a list.
 MILLISECOND = 0.001  # Seconds.
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -2,19 +2,23 @@
 
 import random
 import signal
-import time
 from collections.abc import Awaitable, Callable
 
 import curio
 
 from ..registry import Registry
-from .world import GRACE, RouterProcess, World
+from .proxy import Proxy
+from .world import GRACE, RouterProcess, World, now
 
 Fault = Callable[[World, random.Random, float], Awaitable[None]]
 faults: Registry[Fault] = Registry("fault")
 
+# Work that operators do on purpose: it must not cut a request.
+PLANNED = frozenset(("stop", "reload", "configure", "leave"))
+
 SCRIPTS = ("shed", "fail", "reset", "broken", "garbage", "truncated", "unstamped", "short")
 EXIT_POLL = 0.05  # Seconds.
+LEAVE_TIME = 3.5  # Seconds.
 
 
 async def restart(router: RouterProcess, number: signal.Signals, pause: float) -> None:
@@ -23,22 +27,38 @@
         return
     router.restarting = True
     router.signal(number)
-    until = time.monotonic() + GRACE
+    until = now() + GRACE
     while router.running:
         await curio.sleep(EXIT_POLL)
-        if time.monotonic() > until:
+        if now() > until:
             router.signal(signal.SIGKILL)
     await curio.sleep(pause)
     router.start()
     router.restarting = False
 
 
+async def impair(proxy: Proxy, name: str, value: object, seconds: float) -> None:
+    """Set an attribute of a proxy for a while."""
+    before = getattr(proxy, name)
+    setattr(proxy, name, value)
+    await curio.sleep(seconds)
+    setattr(proxy, name, type(before)())
+
+
 @faults.register("kill")
 async def kill(world: World, chance: random.Random, seconds: float) -> None:
     """Kill a router and start it again later."""
     await restart(chance.choice(world.routers), signal.SIGKILL, seconds / 3)
 
 
+@faults.register("kill_all")
+async def kill_all(world: World, chance: random.Random, seconds: float) -> None:
+    """Kill every router at once and start them again."""
+    async with curio.TaskGroup() as group:
+        for router in world.routers:
+            await group.spawn(restart, router, signal.SIGKILL, seconds / 4)
+
+
 @faults.register("stop")
 async def stop(world: World, chance: random.Random, seconds: float) -> None:
     """Ask a router to end, and start it again."""
@@ -64,23 +84,25 @@
 @faults.register("delay")
 async def delay(world: World, chance: random.Random, seconds: float) -> None:
     """Delay what passes to and from an endpoint."""
-    proxy = chance.choice(world.proxies)
-    proxy.delay = chance.uniform(0.02, 0.3)
-    await curio.sleep(seconds)
-    proxy.delay = 0.0
+    await impair(chance.choice(world.proxies), "delay", chance.uniform(0.02, 0.3), seconds)
 
 
 @faults.register("silence")
 async def silence(world: World, chance: random.Random, seconds: float) -> None:
     """Drop what passes to and from an endpoint, or only its answers."""
     proxy = chance.choice(world.proxies)
-    name = chance.choice(("silent", "one_way"))
-    setattr(proxy, name, True)
-    await curio.sleep(seconds)
-    setattr(proxy, name, False)
+    await impair(proxy, chance.choice(("silent", "one_way")), True, seconds)
     await proxy.reset()
 
 
+@faults.register("crash")
+async def crash(world: World, chance: random.Random, seconds: float) -> None:
+    """Let an endpoint crash and come back."""
+    proxy = chance.choice(world.proxies)
+    await proxy.reset()
+    await impair(proxy, "refusing", True, seconds)
+
+
 @faults.register("cut")
 async def cut(world: World, chance: random.Random, seconds: float) -> None:
     """Cut the connections to an endpoint several times."""
@@ -90,6 +112,20 @@
         await curio.sleep(seconds / 4)
 
 
+@faults.register("partition")
+async def partition(world: World, chance: random.Random, seconds: float) -> None:
+    """Cut one router off from the store: silently, one way, or with resets."""
+    proxy = chance.choice(world.store_proxies)
+    await impair(proxy, chance.choice(("silent", "one_way", "refusing")), True, seconds)
+    await proxy.reset()
+
+
+@faults.register("slow_store")
+async def slow_store(world: World, chance: random.Random, seconds: float) -> None:
+    """Delay what passes between a router and the store."""
+    await impair(chance.choice(world.store_proxies), "delay", chance.uniform(0.1, 0.6), seconds)
+
+
 @faults.register("misbehave")
 async def misbehave(world: World, chance: random.Random, seconds: float) -> None:
     """Let an endpoint answer a part of its requests badly."""
@@ -101,11 +137,10 @@
 
 @faults.register("store")
 async def store(world: World, chance: random.Random, seconds: float) -> None:
-    """Let the store fail, hang or lose what it wrote."""
+    """Let the store refuse, hang, lose its answers or write late."""
     wrong = world.store.faults
-    name, value = chance.choice(
-        (("status", 503), ("status", 429), ("silent", True), ("lost", True))
-    )
+    ways = (("status", 503), ("status", 429), ("silent", True), ("lost", True), ("late", 1.0))
+    name, value = chance.choice(ways)
     before = getattr(wrong, name)
     setattr(wrong, name, value)
     await curio.sleep(seconds)
@@ -122,8 +157,10 @@
 async def leave(world: World, chance: random.Random, seconds: float) -> None:
     """Let an endpoint leave, and come back later."""
     number = chance.randrange(len(world.origins))
-    await world.register(number, "draining")
-    await curio.sleep(seconds)
+    await world.register(number, draining=True)
+    began = now()
+    await curio.sleep(LEAVE_TIME)
+    world.leaves.append((number, began, now()))
     await world.register(number)
 
 
--- a/src/hickorylever/soak/proxy.py
+++ b/src/hickorylever/soak/proxy.py
@@ -1,5 +1,6 @@
-"""A loopback proxy in front of one endpoint, whose connections can be made to misbehave."""
+"""A loopback proxy whose connections can be made to misbehave."""
 
+import contextlib
 import socket as stdsocket
 
 import curio
@@ -12,20 +13,22 @@
 
 
 class Proxy:
-    """Passes connections on.
+    """Passes connections on to a port of this machine.
 
     :ivar delay: seconds that each piece is held back.
     :ivar silent: pieces are dropped both ways, and connections stay open.
     :ivar one_way: pieces of answers are dropped.
+    :ivar refusing: connections are reset at once.
     """
 
     def __init__(self, port: int):
         self.port = port
         self.listener = listen(HOST, 0)
-        self.address = f"{HOST}:{self.listener.getsockname()[1]}"
+        self.own_port = self.listener.getsockname()[1]
         self.delay = 0.0
         self.silent = False
         self.one_way = False
+        self.refusing = False
         self.open: set = set()
 
     async def run(self) -> None:
@@ -38,8 +41,10 @@
     async def relay(self, caller) -> None:
         """Relay one connection until one end closes."""
         try:
-            endpoint = await connect(HOST, self.port)
+            endpoint = None if self.refusing else await connect(HOST, self.port)
         except ConnectionLost:
+            endpoint = None
+        if endpoint is None:
             await caller.close()
             return
         pair = (caller, endpoint)
@@ -69,4 +74,5 @@
         """Cut every open connection."""
         for pair in list(self.open):
             for sock in pair:
-                sock._socket.shutdown(stdsocket.SHUT_RDWR)
+                with contextlib.suppress(OSError):  # The other end may have closed it just now.
+                    sock._socket.shutdown(stdsocket.SHUT_RDWR)
--- a/src/hickorylever/soak/world.py
+++ b/src/hickorylever/soak/world.py
@@ -1,69 +1,84 @@
 """The soak's world: stand-ins in this process, routers as processes of their own."""
 
+import dataclasses
 import os
 import signal
 import subprocess
 import sys
 import tempfile
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import curio
 
+from ..direct.records import (
+    Account,
+    Backing,
+    CallerLimits,
+    Configuration,
+    EndpointEntry,
+    Route,
+    RouteKind,
+    Service,
+)
+from ..direct.settings import DirectSettings
 from ..http import listen
-from ..standins.origin import Origin
-from ..standins.store import StandinStore
+from ..platform import CONFIGURATION, ENDPOINTS
+from ..platform.names import METRICS_PORT
+from ..platform.standins import documents
+from ..platform.standins.origin import Origin
+from ..platform.standins.store import StandinStore
 from .proxy import HOST, Proxy
 
 SITE = "soak.example"
+SERVICE = "engines"
 KEY = "soak-key"
 EVENTS = 8
+MAX_ATTEMPTS = 3
 FRONT_PORT = 18600
 READY_PORT = 18601
 PEER_PORT = 18602
-METRICS_PORT = 9464  # As the adapter sets it.
-GRACE = 8  # Seconds from SIGTERM until a router is killed.
-KINDS = {"unsafe": "unsafe", "safe": "safe", "stream": "streaming", "resumable": "streaming"}
-
-SETTINGS = """\
-node-name = "{name}"
-ip = "{ip}"
-zone = "a"
-internal-ports = [{peer}, {peer}]
-seeds = ["127.0.2.1:1", "127.0.2.2:1"]
-[listen]
-frontend = "{ip}:{front}"
-ready = "{ip}:{ready}"
-[platform]
-address = "{store}"
-[bounds]
-grace-s = {grace}
-retry-allowance = 100
-"""
+GRACE = 8.0  # Seconds from SIGTERM until a router is killed.
+KINDS = {
+    "unsafe": RouteKind.AT_MOST_ONCE,
+    "safe": RouteKind.IDEMPOTENT,
+    "stream": RouteKind.STREAM,
+    "resumable": RouteKind.STREAM,
+}
 
 
 @dataclass(slots=True)
 class RouterProcess:
-    """One router; it ends only by this object's own signals."""
+    """One router; it ends only by this object's own signals.
 
-    ip: str
-    settings: Path
+    :ivar starts: counts its processes.
+    """
+
+    settings: DirectSettings
     log: Path
     process: subprocess.Popen | None = None
     restarting: bool = False
+    starts: int = 0
+
+    @property
+    def ip(self) -> str:
+        """Return the router's IP number."""
+        return self.settings.address
 
     def start(self) -> None:
         """Start the program, unless it runs."""
         if self.running:
             return
-        env = {**os.environ, "HICKORYLEVER_SETTINGS": str(self.settings)}
+        self.starts += 1
+        env = {**os.environ, "HICKORYLEVER_SETTINGS": self.settings.path}
         command = [sys.executable, "-m", "hickorylever.direct"]
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(command, env=env, stdout=log, stderr=log)
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process still runs."""
-        if self.process is not None and self.process.poll() is None:
+        if self.running:
             self.process.send_signal(number)
 
     @property
@@ -72,11 +87,23 @@
         return self.process is not None and self.process.poll() is None
 
 
+@dataclass(frozen=True, slots=True)
+class Impairment:
+    """A fault from its beginning to its end, as monotonic seconds."""
+
+    name: str
+    began: float
+    ended: float
+
+
 @dataclass
 class World:
     """Use as ``async with`` in a curio task.
 
-    :ivar leaving: endpoints that the store says are leaving.
+    :ivar proxies: in front of each endpoint.
+    :ivar store_proxies: in front of the store, one for each router.
+    :ivar impairments: faults that are over.
+    :ivar leaves: endpoint's number, and from when until when its entry said that it is leaving.
     """
 
     routers_wanted: int
@@ -84,24 +111,28 @@
     store: StandinStore = field(default_factory=StandinStore)
     origins: list[Origin] = field(default_factory=list)
     proxies: list[Proxy] = field(default_factory=list)
+    store_proxies: list[Proxy] = field(default_factory=list)
     routers: list[RouterProcess] = field(default_factory=list)
+    impairments: list[Impairment] = field(default_factory=list)
+    leaves: list[tuple[int, float, float]] = field(default_factory=list)
     version: int = 0
-    leaving: set[str] = field(default_factory=set)
 
     async def __aenter__(self) -> "World":
         self.tasks = []
         self.folder = tempfile.TemporaryDirectory(prefix="hickorylever-soak-")
-        self.store_port = await self.serve(self.store.server)
+        store_port = await self.serve(self.store.server)
+        # The port that this soak holds gives it a loopback network of its own.
+        self.network = f"127.{store_port >> 8}.{store_port & 255}"
         for number in range(self.origins_wanted):
             origin = Origin(f"i-{number}", events=EVENTS, pause=0.01)
-            proxy = Proxy(await self.serve(origin.server))
-            self.tasks.append(await curio.spawn(proxy.run, daemon=True))
             self.origins.append(origin)
-            self.proxies.append(proxy)
+            self.proxies.append(await self.proxy(await self.serve(origin.server)))
             await self.register(number)
         await self.configure()
         for number in range(1, self.routers_wanted + 1):
-            self.routers.append(self.prepare(f"127.0.2.{number}"))
+            proxy = await self.proxy(store_port)
+            self.store_proxies.append(proxy)
+            self.routers.append(self.prepare(f"{self.network}.{number}", proxy.own_port))
             self.routers[-1].start()
         return self
 
@@ -122,63 +153,86 @@
         self.tasks.append(await curio.spawn(server.serve, listener, daemon=True))
         return listener.getsockname()[1]
 
-    def prepare(self, ip: str) -> RouterProcess:
+    async def proxy(self, port: int) -> Proxy:
+        """Start a proxy in front of a port."""
+        proxy = Proxy(port)
+        self.tasks.append(await curio.spawn(proxy.run, daemon=True))
+        return proxy
+
+    def prepare(self, ip: str, store_port: int) -> RouterProcess:
         """Write a router's settings."""
         folder = Path(self.folder.name)
-        path = folder / f"{ip}.toml"
-        path.write_text(
-            SETTINGS.format(
-                name=ip,
-                ip=ip,
-                front=FRONT_PORT,
-                ready=READY_PORT,
-                peer=PEER_PORT,
-                store=f"{HOST}:{self.store_port}",
-                grace=GRACE,
-            )
+        settings = DirectSettings(
+            path=str(folder / f"{ip}.toml"),
+            vm=ip,
+            address=ip,
+            failure_domain="a",
+            port=FRONT_PORT,
+            ready_port=READY_PORT,
+            peer_port=PEER_PORT,
+            metrics_port=METRICS_PORT,
+            store=(HOST, store_port),
+            seeds=(f"{self.network}.1", f"{self.network}.2"),
+            drain_grace=GRACE,
+            retry_allowance=100.0,
         )
-        return RouterProcess(ip, path, folder / f"{ip}.log")
+        Path(settings.path).write_text(documents.encode_settings(settings), encoding="utf-8")
+        return RouterProcess(settings, folder / f"{ip}.log")
 
-    async def register(self, number: int, state: str = "ready") -> None:
+    async def register(self, number: int, draining: bool = False) -> None:
         """Write an endpoint's entry."""
-        entry = {
-            "service": "engines",
-            "address": self.proxies[number].address,
-            "zone": "a",
-            "max-batch-size": 64,
-            "state": state,
-        }
-        await self.store.put("servers", self.origins[number].name, entry)
+        port = self.proxies[number].own_port
+        entry = EndpointEntry(self.origins[number].name, SERVICE, HOST, port, "a", 64, draining)
+        await self.store.put(ENDPOINTS, entry.name, documents.encode_endpoint(entry))
 
     async def configure(self) -> None:
         """Write the next version; each has a route of its own beside the lasting ones."""
         self.version += 1
-        routes = [
-            {
-                "name": name,
-                "host": SITE,
-                "path-prefix": f"/{name}/stream/" if kind == "streaming" else f"/{name}/",
-                "route-type": kind,
-                "service": "engines",
-                "timeout-ms": 4000,
-                "target-latency-ms": 500,
-                "target-gap-ms": 400,
-                "max-attempts": 3,
-                "resumable": name == "resumable",
-            }
-            for name, kind in (*KINDS.items(), (f"version-{self.version}", "safe"))
-        ]
-        limits = {
-            "max-header-bytes": 16384,
-            "max-body-bytes": 65536,
-            "header-timeout-ms": 3000,
-            "idle-timeout-ms": 15000,
-        }
-        spec = {
-            "version": self.version,
-            "routes": routes,
-            "services": [{"name": "engines"}],
-            "limits": limits,
-            "tenants": [{"name": "clerks", "api-keys": [KEY]}],
-        }
-        await self.store.put("config", "main", spec)
+        kinds = {**KINDS, version_route(self.version): RouteKind.IDEMPOTENT}
+        configuration = Configuration(
+            revision=0,
+            version=self.version,
+            routes=tuple(make_route(name, kind) for name, kind in kinds.items()),
+            services=(Service(SERVICE, "", 0),),
+            accounts=(Account("clerks", (KEY,)),),
+            limits=CallerLimits(16384, 65536, 3.0, 15.0),
+        )
+        document = documents.encode_configuration(configuration)
+        await self.store.put(*CONFIGURATION, document)
+
+    def calm(self, began: float, ended: float, allowed: frozenset[str] = frozenset()) -> bool:
+        """Tell whether no fault but those of some names fell into a time."""
+        return not any(
+            fault.began <= ended and fault.ended >= began and fault.name not in allowed
+            for fault in self.impairments
+        )
+
+
+def version_route(version: int) -> str:
+    """Return the name of the route that only one version has."""
+    return f"version-{version}"
+
+
+def make_route(name: str, kind: RouteKind) -> Route:
+    """Return a route of the soak."""
+    route = Route(
+        name=name,
+        host=SITE,
+        prefix=f"/{name}/",
+        kind=kind,
+        timeout=4.0,
+        objective=0.5,
+        rank=0,
+        backings=(Backing(SERVICE, 1.0),),
+        max_attempts=MAX_ATTEMPTS,
+        resumable=name == "resumable",
+        max_gap=0.4,
+    )
+    if kind is RouteKind.STREAM:
+        return dataclasses.replace(route, prefix=f"/{name}/stream/")
+    return route
+
+
+def now() -> float:
+    """Return monotonic seconds."""
+    return time.monotonic()
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -8,8 +8,8 @@
 from hickorylever.direct.router import Router
 from hickorylever.direct.settings import DirectSettings
 from hickorylever.exceptions import ConnectionLost
-from hickorylever.standins.origin import Origin
-from hickorylever.standins.store import StandinStore
+from hickorylever.platform.standins.origin import Origin
+from hickorylever.platform.standins.store import StandinStore
 
 HOST = "127.0.0.1"
 SITE = "desk.example"
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -4,9 +4,23 @@
 import pytest
 from direct_world import configuration, route
 
-from hickorylever.direct.records import RouteKind
+from hickorylever.direct.records import (
+    Account,
+    Backing,
+    CallerLimits,
+    Configuration,
+    EndpointEntry,
+    Engine,
+    Route,
+    RouteKind,
+    Service,
+)
+from hickorylever.direct.settings import DirectSettings
 from hickorylever.exceptions import ContentError
-from hickorylever.platform.documents import decode_configuration
+from hickorylever.platform.documents import decode_configuration, decode_endpoint
+from hickorylever.platform.names import METRICS_PORT
+from hickorylever.platform.settings import load
+from hickorylever.platform.standins import documents
 
 
 def decode(document, revision=1):
@@ -41,3 +55,41 @@
     for _ in range(2):
         with pytest.raises(ContentError):
             decode(configuration(**fault))
+
+
+def test_what_the_stand_ins_write_is_read_back():
+    known = Configuration(
+        revision=7,
+        version=3,
+        routes=(
+            Route(
+                "a", "h", "/a/", RouteKind.STREAM, 4.0, 0.5, 1, (Backing("s", 1.0),), max_gap=0.4
+            ),
+            Route("b", "h", "/b/", RouteKind.IDEMPOTENT, 0.8, 0.15, 0, (Backing("t", 2.0),), 3),
+        ),
+        services=(Service("s", "/ok", 9, Engine(64, 1000, 5)), Service("t", "", 0)),
+        accounts=(Account("clerks", ("k1", "k2"), 2),),
+        limits=CallerLimits(1000, 2000, 3.0, 15.0),
+    )
+    assert decode(documents.encode_configuration(known), 7) == known
+    entry = EndpointEntry("i-1", "s", "10.0.0.1", 80, "a", 64, True, 1.5, 12)
+    assert decode_endpoint("i-1", msgspec.json.encode(documents.encode_endpoint(entry))) == entry
+
+
+def test_settings_that_the_stand_ins_write_are_read_back(tmp_path):
+    path = tmp_path / "router.toml"
+    known = DirectSettings(
+        path=str(path),
+        vm="entry-1",
+        address="127.0.0.1",
+        failure_domain="a",
+        port=1,
+        ready_port=2,
+        peer_port=3,
+        metrics_port=METRICS_PORT,
+        store=("127.0.0.2", 4),
+        seeds=("127.0.0.3",),
+        retry_allowance=10.0,
+    )
+    path.write_text(documents.encode_settings(known))
+    assert load(str(path)) == known
