Keep a connection that lost bytes silent in the soak; a fault that fails ends no other

Change: a connection that lost a piece stays silent; a failing fault is reported and the others undo themselves. Tests in tests/test_soak.py, one each, failed first.

--- a/src/hickorylever/soak/proxy.py
+++ b/src/hickorylever/soak/proxy.py
@@ -16,7 +16,8 @@
     """Passes connections on to a port of this machine.
 
     :ivar delay: seconds that each piece is held back.
-    :ivar silent: pieces are dropped both ways, and connections stay open.
+    :ivar silent: pieces are dropped both ways, and connections stay open. One that lost a piece
+        stays silent for good, as a stream of bytes can't go on after a gap.
     :ivar one_way: pieces of answers are dropped.
     :ivar refusing: connections are reset at once.
     """
@@ -60,13 +61,14 @@
 
     async def pump(self, source, target, answers: bool) -> None:
         """Copy one direction."""
+        lost = False
         try:
             while data := await source.recv(PIECE_BYTES):
                 if self.delay:
                     await curio.sleep(self.delay)
-                if self.silent or (answers and self.one_way):
-                    continue
-                await target.sendall(data)
+                lost = lost or self.silent or (answers and self.one_way)
+                if not lost:
+                    await target.sendall(data)
         except OSError:
             return  # The other direction ends with this one.
 
@@ -74,5 +76,6 @@
         """Cut every open connection."""
         for pair in list(self.open):
             for sock in pair:
-                with contextlib.suppress(OSError):  # The other end may have closed it just now.
+                # The other end may have closed it just now; a closed socket has no descriptor.
+                with contextlib.suppress(OSError, AttributeError):
                     sock._socket.shutdown(stdsocket.SHUT_RDWR)
--- a/src/hickorylever/soak/run.py
+++ b/src/hickorylever/soak/run.py
@@ -49,14 +49,23 @@
             name = chance.choice(sorted(faults))
             report.injected.append(name)
             own = random.Random(chance.random())
-            await group.spawn(play_fault, world, name, own, chance.uniform(*FAULT_SECONDS))
+            seconds_long = chance.uniform(*FAULT_SECONDS)
+            await group.spawn(play_fault, world, report, name, own, seconds_long)
             await curio.sleep(chance.uniform(*FAULT_GAP))
 
 
-async def play_fault(world: World, name: str, chance: random.Random, seconds: float) -> None:
-    """Play one fault and note when it was."""
+async def play_fault(
+    world: World, report: Report, name: str, chance: random.Random, seconds: float
+) -> None:
+    """Play one fault and note when it was.
+
+    One that fails is reported; it must not end the others before they undid themselves.
+    """
     began = now()
-    await faults[name](world, chance, seconds)
+    try:
+        await faults[name](world, chance, seconds)
+    except Exception as error:
+        report.broken.append(f"the soak's own fault {name!r} failed: {error!r}")
     world.impairments.append(Impairment(name, began, now()))
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,18 @@
 """The soak: one short seeded run of real processes, and its checks on made-up worlds."""
 
+import random
+
+import curio
 import pytest
 
 from hickorylever import soak
+from hickorylever.http import connect, listen
 from hickorylever.platform.standins.origin import Origin, Run
 from hickorylever.soak.callers import Record, Sent
 from hickorylever.soak.checks import WHOLE_STREAM, checks
 from hickorylever.soak.faults import faults
+from hickorylever.soak.proxy import Proxy
+from hickorylever.soak.run import Report, play_fault
 from hickorylever.soak.world import Impairment, World
 
 
@@ -91,6 +97,47 @@
     assert bool(broken("no way back", first, later)) is found
 
 
+def test_a_connection_that_lost_bytes_stays_silent():
+    async def echo(client, address):
+        while data := await client.recv(100):
+            await client.sendall(data)
+
+    async def scenario():
+        port_holder = listen("127.0.0.1", 0)
+        server = await curio.spawn(curio.network.run_server, port_holder, echo, daemon=True)
+        proxy = Proxy(port_holder.getsockname()[1])
+        relay = await curio.spawn(proxy.run, daemon=True)
+        sock = await connect("127.0.0.1", proxy.own_port)
+        await sock.sendall(b"a")
+        assert await sock.recv(1) == b"a"
+        proxy.silent = True
+        await sock.sendall(b"b")
+        await curio.sleep(0.05)
+        proxy.silent = False
+        await sock.sendall(b"c")
+        assert await curio.ignore_after(0.1, sock.recv, 1) is None
+        await proxy.reset()
+        assert await sock.recv(1) == b""
+        await proxy.reset()
+        await sock.close()
+        for task in (relay, server):
+            await task.cancel()
+
+    curio.run(scenario)
+
+
+def test_a_fault_that_fails_does_not_stop_the_others(monkeypatch):
+    async def fail(world, chance, seconds):
+        raise ValueError("odd")
+
+    report = Report(1)
+    world = World(1)
+    monkeypatch.setitem(faults.entries, "kill", fail)
+    curio.run(play_fault, world, report, "kill", random.Random(1), 0.1)
+    assert report.broken == ["the soak's own fault 'kill' failed: ValueError('odd')"]
+    assert [fault.name for fault in world.impairments] == ["kill"]
+
+
 def test_every_fault_has_a_name_and_a_page_line():
     assert {"kill", "pause", "stop", "partition", "silence", "store", "configure"} <= set(faults)
     assert all(faults[name].__doc__ for name in faults)
