--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -3,6 +3,7 @@
 Its behaviour for each request is scripted. By default, it runs the request without faults.
 """
 
+import re
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -69,6 +70,9 @@
     :param leaving: whether each response says that the endpoint shuts down.
     :param retry_after: seconds in the responses of the behaviour ``defer``.
     :ivar duplicate_response: duplicate response that the behaviour ``late`` sends first.
+    :param crashing_parts: ids of prompt parts on which the endpoint crashes when it begins to
+        write its answer.
+    :ivar crashed: set when the endpoint has crashed.
     """
 
     name: str
@@ -81,10 +85,31 @@
     arrivals: int = 0
     stopped: int = 0
     duplicate_response: bytes = b""
+    crashing_parts: frozenset[str] = frozenset()
+    crashed: curio.Event = field(default_factory=curio.Event)
 
     def __post_init__(self):
         self.server = Server(self.handle, refuse)
 
+    async def serve(self, listener) -> None:
+        """Serve on a listening socket until cancelled or crashed.
+
+        A crash closes all connections; further ones are refused.
+        """
+        task = await curio.spawn(self.server.serve, listener, daemon=True)
+        try:
+            await self.crashed.wait()
+        finally:
+            await task.cancel()
+
+    async def crash(self, exchange: Exchange, body: bytes) -> None:
+        """Run a request that crashes the endpoint before the first event of its answer."""
+        self.record_run(exchange, body)
+        if wants_stream(exchange):
+            await self.stream(exchange, 1, 0)
+        await self.crashed.set()
+        await curio.Event().wait()
+
     async def handle(self, exchange: Exchange) -> None:
         """Respond to a request with the next behaviour of the script."""
         self.arrivals += 1
@@ -93,6 +118,10 @@
         if expected not in ("", self.name):
             await exchange.respond(421, [(names.ENDPOINT, self.name.encode())])
             return
+        parts = header(exchange.headers, names.PREFIX).decode()
+        if self.crashing_parts.intersection(re.findall(r"(\w+):", parts)):
+            await self.crash(exchange, body)
+            return
         selected = self.script.pop(0) if len(self.script) > 1 else self.script[0]
         if selected in CANCELLED_ON_DISCONNECT:
             await cancel_on_disconnect(exchange, behaviours[selected], self, exchange, body)
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -97,7 +97,7 @@
         self.store_port = await self.serve(self.store.server)
         self.ports = []
         for origin in self.origins:
-            self.ports.append(await self.serve(origin.server))
+            self.ports.append(await self.serve(origin))
         await self.store.put("config", "main", configuration())
         for origin, port in zip(self.origins, self.ports, strict=True):
             await self.store.put("servers", origin.name, entry(port))
--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,25 @@
+"""Prompt parts that crash each endpoint which begins to answer a request with them."""
+
+from direct_harness import run_scenario
+
+PATH = "/resumable/stream/x"
+ENDPOINTS = [("well",)] * 10
+MAX_CRASHES = 5
+MAX_LATE_RUNS = 3
+
+
+def test_a_prompt_part_that_crashes_endpoints_is_kept_from_the_others():
+    async def scenario(harness):
+        for origin in harness.origins:
+            origin.crashing_parts = frozenset({"bad"})
+        for number in range(20):
+            parts = f"5a:20,bad:30,{number:04x}:5"
+            await harness.send_request(PATH, headers=harness.headers(parts=parts))
+        assert sum(origin.crashed.is_set() for origin in harness.origins) <= MAX_CRASHES
+        assert len(harness.runs) <= MAX_CRASHES + MAX_LATE_RUNS
+        for number in range(4):
+            parts = f"5a:20,0b:30,{number + 64:04x}:5"
+            response = await harness.send_request(PATH, headers=harness.headers(parts=parts))
+            assert response.status == 200
+
+    run_scenario(scenario, *ENDPOINTS)
