Quarantine the prompt part that crashes endpoints, not only copies of one request

Cause: evidence of crashes was kept for whole requests (account, path, body and all parts). No two of these requests were alike, so none reached the three endpoints that quarantine takes. The class: evidence filed under a narrower identity than the cause has.

The logs show it: ten last parts, 12 endpoints lost under one third part, at most three under a fingerprint; 20 failed requests with the part, none with an event.

Each part of a prompt and the whole request are now possible causes of a crash, and a crash counts for all requests that the endpoint had and had not got far with. What has been answered anywhere is not to blame: a router that sees others suspect a part which it saw answered says so. Of the rest, the causes that explain most crashes are quarantined, among equals the most specific one, so that other requests with the same account and the same first part run. An endpoint that answers a request sent after its supposed crash takes the report back. Reports are sent twice, quarantines again every two seconds, and starting routers get them with the state. Garbled answers no longer count as crashes.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -19,6 +19,7 @@
 ENDPOINT_CONNECT_SECONDS = 0.3
 MAX_IDLE_SECONDS = 0.5  # Of a reused connection, for requests that may not be repeated.
 MAX_STALE_RESPONSES = 2
+BEGUN_EVENTS = 3  # With so many events, or all of them, a stream has begun without a crash.
 MAX_DISCARDED_BYTES = 64 * 1024  # Of a body that no caller gets.
 DISCARD_SECONDS = 0.2  # For the body of a rejection, whose head has said everything.
 
@@ -41,7 +42,8 @@
 
     :param status: HTTP status of the endpoint's own response; 0 if there was none.
     :param body: body of a response that was not streamed.
-    :param timed_out: the endpoint timed out; its connection had not failed.
+    :param disconnected: the endpoint closed the connection after the request had been sent.
+    :param begun: the endpoint had written much of its answer.
     """
 
     result: Result
@@ -50,7 +52,8 @@
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     body: bytes = b""
     info: AnswerInfo | None = None
-    timed_out: bool = False
+    disconnected: bool = False
+    begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +76,7 @@
     :param repeatable: the request may run more than once.
     :param timeouts: response timeouts; None to wait until the deadline.
     :param on_head: called with what the head of the response says.
+    :param on_begun: called when the endpoint has written much of its answer.
     """
 
     def __init__(
@@ -86,6 +90,7 @@
         repeatable: bool,
         timeouts: ResponseTimeouts | None = None,
         on_head: Callable[[AnswerInfo], None] = lambda info: None,
+        on_begun: Callable[[], None] = lambda: None,
     ):
         self.client = client
         self.endpoint = endpoint
@@ -96,6 +101,8 @@
         self.repeatable = repeatable
         self.timeouts = timeouts
         self.on_head = on_head
+        self.on_begun = on_begun
+        self.begun = False
         self.sent = False
         self.channel: Channel | None = None
 
@@ -115,10 +122,12 @@
             outcome = Outcome(Result.EXPIRED, "the deadline passed")
         except (ConnectionLost, h11.ProtocolError, InconsistentResponse) as error:
             outcome = Outcome(self.failure_result(), str(error) or repr(error))
-            outcome.timed_out = isinstance(error, PeerTimeout)
+            lost = isinstance(error, ConnectionLost) and not isinstance(error, PeerTimeout)
+            outcome.disconnected = self.sent and lost
         except BaseException:
             await self.close()
             raise
+        outcome.begun = self.begun
         if outcome.result in (Result.LOST, Result.BROKEN, Result.EXPIRED, Result.NOT_SENT):
             await self.close()
         elif self.channel is not None:
@@ -178,9 +187,17 @@
                 f"the request to resume a stream returned status {response.status}"
             )
         body = await response.body()
+        if response.status < 300:
+            self.mark_begun()
         result = Result.ANSWERED if response.status < 500 else Result.FAILED
         return Outcome(result, "", response.status, response.headers, body, info)
 
+    def mark_begun(self) -> None:
+        """Record that the endpoint has written much of its answer."""
+        if not self.begun:
+            self.begun = True
+            self.on_begun()
+
     async def skip_body(self, response: ClientResponse) -> None:
         """Read the body of a rejection to its end, or close the connection if it has none soon."""
         with contextlib.suppress(ConnectionLost):
@@ -201,7 +218,7 @@
     async def matching_response(self) -> tuple[ClientResponse, AnswerInfo]:
         """Return the response to this request, discarding late responses to earlier ones.
 
-        :raises ConnectionLost: if too many responses belong to other requests.
+        :raises InconsistentResponse: if too many responses belong to other requests.
         """
         for _ in range(MAX_STALE_RESPONSES + 1):
             response = await self.next_response()
@@ -212,7 +229,7 @@
             if info.not_run and not info.request_id:
                 return response, info
             await self.discard(response)
-        raise ConnectionLost("the connection delivered only responses to other requests")
+        raise InconsistentResponse("the connection delivered only responses to other requests")
 
     async def next_response(self) -> ClientResponse:
         """Return the head of the next response.
@@ -267,8 +284,11 @@
                 self.stream.last_event_id = parser.last_id
             if parser.numbered_count > seen:
                 idle_since = self.endpoint.last_byte_at = time.monotonic()
+            if parser.numbered_count >= BEGUN_EVENTS:
+                self.mark_begun()
         if parser.partial:
             raise InconsistentResponse("the stream ended within an event")
+        self.mark_begun()
         return Outcome(Result.ANSWERED, "", response.status, response.headers, info=info)
 
     async def next_chunk(self, response: ClientResponse, idle_since: float) -> bytes | None:
--- a/src/hickorylever/direct/call.py
+++ b/src/hickorylever/direct/call.py
@@ -9,6 +9,8 @@
 from .records import Account, RequestInfo, Route, Service
 from .stream import CallerStream
 
+MAX_PARTS = 16  # Of a prompt, that count as causes of crashes.
+
 
 @dataclass(slots=True)
 class Call:
@@ -16,7 +18,7 @@
 
     :param started_at: monotonic seconds.
     :param deadline: monotonic seconds; the earlier of the caller's and the route's.
-    :param fingerprint: digest that is equal for all copies of the request.
+    :param causes: what the request may crash endpoints with, see :mod:`.crashes`.
     :param ran: what is known about whether the request was executed.
     :param attempts: attempts in which the request may have run.
     :param rejections: attempts that endpoints rejected without running the request.
@@ -33,7 +35,7 @@
     started_at: float
     deadline: float
     body: bytes = b""
-    fingerprint: int = 0
+    causes: tuple[str, ...] = ()
     ran: Ran = Ran.NO
     attempts: int = 0
     rejections: int = 0
@@ -50,7 +52,12 @@
         return self.route.priority
 
 
-def fingerprint(call: Call) -> int:
+def causes(call: Call) -> tuple[str, ...]:
+    """Return the prompt's parts and the fingerprint of a call, as causes of crashes."""
+    return *(part.id for part in call.info.parts[:MAX_PARTS]), fingerprint(call)
+
+
+def fingerprint(call: Call) -> str:
     """Return a digest that is equal whenever an account repeats the same request."""
     state = xxhash.xxh3_64()
     name = call.account.name if call.account else ""
@@ -60,4 +67,4 @@
     state.update(call.body)
     for part in call.info.parts:
         state.update(f"{part.id},{part.tokens};".encode())
-    return state.intdigest()
+    return f"request-{state.hexdigest()}"
--- a/src/hickorylever/direct/crashes.py
+++ b/src/hickorylever/direct/crashes.py
@@ -1,49 +1,150 @@
-"""Detection of requests that crash the endpoints that run them."""
+"""Decides which prompt parts and requests crash the endpoints that run them.
 
+A crash ends all requests at an endpoint, so each of them is suspected with all that it holds: the
+parts of its prompt and the request as a whole. These are its *causes*, from the one that most
+requests share to the one that only copies of the request have. What an endpoint has answered is
+not to blame. Of the other causes, those that explain most crashes are quarantined; among equals
+the one that fewest requests share.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-RETENTION_SECONDS = 120.0
+from .. import defaults
+
 QUARANTINE_ENDPOINTS = 3  # One or two connections may be lost without a crash.
-MAX_FINGERPRINTS = 4096
+RETENTION_SECONDS = defaults.SUSPECT_LIFETIME_SECONDS
+ALIVE_CHECK_SECONDS = 1.5  # Shorter than a crashed endpoint takes to start again.
+MAX_SUSPECTS = 4096
+MAX_ANSWERED = 16384
 
 
 @dataclass(slots=True)
-class CrashedEndpoints:
-    """Endpoints whose connections were lost while they ran requests with one fingerprint.
+class Suspect:
+    """A cause that was part of requests during which endpoints crashed.
 
-    :param time: monotonic seconds of the latest loss.
-    :param endpoints: their names.
+    :param depth: position among the causes of a request; fewer requests share a deeper one.
+    :param crashes: crashes that it may explain.
+    :param latest: monotonic seconds of the latest of them.
     """
 
-    time: float
-    endpoints: set[str] = field(default_factory=set)
+    depth: int
+    crashes: set[int] = field(default_factory=set)
+    latest: float = 0.0
 
 
 class CrashTracker:
-    """Counts distinct endpoints whose connections were lost, per request fingerprint."""
+    """Crashes by cause, and the causes in quarantine. Times are monotonic seconds.
+
+    A crash is identified by a number for the endpoint's incarnation, as all routers that had
+    requests there report it.
+
+    :ivar suspects: causes that nothing has cleared, least recently suspected first.
+    :ivar answered: when a request with each cause was last answered, oldest first.
+    :ivar crash_times: when each crash was first reported.
+    :ivar quarantine: causes of requests that are not run.
+    """
 
     def __init__(self):
-        self.records: dict[int, CrashedEndpoints] = {}
-
-    def record(self, fingerprint: int, endpoint: str, now: float) -> bool:
-        """Record a connection lost during a request; return whether the endpoint is a new one."""
-        crashed = self.records.get(fingerprint)
-        if crashed is None:
-            if len(self.records) >= MAX_FINGERPRINTS:
-                self.records.pop(next(iter(self.records)))
-            crashed = self.records[fingerprint] = CrashedEndpoints(now)
-        crashed.time = now
-        already_known = endpoint in crashed.endpoints
-        crashed.endpoints.add(endpoint)
-        return not already_known
-
-    def clear(self, fingerprint: int) -> None:
-        """Remove a fingerprint after a request completed."""
-        self.records.pop(fingerprint, None)
-
-    def is_quarantined(self, fingerprint: int, now: float) -> bool:
-        """Return whether too many endpoints were lost running the request to run it again."""
-        crashed = self.records.get(fingerprint)
-        if crashed is None or now - crashed.time > RETENTION_SECONDS:
-            return False
-        return len(crashed.endpoints) >= QUARANTINE_ENDPOINTS
+        self.suspects: OrderedDict[str, Suspect] = OrderedDict()
+        self.answered: OrderedDict[str, float] = OrderedDict()
+        self.crash_times: dict[int, float] = {}
+        self.quarantine: frozenset[str] = frozenset()
+
+    def record_crash(self, crash: int, causes: Sequence[str], now: float) -> None:
+        """Record that a request with these causes ran at an endpoint when it crashed."""
+        for depth, cause in enumerate(causes):
+            self.record_suspect(cause, depth, (crash,), now)
+        if any(self.is_candidate(cause) for cause in causes):
+            self.update_quarantine()
+
+    def is_candidate(self, cause: str) -> bool:
+        """Return whether a cause may explain enough crashes to be quarantined."""
+        suspect = self.suspects.get(cause)
+        return suspect is not None and len(suspect.crashes) >= QUARANTINE_ENDPOINTS
+
+    def record_suspect(
+        self, cause: str, depth: int, crashes: Iterable[int], latest: float
+    ) -> None:
+        """Add crashes that a cause may explain, unless it has been answered."""
+        if cause in self.answered:
+            return
+        suspect = self.suspects.setdefault(cause, Suspect(depth))
+        self.suspects.move_to_end(cause)
+        suspect.depth = max(suspect.depth, depth)
+        suspect.latest = max(suspect.latest, latest)
+        for crash in crashes:
+            suspect.crashes.add(crash)
+            self.crash_times.setdefault(crash, latest)
+        if len(self.suspects) > MAX_SUSPECTS:
+            self.suspects.popitem(last=False)
+
+    def record_answer(self, causes: Iterable[str], now: float) -> None:
+        """Record that an endpoint has answered a request with these causes."""
+        for cause in causes:
+            self.answered[cause] = now
+            self.answered.move_to_end(cause)
+            self.clear(cause)
+        while len(self.answered) > MAX_ANSWERED:
+            self.answered.popitem(last=False)
+
+    def clear(self, cause: str) -> None:
+        """Forget the crashes that a cause may explain."""
+        was_candidate = self.is_candidate(cause)
+        self.suspects.pop(cause, None)
+        if was_candidate:
+            self.update_quarantine()
+
+    def record_alive(self, crash: int, sent_at: float) -> None:
+        """Withdraw a crash, as the endpoint answers a request that was sent after it.
+
+        :param sent_at: when the request was sent.
+        """
+        crashed_at = self.crash_times.get(crash)
+        if crashed_at is None or not 0.0 < sent_at - crashed_at <= ALIVE_CHECK_SECONDS:
+            return
+        del self.crash_times[crash]
+        for suspect in self.suspects.values():
+            suspect.crashes.discard(crash)
+        self.update_quarantine()
+
+    def update_quarantine(self) -> None:
+        """Quarantine the causes that explain most crashes, each with enough of its own."""
+        candidates = [
+            (cause, suspect)
+            for cause, suspect in self.suspects.items()
+            if self.is_candidate(cause)
+        ]
+        quarantine = set()
+        explained: set[int] = set()
+
+        def weight(candidate: tuple[str, Suspect]) -> tuple[int, int, str]:
+            cause, suspect = candidate
+            return len(suspect.crashes - explained), suspect.depth, cause
+
+        while candidates:
+            cause, suspect = max(candidates, key=weight)
+            if len(suspect.crashes - explained) < QUARANTINE_ENDPOINTS:
+                break
+            quarantine.add(cause)
+            explained |= suspect.crashes
+        self.quarantine = frozenset(quarantine)
+
+    def is_quarantined(self, causes: Iterable[str]) -> bool:
+        """Return whether a request has a cause in quarantine."""
+        return bool(self.quarantine) and not self.quarantine.isdisjoint(causes)
+
+    def expire(self, now: float) -> None:
+        """Forget what was last seen more than `RETENTION_SECONDS` ago."""
+        oldest = now - RETENTION_SECONDS
+        while self.answered and next(iter(self.answered.values())) < oldest:
+            self.answered.popitem(last=False)
+        expired = [cause for cause, suspect in self.suspects.items() if suspect.latest < oldest]
+        for cause in expired:
+            del self.suspects[cause]
+        if expired:
+            self.update_quarantine()
+        for crash, time in tuple(self.crash_times.items()):
+            if time < oldest:
+                del self.crash_times[crash]
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -34,6 +34,7 @@
 MAX_REJECTIONS = 3  # Rejections by endpoints after which a request is still retried.
 DEADLINE_MARGIN_SECONDS = 0.02  # The endpoint's deadline is this much earlier than the caller's.
 MIN_RETRY_SECONDS = 0.05  # No retry starts with less time left.
+QUARANTINE_RETRY_AFTER_SECONDS = 5.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # They tell callers that a request did not run.
 
 
@@ -57,6 +58,7 @@
             choice = await self.place(call)
             if choice is None:
                 break
+            self.refuse_quarantined(call)
             outcome = await self.attempt(call, choice)
             if outcome.result is Result.ANSWERED:
                 await self.send_response(call, outcome)
@@ -66,6 +68,14 @@
                 break
         await self.fail(call, last)
 
+    def refuse_quarantined(self, call: Call) -> None:
+        """Refuse a call in quarantine that has not run.
+
+        :raises RequestError: if it is refused.
+        """
+        if call.ran is Ran.NO and self.node.quarantine.holds(call):
+            raise RequestError(Kind.QUARANTINED, "", Ran.NO, QUARANTINE_RETRY_AFTER_SECONDS)
+
     def outcome_to_report(self, last: Outcome | None, outcome: Outcome) -> Outcome:
         """Return the latest outcome, unless only an earlier attempt may have run the request."""
         never_ran = (Result.NOT_SENT, Result.NOT_RUN)
@@ -182,7 +192,8 @@
             call.deadline,
             call.route.repeatable,
             self.response_timeouts(call, endpoint, began),
-            lambda info: self.record_head(endpoint, info),
+            lambda info: self.record_head(endpoint, info, began),
+            lambda: self.node.quarantine.record_answer(call, time.monotonic()),
         )
         try:
             outcome = await attempt.run()
@@ -270,10 +281,15 @@
         host = header(exchange.headers, b"host").decode("latin-1")
         return UpstreamRequest(call.info.id, exchange.method, target, host, headers, call.body)
 
-    def record_head(self, endpoint: Endpoint, info: AnswerInfo) -> None:
-        """Record what the head of an endpoint's answer says about the endpoint."""
+    def record_head(self, endpoint: Endpoint, info: AnswerInfo, sent_at: float) -> None:
+        """Record what the head of an endpoint's answer says about the endpoint.
+
+        :param sent_at: monotonic seconds at which the request was sent.
+        """
         node = self.node
         now = time.monotonic()
+        if info.status != 421:  # Another endpoint may have the address now.
+            node.quarantine.record_alive(endpoint, sent_at)
         if info.retry_after is not None:
             endpoint.defer(info.retry_after, now)
             log(Event.ENDPOINT_DEFERS, endpoint.name, seconds=info.retry_after)
@@ -306,11 +322,8 @@
             failed = result not in (Result.ANSWERED, Result.EXPIRED)
             endpoint.record_answer(failed, now)
             call.ran = Ran.YES if outcome.status else Ran.UNKNOWN
-            if result in (Result.LOST, Result.BROKEN) and not outcome.timed_out:
-                if self.node.crashes.record(call.fingerprint, endpoint.name, now):
-                    self.node.peer_sync.outbox.queue_crash(call.fingerprint, endpoint.name)
-            elif result is Result.ANSWERED:
-                self.node.crashes.clear(call.fingerprint)
+            if outcome.disconnected and not outcome.begun:
+                self.node.quarantine.record_loss(call, endpoint, now)
         if result is not Result.ANSWERED:
             log(
                 Event.ATTEMPT_FAILED,
@@ -336,7 +349,7 @@
                 return False
         elif not call.route.repeatable or call.attempts >= call.route.max_attempts:
             return False
-        if self.node.crashes.is_quarantined(call.fingerprint, now):
+        if self.node.quarantine.holds(call):
             return False
         return self.node.budget.withdraw(call.service.name, now)
 
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -13,11 +13,11 @@
 from ..exceptions import ContentError, SettingsError
 from ..http import Client
 from .budget import SharedRetryBudget
-from .crashes import CrashTracker
 from .directory import Directory
 from .metrics import DirectMetrics
 from .peer_sync import PeerSync
 from .position import NO_CONFIGURATION, ConfigurationState, Decision, KnownState, Position, decide
+from .quarantine import Quarantine
 from .records import Changes, Configuration, Listing, StoredObject
 from .routes import RouteTable
 from .settings import DirectSettings
@@ -73,7 +73,7 @@
         self.budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
         )
-        self.crashes = CrashTracker()
+        self.quarantine = Quarantine()
         self.routes: RouteTable | None = None
         self.configuration_callbacks: list[Callable[[RouteTable], None]] = []
         self.stored_configuration: StoredObject | None = None
@@ -236,6 +236,7 @@
         while True:
             await curio.sleep(EXPIRY_INTERVAL_SECONDS)
             self.directory.expire(time.monotonic())
+            self.quarantine.expire(time.monotonic())
             await self.client.reap()
 
 
--- a/src/hickorylever/direct/outbox.py
+++ b/src/hickorylever/direct/outbox.py
@@ -4,7 +4,6 @@
 
 from .peer_protocol import (
     CachedPartUpdate,
-    CrashUpdate,
     LeavingUpdate,
     LoadUpdate,
     name_hash,
@@ -51,7 +50,6 @@
     sent_loads: dict[int, SentLoad] = field(default_factory=dict)
     cached_parts: dict[tuple[int, str], int] = field(default_factory=dict)
     sent_parts: dict[tuple[int, str], float] = field(default_factory=dict)
-    crashes: list[CrashUpdate] = field(default_factory=list)
     leaving_endpoints: dict[LeavingUpdate, int] = field(default_factory=dict)
     last_sent: float = 0.0
 
@@ -86,10 +84,6 @@
         ):
             self.cached_parts[key] = tokens
 
-    def queue_crash(self, fingerprint: int, endpoint: str) -> None:
-        """Queue a report that an endpoint closed the connection during a request."""
-        self.crashes.append(CrashUpdate(fingerprint, endpoint))
-
     def queue_leaving(self, update: LeavingUpdate) -> None:
         """Queue a report that an endpoint shuts down."""
         self.leaving_endpoints[update] = LEAVING_REPEATS
@@ -99,7 +93,7 @@
 
         :param interval: minimum time in seconds between two datagrams.
         """
-        pending = self.loads or self.cached_parts or self.crashes or self.leaving_endpoints
+        pending = self.loads or self.cached_parts or self.leaving_endpoints
         return now - self.last_sent >= (interval if pending else HEARTBEAT_SECONDS)
 
     def take(self, now: float) -> dict[str, list]:
@@ -111,10 +105,6 @@
         self.requeue_loads(now)
         loads = dict(list(self.loads.items())[:MAX_UPDATES_PER_KIND])
         parts = dict(list(self.cached_parts.items())[:MAX_UPDATES_PER_KIND])
-        crashes, self.crashes = (
-            self.crashes[:MAX_UPDATES_PER_KIND],
-            self.crashes[MAX_UPDATES_PER_KIND:],
-        )
         for key, load in loads.items():
             del self.loads[key]
             if load != (0, 0) or key in self.sent_loads:
@@ -126,7 +116,6 @@
         return {
             "loads": [LoadUpdate(key, *load) for key, load in loads.items()],
             "cached_parts": [CachedPartUpdate(*key, tokens) for key, tokens in parts.items()],
-            "crashes": crashes,
             "leaving_endpoints": self.take_leaving(),
         }
 
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -54,12 +54,26 @@
 class CrashUpdate(msgspec.Struct, array_like=True, frozen=True):
     """An endpoint closed the connection during a request, perhaps because of a crash.
 
-    :param fingerprint: of the request.
-    :param endpoint: name of the endpoint.
+    :param crash: number of the endpoint's incarnation.
+    :param causes: what the request may have crashed it with, see :mod:`.crashes`.
     """
 
-    fingerprint: int
-    endpoint: str
+    crash: int
+    causes: tuple[str, ...]
+
+
+class SuspectUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """A cause in quarantine.
+
+    :param depth: position of the cause in requests.
+    :param crashes: numbers of the endpoints' incarnations that it may have crashed.
+    :param age: seconds since the latest crash.
+    """
+
+    cause: str
+    depth: int
+    crashes: list[int]
+    age: int
 
 
 class LeavingUpdate(msgspec.Struct, array_like=True, frozen=True):
@@ -84,6 +98,7 @@
     :param answer_wanted: whether the sender asks for a datagram in return.
     :param leaving: whether the sender is shutting down.
     :param routers: IP addresses of routers that the sender knows.
+    :param answered: causes that other routers suspect and the sender saw answered.
     """
 
     incarnation: int
@@ -98,6 +113,8 @@
     crashes: list[CrashUpdate] = []
     leaving_endpoints: list[LeavingUpdate] = []
     routers: list[str] = []
+    answered: list[str] = []
+    suspects: list[SuspectUpdate] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -75,6 +75,10 @@
             data = encode(self.datagram(**self.outbox.take(now)))
             for peer in alive:
                 await self.send(data, peer.address)
+        if updates := self.node.quarantine.take_updates(now):
+            data = encode(self.datagram(**updates))
+            for peer in alive:
+                await self.send(data, peer.address)
         unreachable = self.peers.take_due_probes(now)
         if unreachable:
             addresses = [peer.address for peer in alive][:MAX_ADDRESSES_PER_DATAGRAM]
@@ -159,8 +163,7 @@
             endpoint = by_hash.get(update.endpoint)
             if endpoint is not None:
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
-        for crash in datagram.crashes:
-            self.node.crashes.record(crash.fingerprint, crash.endpoint, now)
+        self.node.quarantine.apply(datagram, now)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
 
--- /dev/null
+++ b/src/hickorylever/direct/quarantine.py
@@ -0,0 +1,148 @@
+"""Quarantine of requests that crash endpoints, kept in agreement between the routers."""
+
+import logging
+import math
+from collections.abc import Iterable
+
+from ..events import Event, log
+from .call import Call
+from .crashes import CrashTracker
+from .endpoints import Endpoint
+from .peer_protocol import CrashUpdate, Datagram, SuspectUpdate, name_hash
+from .pool import shared_parts
+
+CRASH_SENDS = 2  # Datagrams that report a crash, as some may be lost.
+ANSWER_SENDS = 2
+MAX_CRASH_UPDATES = 12  # In one datagram, so that it fits a packet.
+MAX_ANSWER_UPDATES = 12
+MAX_SUSPECT_UPDATES = 4
+MAX_CRASHES_PER_SUSPECT = 16
+REPEAT_SECONDS = 2.0  # Between two reports of a quarantined cause to all routers.
+
+
+def crash_number(endpoint: Endpoint) -> int:
+    """Return the number that all routers give to a crash of an endpoint's incarnation."""
+    return name_hash(f"{endpoint.name}/{endpoint.entry.started_ms}")
+
+
+class Quarantine:
+    """Reports crashes and answers to the other routers and learns from their reports.
+
+    :ivar crash_sends: number of datagrams that still report each crash.
+    :ivar answer_sends: the same for causes that others suspect and this router saw answered.
+    :ivar repeat_at: monotonic seconds of the next report of the quarantined causes.
+    """
+
+    def __init__(self):
+        self.tracker = CrashTracker()
+        self.crash_sends: dict[CrashUpdate, int] = {}
+        self.answer_sends: dict[str, int] = {}
+        self.repeat_at = 0.0
+
+    def holds(self, call: Call) -> bool:
+        """Return whether the call must not run."""
+        return self.tracker.is_quarantined(call.causes)
+
+    def record_loss(self, call: Call, endpoint: Endpoint, now: float) -> None:
+        """Record that an endpoint closed the connection before the answer had got far."""
+        update = CrashUpdate(crash_number(endpoint), call.causes)
+        self.crash_sends.setdefault(update, CRASH_SENDS)
+        self.record_crash(update, now)
+
+    def record_answer(self, call: Call, now: float) -> None:
+        """Record that an endpoint answers the call, or has got far with it."""
+        before = self.tracker.quarantine
+        self.tracker.record_answer((part.id for part in shared_parts(call.info.parts)), now)
+        for cause in call.causes:
+            self.tracker.clear(cause)
+        self.log_changes(before)
+
+    def record_alive(self, endpoint: Endpoint, sent_at: float) -> None:
+        """Record that an endpoint answers a request, sent at a time in monotonic seconds."""
+        if self.tracker.crash_times:
+            self.tracker.record_alive(crash_number(endpoint), sent_at)
+
+    def record_crash(self, update: CrashUpdate, now: float) -> None:
+        """Record a crash, and log the causes that are quarantined or released for it."""
+        before = self.tracker.quarantine
+        self.tracker.record_crash(update.crash, update.causes, now)
+        self.log_changes(before)
+
+    def log_changes(self, before: frozenset[str]) -> None:
+        """Log the causes that have come into quarantine or left it."""
+        after = self.tracker.quarantine
+        for cause in after - before:
+            crashes = len(self.tracker.suspects[cause].crashes)
+            log(Event.CAUSE_QUARANTINED, cause, logging.WARNING, crashes=crashes)
+        for cause in before - after:
+            log(Event.CAUSE_RELEASED, cause)
+
+    def expire(self, now: float) -> None:
+        """Forget what is old."""
+        before = self.tracker.quarantine
+        self.tracker.expire(now)
+        self.log_changes(before)
+
+    def apply(self, datagram: Datagram, now: float) -> None:
+        """Apply another router's reports, and report back what this one saw answered."""
+        for update in datagram.crashes:
+            self.report_answered(update.causes)
+            self.record_crash(update, now)
+        self.apply_suspects(datagram.suspects, now)
+        before = self.tracker.quarantine
+        self.tracker.record_answer(datagram.answered, now)
+        self.log_changes(before)
+
+    def apply_suspects(self, updates: list[SuspectUpdate], now: float) -> None:
+        """Apply the causes that another router has in quarantine."""
+        before = self.tracker.quarantine
+        self.report_answered(update.cause for update in updates)
+        for update in updates:
+            latest = now - update.age
+            self.tracker.record_suspect(update.cause, update.depth, update.crashes, latest)
+        if updates:
+            self.tracker.update_quarantine()
+        self.log_changes(before)
+
+    def report_answered(self, causes: Iterable[str]) -> None:
+        """Queue a report of the causes that this router saw answered."""
+        for cause in causes:
+            if cause in self.tracker.answered:
+                self.answer_sends.setdefault(cause, ANSWER_SENDS)
+
+    def suspect_updates(self, now: float) -> list[SuspectUpdate]:
+        """Return the causes in quarantine with the crashes that they explain."""
+        suspects = self.tracker.suspects
+        return [
+            SuspectUpdate(
+                cause,
+                suspects[cause].depth,
+                sorted(suspects[cause].crashes)[:MAX_CRASHES_PER_SUSPECT],
+                math.ceil(now - suspects[cause].latest),
+            )
+            for cause in sorted(self.tracker.quarantine)
+        ]
+
+    def take_updates(self, now: float) -> dict[str, list]:
+        """Remove and return the updates for one datagram, by its field; empty if none is due."""
+        updates = {
+            "crashes": take(self.crash_sends, MAX_CRASH_UPDATES),
+            "answered": take(self.answer_sends, MAX_ANSWER_UPDATES),
+        }
+        if self.tracker.quarantine and now >= self.repeat_at:
+            self.repeat_at = now + REPEAT_SECONDS
+            updates["suspects"] = self.suspect_updates(now)[:MAX_SUSPECT_UPDATES]
+        return updates if any(updates.values()) else {}
+
+
+def take(sends: dict, limit: int) -> list:
+    """Return the first keys of a table of sends and count one send of each.
+
+    Those that are to be sent again come last.
+    """
+    taken = list(sends)[:limit]
+    for key in taken:
+        left = sends.pop(key) - 1
+        if left:
+            sends[key] = left
+    return taken
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -9,7 +9,7 @@
 from ..events import Event, log
 from ..exceptions import CallerGone, ConnectionLost, Kind, Ran, RequestError
 from ..http import Exchange, Limits, Server, cancel_on_disconnect, header
-from .call import Call, fingerprint
+from .call import Call, causes
 from .forward import Forwarder, forward
 from .node import Node
 from .records import RequestInfo
@@ -19,7 +19,6 @@
 DRAIN_ACCEPT_SECONDS = 2.2  # New connections are accepted for this time after SIGTERM.
 DRAIN_FIRST_REQUEST_SECONDS = 0.5  # Then open connections may still send their first request.
 DRAIN_POLL_SECONDS = 0.02
-QUARANTINE_RETRY_AFTER_SECONDS = 5.0
 NOT_READY_RETRY_AFTER_SECONDS = 0.5
 CALLER_GONE = "caller_gone"  # Outcome in logs and metrics.
 
@@ -125,7 +124,7 @@
         call = Call(exchange, info, route, service, account, record.started_at, deadline)
         record.call = call
         call.body = await exchange.body(routes.limits.body_bytes)
-        call.fingerprint = fingerprint(call)
+        call.causes = causes(call)
         await self.forward_call(call)
 
     async def forward_call(self, call: Call) -> None:
@@ -134,8 +133,7 @@
         :raises RequestError: if the call is refused or fails.
         """
         node = self.node
-        if node.crashes.is_quarantined(call.fingerprint, time.monotonic()):
-            raise RequestError(Kind.QUARANTINED, "", Ran.NO, QUARANTINE_RETRY_AFTER_SECONDS)
+        self.forwarder.refuse_quarantined(call)
         node.budget.record_request(call.service.name, time.monotonic())
         await cancel_on_disconnect(call.exchange, forward, self.forwarder, call)
 
--- a/src/hickorylever/direct/state_pulls.py
+++ b/src/hickorylever/direct/state_pulls.py
@@ -16,7 +16,7 @@
     RequestError,
 )
 from ..http import Client, Exchange, Server
-from .peer_protocol import LeavingUpdate, Peer
+from .peer_protocol import LeavingUpdate, Peer, SuspectUpdate
 from .position import NOTHING_KNOWN, UNKNOWN, KnownState, Position, parse_position
 from .records import StoredObject
 
@@ -59,6 +59,7 @@
     :param cached_parts: size in tokens of each prompt part that an endpoint has cached, by
         endpoint and part; only sent with all entries, to a router that starts.
     :param leaving_endpoints: endpoints that said that they shut down.
+    :param suspects: causes in quarantine.
     """
 
     configuration: StoredObject | None
@@ -68,6 +69,7 @@
     complete: bool
     cached_parts: dict[str, dict[str, int]] = {}
     leaving_endpoints: list[LeavingUpdate] = []
+    suspects: list[SuspectUpdate] = []
 
 
 class StatePulls:
@@ -143,6 +145,7 @@
         for update in state.leaving_endpoints:
             node.directory.mark_leaving(update, time.monotonic())
         node.directory.add_cached_parts(state.cached_parts)
+        node.quarantine.apply_suspects(state.suspects, time.monotonic())
         log(
             Event.STATE_PULLED,
             address,
@@ -195,6 +198,7 @@
             complete=complete,
             cached_parts=directory.cached_parts() if complete else {},
             leaving_endpoints=directory.leaving_updates(),
+            suspects=node.quarantine.suspect_updates(time.monotonic()),
         )
 
     def compress_state(self, content: bytes) -> bytes:
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -225,7 +225,7 @@
     async def scenario(harness):
         headers = harness.headers(deadline=900)
         assert (await harness.send_request("/safe/x", headers=headers)).status == 504
-        assert harness.node.crashes.records == {}
+        assert not harness.node.quarantine.tracker.suspects
 
     run_scenario(scenario, ("silent",), ("silent",))
 
--- a/tests/test_peer_protocol.py
+++ b/tests/test_peer_protocol.py
@@ -73,7 +73,7 @@
     outbox = Outbox()
     outbox.take(10.0)
     if waiting:
-        outbox.queue_crash(1, "i-0")
+        outbox.queue_leaving(LeavingUpdate(1, 2))
     assert outbox.due(10.0 + after, 0.04) is due
 
 
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -11,6 +11,7 @@
 from hickorylever.direct import endpoints, peer_protocol
 from hickorylever.direct.node import Node, create_store_watchers
 from hickorylever.direct.outbox import Outbox
+from hickorylever.direct.peer_protocol import CrashUpdate
 from hickorylever.direct.records import PromptPart
 
 PEER_PORT = 18473
@@ -107,10 +108,10 @@
 def test_crashes_reach_the_other_routers():
     async def scenario(fleet):
         first, second = fleet.nodes
-        for name in ("i-0", "i-1", "i-2"):
-            first.peer_sync.outbox.queue_crash(77, name)
-        await fleet.until(lambda: 77 in second.crashes.records)
-        assert second.crashes.is_quarantined(77, second.crashes.records[77].time)
+        for number in range(3):
+            update = CrashUpdate(number, ("5a", "bad", f"own-{number}"))
+            first.quarantine.crash_sends[update] = 1
+        await fleet.until(lambda: second.quarantine.tracker.quarantine == {"bad"})
 
     play(scenario, 2)
 
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,108 @@
+"""Which causes are quarantined, from the reports of crashes and answers alone."""
+
+import pytest
+
+from hickorylever.direct import crashes as crashes_module
+from hickorylever.direct.crashes import CrashTracker
+from hickorylever.direct.peer_protocol import CrashUpdate, Datagram
+from hickorylever.direct.quarantine import CRASH_SENDS, Quarantine
+
+# Reports in order: (number of the crash, causes) or causes that were answered.
+CASES = [
+    ("two crashes are too few", [(1, "ax"), (2, "ay")], ""),
+    ("requests that share one part", [(1, "abx"), (2, "cby"), (3, "dbz")], "b"),
+    ("copies of one request", [(1, "abx"), (2, "abx"), (3, "abx")], "x"),
+    ("other requests lost beside it", [(1, "abx"), (1, "aco"), (2, "aby"), (3, "abz")], "b"),
+    ("parts that always come together", [(1, "abx"), (2, "aby"), (3, "abz")], "b"),
+    ("the deeper part is answered", ["b", (1, "abx"), (2, "aby"), (3, "abz")], "a"),
+    ("all parts are answered", ["ab", (1, "abx"), (2, "aby"), (3, "abz")], ""),
+    ("answered afterwards", [(1, "ax"), (2, "ay"), (3, "az"), "a"], ""),
+    (
+        "a popular part lost with two others",
+        ["p", *((n, f"pb{n}") for n in range(4)), *((n, f"pc{n}") for n in range(4, 8))],
+        "bc",
+    ),
+    (
+        "one request lost at every crash but one",
+        [(4, "b4"), *((n, c) for n in range(4) for c in ("so", f"b{n}"))],
+        "b",
+    ),
+    ("a crash reported by many routers", [(1, "bx"), (1, "by"), (1, "bz"), (2, "bw")], ""),
+]
+
+
+@pytest.mark.parametrize(
+    ("reports", "quarantined"), [case[1:] for case in CASES], ids=[case[0] for case in CASES]
+)
+def test_causes_in_quarantine(reports, quarantined):
+    tracker = CrashTracker()
+    for report in reports:
+        if isinstance(report, str):
+            tracker.record_answer(report, 0.0)
+        else:
+            tracker.record_crash(report[0], report[1], 1.0)
+    assert tracker.quarantine == frozenset(quarantined)
+
+
+@pytest.mark.parametrize(("sent_after", "kept"), [(-0.1, True), (0.3, False), (9.0, True)])
+def test_an_endpoint_that_answers_did_not_crash(sent_after, kept):
+    tracker = CrashTracker()
+    for number in range(3):
+        tracker.record_crash(number, ["b"], 10.0)
+    tracker.record_alive(1, 10.0 + sent_after)
+    assert (tracker.quarantine == {"b"}) is kept
+
+
+def test_quarantine_ends_some_time_after_the_last_crash():
+    tracker = CrashTracker()
+    for number in range(3):
+        tracker.record_crash(number, ["b"], float(number))
+    tracker.expire(2.0 + crashes_module.RETENTION_SECONDS)
+    assert tracker.is_quarantined(["a", "b"])
+    tracker.expire(2.1 + crashes_module.RETENTION_SECONDS)
+    assert not tracker.is_quarantined(["a", "b"])
+    assert tracker.crash_times == {}
+
+
+@pytest.mark.parametrize("limit", ["MAX_SUSPECTS", "MAX_ANSWERED"])
+def test_memory_is_bounded(limit, monkeypatch):
+    monkeypatch.setattr(crashes_module, limit, 8)
+    tracker = CrashTracker()
+    for number in range(50):
+        tracker.record_crash(number, [f"s{number}"], 0.0)
+        tracker.record_answer([f"a{number}"], 0.0)
+    table = tracker.suspects if limit == "MAX_SUSPECTS" else tracker.answered
+    assert len(table) == 8
+
+
+def test_a_router_that_saw_a_part_answered_says_so_to_one_that_suspects_it():
+    first, second = Quarantine(), Quarantine()
+    second.tracker.record_answer(["a"], 0.0)
+    for number in range(3):
+        first.record_crash(CrashUpdate(number, ("a",)), 1.0)
+    assert first.tracker.quarantine == {"a"}
+    second.apply(Datagram(1, **first.take_updates(1.0)), 1.0)
+    assert second.tracker.quarantine == frozenset()
+    first.apply(Datagram(1, **second.take_updates(1.0)), 1.0)
+    assert first.tracker.quarantine == frozenset()
+
+
+def test_reports_between_routers_do_not_prolong_a_quarantine():
+    first, second = Quarantine(), Quarantine()
+    for number in range(3):
+        first.record_crash(CrashUpdate(number, ("b",)), 0.0)
+    for step in range(1, 300):
+        now = step * 2.0
+        second.apply(Datagram(1, **first.take_updates(now)), now)
+        first.apply(Datagram(1, **second.take_updates(now)), now)
+        assert second.tracker.quarantine == {"b"}
+    for router in (first, second):
+        router.expire(crashes_module.RETENTION_SECONDS + 0.1)
+        assert router.tracker.quarantine == frozenset()
+
+
+def test_each_crash_is_reported_a_few_times():
+    quarantine = Quarantine()
+    quarantine.crash_sends[CrashUpdate(1, ("b",))] = CRASH_SENDS
+    sent = [quarantine.take_updates(0.0) for _ in range(CRASH_SENDS + 1)]
+    assert [bool(updates) for updates in sent] == [True] * CRASH_SENDS + [False]
