Take a stream that ends with its connection and has no event for broken off

What callers saw: a stream without a length or chunks whose endpoint crashed before the first event came as a whole and empty answer, and the crash counted as an answer.

The stand-in of an endpoint sends such answers, whole and cut in three ways.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -272,6 +272,7 @@
     async def relay_stream(self, response: ClientResponse, info: AnswerInfo) -> Outcome:
         """Relay a stream event by event.
 
+        :raises ConnectionLost: if the connection ends within the stream.
         :raises InconsistentResponse: if the stream ends within an event or an event is missing.
         """
         await self.stream.start(response)
@@ -286,8 +287,7 @@
                 idle_since = self.endpoint.last_byte_at = time.monotonic()
             if parser.numbered_count >= BEGUN_EVENTS:
                 self.mark_begun()
-        if parser.partial:
-            raise InconsistentResponse("the stream ended within an event")
+        check_end(response, parser)
         self.mark_begun()
         return Outcome(Result.ANSWERED, "", response.status, response.headers, info=info)
 
@@ -304,3 +304,18 @@
         if left <= 0 and self.timeouts.can_retry():
             raise PeerTimeout("the endpoint sent no complete event in time")
         return await self.await_data(max(0.0, left), response.read_bytes)
+
+
+def check_end(response: ClientResponse, parser: EventParser) -> None:
+    """Check that a stream has not ended too early.
+
+    Where only the end of the connection ends it, a stream that has no event was broken off.
+
+    :raises ConnectionLost: if the connection ended within the stream.
+    :raises InconsistentResponse: if the stream ended within an event.
+    """
+    if response.end_is_verifiable():
+        if parser.partial:
+            raise InconsistentResponse("the stream ended within an event")
+    elif parser.partial or parser.last_id is None:
+        raise ConnectionLost("the connection ended within the stream")
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -311,6 +311,18 @@
     await exchange.channel.abort()
 
 
+@behaviours.register("broken_off")
+async def break_off_before_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and break the connection before the first event."""
+    if not wants_stream(exchange):
+        await reset(origin, exchange, body)
+        return
+    first = origin.record_run(exchange, body)
+    await origin.stream(exchange, first, first - 1)
+    exchange.closing = True
+    await exchange.channel.abort()
+
+
 @behaviours.register("short")
 async def end_within_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Complete the HTTP response in the middle of an event; truncate a response without events."""
@@ -323,6 +335,61 @@
     await exchange.end()
 
 
+async def start_unframed(origin: Origin, exchange: Exchange, body: bytes, content: bytes) -> None:
+    """Run the request and send a response that has neither a length nor chunks."""
+    origin.record_run(exchange, body)
+    exchange.closing = True
+    fields = origin.response_headers(exchange)
+    if wants_stream(exchange):
+        fields.append((b"content-type", b"text/event-stream"))
+    await exchange.channel.sock.sendall(encode_head(200, fields) + content)
+
+
+def unframed_content(origin: Origin, exchange: Exchange) -> bytes:
+    """Return the complete body of a response that ends with its connection."""
+    if not wants_stream(exchange):
+        return origin.own_body(exchange)
+    first = int(header(exchange.headers, names.LAST_EVENT) or b"0") + 1
+    numbers = range(first, origin.events + 1)
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number) for number in numbers)
+
+
+@behaviours.register("unframed")
+async def end_with_connection(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and send a complete response that ends with its connection."""
+    await start_unframed(origin, exchange, body, unframed_content(origin, exchange))
+    await exchange.channel.close_gracefully()
+
+
+@behaviours.register("unframed_reset")
+async def reset_unframed(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Reset the connection of a response that would end with it."""
+    content = unframed_content(origin, exchange)
+    await start_unframed(origin, exchange, body, content[: len(content) // 2])
+    await exchange.channel.abort()
+
+
+@behaviours.register("unframed_short")
+async def close_unframed_within_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Close the connection in the middle of an event; reset it during another response."""
+    if not wants_stream(exchange):
+        await reset_unframed(origin, exchange, body)
+        return
+    content = unframed_content(origin, exchange)
+    await start_unframed(origin, exchange, body, content[:-4])
+    await exchange.channel.close_gracefully()
+
+
+@behaviours.register("unframed_empty")
+async def close_unframed_before_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Close the connection before the first event; reset it before another response."""
+    if not wants_stream(exchange):
+        await reset(origin, exchange, body)
+        return
+    await start_unframed(origin, exchange, body, b"")
+    await exchange.channel.close_gracefully()
+
+
 @behaviours.register("from_the_start")
 async def ignore_last_event_id(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Run the request and send the stream from its first event, ignoring ``Last-Event-ID``."""
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -1,5 +1,6 @@
 """Prompt parts that crash each endpoint which begins to answer a request with them."""
 
+import pytest
 from direct_harness import run_scenario
 
 PATH = "/resumable/stream/x"
@@ -23,3 +24,16 @@
             assert response.status == 200
 
     run_scenario(scenario, *ENDPOINTS)
+
+
+@pytest.mark.parametrize("ending", ["broken_off", "unframed_empty"])
+def test_each_way_to_end_before_an_event_counts_as_a_crash(ending):
+    async def scenario(harness):
+        for origin in harness.origins:
+            origin.script = [ending]
+        for number in range(20):
+            parts = f"5a:20,bad:30,{number:04x}:5"
+            await harness.send_request(PATH, headers=harness.headers(parts=parts))
+        assert len(harness.runs) <= MAX_CRASHES
+
+    run_scenario(scenario, *ENDPOINTS)
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -19,6 +19,8 @@
     ("/safe/x", ["reset"], 502, 2, "answer_lost"),
     ("/safe/x", ["garbage", "well"], 200, 2, ""),
     ("/safe/x", ["truncated", "well"], 200, 2, ""),
+    ("/safe/x", ["unframed"], 200, 1, ""),
+    ("/safe/x", ["unframed_reset", "well"], 200, 2, ""),
     ("/safe/x", ["unstamped", "well"], 200, 2, ""),
     ("/safe/x", ["encoded", "well"], 200, 2, ""),
     ("/safe/x", ["busy"], 502, 2, "endpoint_failed"),
@@ -63,6 +65,10 @@
         (["broken", "well"], True, [1, 3]),
         (["short", "well"], True, [1, 2]),
         (["gap", "well"], True, [1, 2]),
+        (["unframed"], True, [1]),
+        (["unframed_short", "well"], True, [1, 6]),
+        (["unframed_empty", "well"], True, [1, 1]),
+        (["unframed_short", "unframed"], True, [1, 6]),
         (["broken"], False, [1, 3]),
         (["broken", "unknown"], False, [1, 3]),
         (["broken", "fail"], False, [1, 3]),
@@ -83,7 +89,9 @@
     run_scenario(scenario, WELL, WELL)
 
 
-@pytest.mark.parametrize("step", ["broken", "short", "gap"])
+@pytest.mark.parametrize(
+    "step", ["broken", "short", "gap", "unframed_short", "unframed_empty", "unframed_reset"]
+)
 def test_other_broken_stream_is_visibly_incomplete(step):
     async def scenario(harness):
         response = await harness.send_request(STREAM)
