Refuse queued requests when a part of theirs is quarantined

They were refused only when their turn came, which took as long as all engines were down. The test failed before: the request was refused as one without an endpoint's capacity after 1.08 s of its 1.5 s.

--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -30,6 +30,7 @@
 from .wait_queue import QueueParameters, WaitQueue
 
 CAPACITY_POLL_SECONDS = 0.01
+QUARANTINE_POLL_SECONDS = 0.1  # Between two checks whether queued calls are in quarantine now.
 MAX_ENDPOINTS_TRIED = 6  # Per request, including endpoints that rejected it.
 MAX_REJECTIONS = 3  # Rejections by endpoints after which a request is still retried.
 DEADLINE_MARGIN_SECONDS = 0.02  # The endpoint's deadline is this much earlier than the caller's.
@@ -76,6 +77,17 @@
         if call.ran is Ran.NO and self.node.quarantine.holds(call):
             raise RequestError(Kind.QUARANTINED, "", Ran.NO, QUARANTINE_RETRY_AFTER_SECONDS)
 
+    async def refuse_queued(self) -> None:
+        """Wake queued calls when the quarantine changes so that they check it, until cancelled."""
+        known = self.node.quarantine.tracker.quarantine
+        while True:
+            await curio.sleep(QUARANTINE_POLL_SECONDS)
+            current = self.node.quarantine.tracker.quarantine
+            if current != known:
+                known = current
+                for queue in self.queues.values():
+                    await queue.wake_all()
+
     def outcome_to_report(self, last: Outcome | None, outcome: Outcome) -> Outcome:
         """Return the latest outcome, unless only an earlier attempt may have run the request."""
         never_ran = (Result.NOT_SENT, Result.NOT_RUN)
@@ -130,6 +142,7 @@
         choice = None
         try:
             while not queue.should_refuse(queued, now := time.monotonic()):
+                self.refuse_quarantined(call)
                 if queue.next_entry(now) is not queued:
                     await queue.wake_next(now)
                     await queued.wait(now)
--- a/src/hickorylever/direct/wait_queue.py
+++ b/src/hickorylever/direct/wait_queue.py
@@ -126,6 +126,11 @@
         if next_entry is not None:
             await next_entry.wake_event.set()
 
+    async def wake_all(self) -> None:
+        """Wake the tasks of all requests."""
+        for entry in tuple(self.entries):
+            await entry.wake_event.set()
+
     def dequeue(self, entry: QueueEntry, placed: bool, now: float) -> None:
         """Remove a request.
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -1,8 +1,14 @@
 """Prompt parts that crash each endpoint which begins to answer a request with them."""
 
+import time
+
+import curio
 import pytest
 from direct_harness import run_scenario
 
+from hickorylever.direct.peer_protocol import CrashUpdate
+from hickorylever.direct.records import Engine, Service
+
 PATH = "/resumable/stream/x"
 ENDPOINTS = [("well",)] * 10
 MAX_CRASHES = 5
@@ -37,3 +43,24 @@
         assert len(harness.runs) <= MAX_CRASHES
 
     run_scenario(scenario, *ENDPOINTS)
+
+
+def test_a_queued_request_is_refused_when_its_part_is_quarantined():
+    async def scenario(harness):
+        harness.node.routes.services["engines"] = Service("engines", "", 0, Engine(8, 1000, 1))
+        for endpoint in harness.node.directory.endpoints.values():
+            endpoint.running = 8
+        headers = harness.headers(parts="5a:20,bad:30,0b:5")
+        task = await curio.spawn(harness.send_request, PATH, "POST", headers)
+        queues = harness.router.forwarder.queues
+        await harness.until(lambda: any(queue.entries for queue in queues.values()))
+        for number in range(3):
+            update = CrashUpdate(number, ("5a", "bad", f"own-{number}"))
+            harness.node.quarantine.record_crash(update, time.monotonic())
+        quarantined_at = time.monotonic()
+        response = await task.join()
+        assert (response.status, harness.runs) == (503, [])
+        assert b'"kind":"quarantined"' in response.body
+        assert time.monotonic() - quarantined_at < 0.3
+
+    run_scenario(scenario, ("well",))
