Keep the quarantine in the store, so that it survives the end of all routers

When all routers were killed at once, they forgot which parts crash endpoints and ran them on three more. The first router by rank creates an object for each cause in the kind that starting routers list anyway, so reading costs no call, and deletes it when the cause is released.

--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -266,8 +266,11 @@
         router deletes their objects.
         """
         expired, self.expired = self.expired, []
-        first = all(peer.rank > rank for peer in self.alive(now))
-        return expired if first else []
+        return expired if self.is_first(rank, now) else []
+
+    def is_first(self, rank: int, now: float) -> bool:
+        """Return whether this router has the lowest rank of those alive."""
+        return all(peer.rank > rank for peer in self.alive(now))
 
     def alive(self, now: float) -> list[Peer]:
         """Return the routers whose last datagram arrived within `ALIVE_TIMEOUT_SECONDS`."""
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -44,9 +44,9 @@
         self.incarnation = time.time_ns() // 1_000_000
         self.domain_hash = name_hash(node.settings.failure_domain)
         self.pulls = StatePulls(node, self.domain_hash, self.watching)
-        self.registration = Registration(node, self.peers)
-        self.sock = None
         self.rank = watcher_rank(node.settings.address, node.settings.link_mbps)
+        self.registration = Registration(node, self.peers, self.rank)
+        self.sock = None
 
     async def run(self) -> None:
         """Send and receive until cancelled.
--- a/src/hickorylever/direct/registration.py
+++ b/src/hickorylever/direct/registration.py
@@ -1,29 +1,39 @@
-"""Registration of this router in the store, where routers that start find each other."""
+"""What routers that start find in the store: the other routers, and the causes in quarantine."""
 
+import contextlib
 import time
+from collections.abc import Iterable
 
 import curio
 import msgspec
 
 from ..events import Event, log
 from ..exceptions import Conflict, HickoryleverError
+from .peer_protocol import SuspectUpdate, name_hash
 from .records import StoredObject
 
 REGISTER_RETRY_SECONDS = 1.0
 
 
 class Registration:
-    """Keeps the object of this router in the store.
+    """Keeps the object of this router and those of the causes in quarantine in the store.
+
+    Causes in quarantine are kept there so that they survive the end of all routers. They are of
+    the same kind as routers, as starting routers list that kind anyway.
 
     :param node: the components of this router.
     :param peers: table that the routers found in the store are added to.
+    :param rank: rank of this router; the one with the lowest rank writes the causes.
     :ivar era: of the store that this router was last registered in.
+    :ivar stored_causes: causes that the store holds.
     """
 
-    def __init__(self, node, peers):
+    def __init__(self, node, peers, rank: int):
         self.node = node
         self.peers = peers
+        self.rank = rank
         self.era = 0
+        self.stored_causes: set[str] = set()
 
     async def run(self) -> None:
         """Keep this router registered in the store until cancelled."""
@@ -47,11 +57,21 @@
                 listing = await node.store.list_kind(node.codec.ROUTERS)
                 addresses = map(parse_router_address, listing.objects)
                 self.peers.add_addresses(addresses, time.monotonic())
+                self.apply_stored_causes(listing.objects)
                 return
             except HickoryleverError as error:
                 log_failure(error)
                 await curio.sleep(REGISTER_RETRY_SECONDS * (1 + node.rng.random()))
 
+    def apply_stored_causes(self, objects: Iterable[StoredObject]) -> None:
+        """Put the causes in quarantine that the store holds.
+
+        The time of their latest crash is not known here and taken to be now.
+        """
+        updates = [update for update in map(parse_suspect, objects) if update is not None]
+        self.stored_causes.update(update.cause for update in updates)
+        self.node.quarantine.apply_suspects(updates, time.monotonic())
+
     async def create(self) -> None:
         """Create this router's object; an existing one is left unchanged."""
         node = self.node
@@ -69,17 +89,37 @@
         return max(self.node.store.era, self.node.directory.latest.era)
 
     async def register_again(self) -> None:
-        """Register again whenever the store was restored, since the copy may lack the object."""
+        """Register again whenever the store was restored, since the copy may lack the objects.
+
+        Changes of the quarantine are written to it as well.
+        """
         node = self.node
         while True:
             await curio.sleep(REGISTER_RETRY_SECONDS * (1 + node.rng.random()))
-            if self.era == self.known_era():
-                continue
             try:
-                await self.create()
+                if self.era != self.known_era():
+                    self.stored_causes.clear()
+                    await self.create()
+                if self.peers.is_first(self.rank, time.monotonic()):
+                    await self.store_quarantine()
             except HickoryleverError as error:
                 log_failure(error)
 
+    async def store_quarantine(self) -> None:
+        """Create the objects of causes that came into quarantine and delete the others' ones."""
+        node = self.node
+        for update in node.quarantine.suspect_updates(time.monotonic()):
+            if update.cause not in self.stored_causes:
+                spec = {"suspect": msgspec.to_builtins(update)}
+                with contextlib.suppress(Conflict):
+                    await node.store.create(
+                        node.codec.ROUTERS, suspect_object_name(update.cause), spec
+                    )
+                self.stored_causes.add(update.cause)
+        for cause in self.stored_causes - node.quarantine.tracker.quarantine:
+            await node.store.delete(node.codec.ROUTERS, suspect_object_name(cause))
+            self.stored_causes.discard(cause)
+
     async def delete(self, address: str) -> None:
         """Delete the store's object of a router that has expired."""
         try:
@@ -99,6 +139,20 @@
     return address.replace(".", "-")
 
 
+def suspect_object_name(cause: str) -> str:
+    """Return the name of the object of a cause in quarantine."""
+    return f"suspect-{name_hash(cause):08x}"
+
+
+def parse_suspect(stored: StoredObject) -> SuspectUpdate | None:
+    """Return the cause in an object, or None when it holds none or is malformed."""
+    try:
+        suspect = msgspec.json.decode(stored.spec)["suspect"]
+        return msgspec.convert([*suspect[:3], 0], SuspectUpdate)
+    except (msgspec.DecodeError, msgspec.ValidationError, KeyError, TypeError):
+        return None
+
+
 def parse_router_address(stored: StoredObject) -> str:
     """Return the IP address in a router's object, or an empty string when it is malformed."""
     try:
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -8,7 +8,7 @@
 from direct_harness import DirectHarness, configuration, entry
 
 from hickorylever import platform
-from hickorylever.direct import endpoints, peer_protocol
+from hickorylever.direct import endpoints, peer_protocol, registration
 from hickorylever.direct.node import Node, create_store_watchers
 from hickorylever.direct.outbox import Outbox
 from hickorylever.direct.peer_protocol import CrashUpdate
@@ -234,3 +234,49 @@
         assert ("hickorylever-routers", "127-0-1-1") in fleet.store.objects
 
     play(scenario, 2)
+
+
+def quarantine_a_part(node):
+    for number in range(3):
+        node.quarantine.record_crash(CrashUpdate(number, ("5a", "bad", f"own-{number}")), 0.0)
+
+
+def test_a_starting_router_gets_the_quarantine_of_another():
+    async def scenario(fleet):
+        quarantine_a_part(fleet.nodes[0])
+        starting = await fleet.start(5, seeds=["127.0.1.1"])
+        await fleet.until(lambda: starting.quarantine.tracker.quarantine == {"bad"})
+
+    play(scenario, 1)
+
+
+def stored_causes(fleet):
+    return [name for kind, name in fleet.store.objects if name.startswith("suspect-")]
+
+
+def test_a_quarantine_survives_the_end_of_all_routers(monkeypatch):
+    monkeypatch.setattr(registration, "REGISTER_RETRY_SECONDS", 0.05)
+
+    async def scenario(fleet):
+        (node,) = fleet.nodes
+        quarantine_a_part(node)
+        await fleet.until(lambda: stored_causes(fleet))
+        starting = await fleet.start(5, store_port=fleet.store_port)
+        starting.peer_sync.peers.by_address.clear()
+        await fleet.until(lambda: starting.quarantine.tracker.quarantine == {"bad"})
+        for router in fleet.nodes:
+            router.quarantine.tracker.record_answer(["bad"], 1.0)
+        await fleet.until(lambda: not stored_causes(fleet))
+
+    play(scenario, 1)
+
+
+def test_malformed_causes_in_the_store_are_left_out():
+    async def scenario(fleet):
+        for number, spec in enumerate(({"suspect": 1}, {"suspect": ["b", 1]}, {"suspect": None})):
+            await fleet.store.put("hickorylever-routers", f"suspect-{number}", spec)
+        starting = await fleet.start(5)
+        await fleet.until(lambda: starting.peer_sync.registration.era)
+        assert not starting.quarantine.tracker.quarantine
+
+    play(scenario, 1)
