Keep a cause in quarantine when a popular request is lost in as many crashes

A cause in quarantine now gives way only to one that explains the same crashes and is part of more different requests, or is more specific, or as specific with more crashes. Requests as a whole count as answered for other routers too, as parts do. A retry that waited in the queue while its part was quarantined is not sent any more. The gauge hickorylever_quarantined counts the causes.

--- a/src/hickorylever/direct/crashes.py
+++ b/src/hickorylever/direct/crashes.py
@@ -4,7 +4,7 @@
 parts of its prompt and the request as a whole. These are its *causes*, from the one that most
 requests share to the one that only copies of the request have. What an endpoint has answered is
 not to blame. Of the other causes, those that explain most crashes are quarantined; among equals
-the one that fewest requests share.
+one that crashed different requests, and of these the one that fewest requests share.
 """
 
 from collections import OrderedDict
@@ -18,6 +18,7 @@
 ALIVE_CHECK_SECONDS = 1.5  # Shorter than a crashed endpoint takes to start again.
 MAX_SUSPECTS = 4096
 MAX_ANSWERED = 16384
+MAX_REQUESTS = 2  # Of a cause that are told apart.
 
 
 @dataclass(slots=True)
@@ -27,11 +28,18 @@
     :param depth: position among the causes of a request; fewer requests share a deeper one.
     :param crashes: crashes that it may explain.
     :param latest: monotonic seconds of the latest of them.
+    :param requests: last causes of some of the requests, which tell these apart.
     """
 
     depth: int
     crashes: set[int] = field(default_factory=set)
     latest: float = 0.0
+    requests: set[str] = field(default_factory=set)
+
+    def add_request(self, request: str) -> None:
+        """Add one of the requests, up to `MAX_REQUESTS`."""
+        if len(self.requests) < MAX_REQUESTS:
+            self.requests.add(request)
 
 
 class CrashTracker:
@@ -55,7 +63,7 @@
     def record_crash(self, crash: int, causes: Sequence[str], now: float) -> None:
         """Record that a request with these causes ran at an endpoint when it crashed."""
         for depth, cause in enumerate(causes):
-            self.record_suspect(cause, depth, (crash,), now)
+            self.record_suspect(cause, depth, (crash,), causes[-1:], now)
         if any(self.is_candidate(cause) for cause in causes):
             self.update_quarantine()
 
@@ -65,15 +73,26 @@
         return suspect is not None and len(suspect.crashes) >= QUARANTINE_ENDPOINTS
 
     def record_suspect(
-        self, cause: str, depth: int, crashes: Iterable[int], latest: float
+        self,
+        cause: str,
+        depth: int,
+        crashes: Iterable[int],
+        requests: Iterable[str],
+        latest: float,
     ) -> None:
-        """Add crashes that a cause may explain, unless it has been answered."""
+        """Add crashes that a cause may explain, unless it has been answered.
+
+        :param requests: last causes of the requests that ran.
+        :param latest: when the latest crash happened.
+        """
         if cause in self.answered:
             return
         suspect = self.suspects.setdefault(cause, Suspect(depth))
         self.suspects.move_to_end(cause)
         suspect.depth = max(suspect.depth, depth)
         suspect.latest = max(suspect.latest, latest)
+        for request in requests:
+            suspect.add_request(request)
         for crash in crashes:
             suspect.crashes.add(crash)
             self.crash_times.setdefault(crash, latest)
@@ -111,25 +130,16 @@
 
     def update_quarantine(self) -> None:
         """Quarantine the causes that explain most crashes, each with enough of its own."""
-        candidates = [
-            (cause, suspect)
-            for cause, suspect in self.suspects.items()
-            if self.is_candidate(cause)
-        ]
-        quarantine = set()
-        explained: set[int] = set()
-
-        def weight(candidate: tuple[str, Suspect]) -> tuple[int, int, str]:
-            cause, suspect = candidate
-            return len(suspect.crashes - explained), suspect.depth, cause
-
-        while candidates:
-            cause, suspect = max(candidates, key=weight)
-            if len(suspect.crashes - explained) < QUARANTINE_ENDPOINTS:
-                break
-            quarantine.add(cause)
-            explained |= suspect.crashes
-        self.quarantine = frozenset(quarantine)
+        candidates = {
+            cause: suspect for cause, suspect in self.suspects.items() if self.is_candidate(cause)
+        }
+        chosen = choose_causes(candidates)
+        kept = {
+            cause
+            for cause in self.quarantine & candidates.keys()
+            if not any(explains_better(suspect, candidates[cause]) for suspect in chosen.values())
+        }
+        self.quarantine = frozenset(chosen.keys() | kept)
 
     def is_quarantined(self, causes: Iterable[str]) -> bool:
         """Return whether a request has a cause in quarantine."""
@@ -148,3 +158,38 @@
         for crash, time in tuple(self.crash_times.items()):
             if time < oldest:
                 del self.crash_times[crash]
+
+
+def choose_causes(candidates: dict[str, Suspect]) -> dict[str, Suspect]:
+    """Return the causes that explain most crashes, each with enough of its own."""
+    chosen: dict[str, Suspect] = {}
+    explained: set[int] = set()
+
+    def weight(cause: str) -> tuple[int, int, int, str]:
+        suspect = candidates[cause]
+        crashes = len(suspect.crashes - explained)
+        return crashes, len(suspect.requests), suspect.depth, cause
+
+    while candidates:
+        cause = max(candidates, key=weight)
+        if len(candidates[cause].crashes - explained) < QUARANTINE_ENDPOINTS:
+            break
+        chosen[cause] = candidates[cause]
+        explained |= candidates[cause].crashes
+    return chosen
+
+
+def explains_better(suspect: Suspect, quarantined: Suspect) -> bool:
+    """Return whether a cause that was chosen later takes the place of one in quarantine.
+
+    It must explain the same crashes, and be part of more different requests, or more specific, or
+    as specific with more crashes. So a popular request that was lost in many crashes does not
+    release the part that caused them.
+    """
+    if len(quarantined.crashes - suspect.crashes) >= QUARANTINE_ENDPOINTS:
+        return False
+    if len(suspect.requests) != len(quarantined.requests):
+        return len(suspect.requests) > len(quarantined.requests)
+    if suspect.depth != quarantined.depth:
+        return suspect.depth > quarantined.depth
+    return len(suspect.crashes) > len(quarantined.crashes)
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -57,9 +57,9 @@
         last: Outcome | None = None
         for _ in range(MAX_ENDPOINTS_TRIED):
             choice = await self.place(call)
-            if choice is None:
-                break
             self.refuse_quarantined(call)
+            if choice is None or self.node.quarantine.holds(call):
+                break
             outcome = await self.attempt(call, choice)
             if outcome.result is Result.ANSWERED:
                 await self.send_response(call, outcome)
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -46,6 +46,9 @@
         self.store_age = self.make(
             Gauge, "hickorylever_store_age_seconds", "Time since the store last answered, by kind"
         )
+        self.quarantined = self.make(
+            Gauge, "hickorylever_quarantined", "Prompt parts and requests that are not run"
+        )
         self.in_flight = self.make(Gauge, "hickorylever_in_flight", "Requests under way")
         self.descriptors = self.make(Gauge, "hickorylever_descriptors", "Open descriptors")
 
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -67,12 +67,14 @@
 
     :param depth: position of the cause in requests.
     :param crashes: numbers of the endpoints' incarnations that it may have crashed.
+    :param requests: last causes of some of the requests that ran.
     :param age: seconds since the latest crash.
     """
 
     cause: str
     depth: int
     crashes: list[int]
+    requests: list[str]
     age: int
 
 
--- a/src/hickorylever/direct/quarantine.py
+++ b/src/hickorylever/direct/quarantine.py
@@ -9,7 +9,6 @@
 from .crashes import CrashTracker
 from .endpoints import Endpoint
 from .peer_protocol import CrashUpdate, Datagram, SuspectUpdate, name_hash
-from .pool import shared_parts
 
 CRASH_SENDS = 2  # Datagrams that report a crash, as some may be lost.
 ANSWER_SENDS = 2
@@ -52,9 +51,7 @@
     def record_answer(self, call: Call, now: float) -> None:
         """Record that an endpoint answers the call, or has got far with it."""
         before = self.tracker.quarantine
-        self.tracker.record_answer((part.id for part in shared_parts(call.info.parts)), now)
-        for cause in call.causes:
-            self.tracker.clear(cause)
+        self.tracker.record_answer(call.causes, now)
         self.log_changes(before)
 
     def record_alive(self, endpoint: Endpoint, sent_at: float) -> None:
@@ -99,7 +96,9 @@
         self.report_answered(update.cause for update in updates)
         for update in updates:
             latest = now - update.age
-            self.tracker.record_suspect(update.cause, update.depth, update.crashes, latest)
+            self.tracker.record_suspect(
+                update.cause, update.depth, update.crashes, update.requests, latest
+            )
         if updates:
             self.tracker.update_quarantine()
         self.log_changes(before)
@@ -112,16 +111,18 @@
 
     def suspect_updates(self, now: float) -> list[SuspectUpdate]:
         """Return the causes in quarantine with the crashes that they explain."""
-        suspects = self.tracker.suspects
-        return [
-            SuspectUpdate(
-                cause,
-                suspects[cause].depth,
-                sorted(suspects[cause].crashes)[:MAX_CRASHES_PER_SUSPECT],
-                math.ceil(now - suspects[cause].latest),
-            )
-            for cause in sorted(self.tracker.quarantine)
-        ]
+        return [self.suspect_update(cause, now) for cause in sorted(self.tracker.quarantine)]
+
+    def suspect_update(self, cause: str, now: float) -> SuspectUpdate:
+        """Return what is known of one suspect."""
+        suspect = self.tracker.suspects[cause]
+        return SuspectUpdate(
+            cause,
+            suspect.depth,
+            sorted(suspect.crashes)[:MAX_CRASHES_PER_SUSPECT],
+            sorted(suspect.requests),
+            math.ceil(now - suspect.latest),
+        )
 
     def take_updates(self, now: float) -> dict[str, list]:
         """Remove and return the updates for one datagram, by its field; empty if none is due."""
--- a/src/hickorylever/direct/registration.py
+++ b/src/hickorylever/direct/registration.py
@@ -148,7 +148,7 @@
     """Return the cause in an object, or None when it holds none or is malformed."""
     try:
         suspect = msgspec.json.decode(stored.spec)["suspect"]
-        return msgspec.convert([*suspect[:3], 0], SuspectUpdate)
+        return msgspec.convert([*suspect[:4], 0], SuspectUpdate)
     except (msgspec.DecodeError, msgspec.ValidationError, KeyError, TypeError):
         return None
 
--- a/src/hickorylever/direct/status_servers.py
+++ b/src/hickorylever/direct/status_servers.py
@@ -30,6 +30,7 @@
         now = time.monotonic()
         metrics.in_flight.set({}, self.router.in_flight)
         metrics.peers.set({}, len(node.peer_sync.peers.alive(now)))
+        metrics.quarantined.set({}, len(node.quarantine.tracker.quarantine))
         metrics.descriptors.set({}, len(os.listdir("/proc/self/fd")))
         for service, pool in node.directory.pools.items():
             metrics.endpoints.set({"service": service}, len(pool))
