--- /dev/null
+++ b/src/hickorylever/platform/standins/behaviours.py
@@ -0,0 +1,317 @@
+"""Ways in which a simulated endpoint handles a request."""
+
+import curio
+
+from ...http import Exchange, header
+from .. import names
+from .origin import Origin, behaviours, encode_head, wants_stream
+
+SLOW_DELAY_SECONDS = 0.9
+DRIP_SECONDS = 0.05
+ENDLESS_BLOCK = b"0123456789abcdef" * 1024
+
+
+@behaviours.register("well")
+async def run_without_fault(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and send a complete response."""
+    first = origin.record_run(exchange, body)
+    try:
+        if wants_stream(exchange):
+            await origin.stream(exchange, first, origin.events)
+            await exchange.end()
+            return
+        await curio.sleep(origin.pause)
+    except curio.CancelledError:
+        origin.stopped += 1
+        raise
+    await exchange.respond(200, origin.response_headers(exchange), origin.own_body(exchange))
+
+
+@behaviours.register("slow")
+async def run_after_delay(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request, but only after longer than routers wait for an endpoint."""
+    await curio.sleep(SLOW_DELAY_SECONDS)
+    await run_without_fault(origin, exchange, body)
+
+
+@behaviours.register("shed")
+async def shed(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Refuse the request without running it."""
+    await exchange.respond(503, [(names.NOT_RUN, b"1")])
+
+
+@behaviours.register("defer")
+async def defer(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Refuse the request without running it, and want no more for a while."""
+    await exchange.respond(503, [(names.NOT_RUN, b"1"), (b"retry-after", origin.retry_after)])
+
+
+@behaviours.register("shed_leaving")
+async def shed_as_leaving(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Refuse the request without running it, and say that the endpoint shuts down."""
+    leaving = (names.LEAVING, names.LEAVING_VALUE)
+    await exchange.respond(503, [(names.NOT_RUN, b"1"), leaving])
+
+
+@behaviours.register("fail")
+async def fail(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and respond with status 500."""
+    origin.record_run(exchange, body)
+    await exchange.respond(500, origin.response_headers(exchange), b"failed")
+
+
+@behaviours.register("busy")
+async def busy(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and respond with status 503, without the header for "not run"."""
+    origin.record_run(exchange, body)
+    await exchange.respond(503, origin.response_headers(exchange), b"failed")
+
+
+@behaviours.register("reset")
+async def reset(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and reset the connection before the response."""
+    origin.record_run(exchange, body)
+    exchange.closing = True
+    await exchange.channel.abort()
+
+
+@behaviours.register("garbage")
+async def garbage(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and send bytes that are not an HTTP response."""
+    origin.record_run(exchange, body)
+    exchange.closing = True
+    await exchange.channel.sock.sendall(b"\x00\x01 not an answer\r\n\r\n")
+    await exchange.channel.abort()
+
+
+@behaviours.register("truncated")
+async def truncated(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and close the connection within the response body."""
+    origin.record_run(exchange, body)
+    exchange.closing = True
+    await exchange.channel.sock.sendall(origin.encode_response(exchange, b"part", 100))
+    await exchange.channel.close_gracefully()
+
+
+@behaviours.register("unstamped")
+async def unstamped(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and respond without the header that identifies the endpoint."""
+    origin.record_run(exchange, body)
+    await exchange.respond(200, origin.response_headers(exchange)[:1], b"whose?")
+
+
+@behaviours.register("encoded")
+async def encoded(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and respond with a body that has a content coding."""
+    origin.record_run(exchange, body)
+    await exchange.respond(
+        200, [*origin.response_headers(exchange), (b"content-encoding", b"x")], b"x"
+    )
+
+
+@behaviours.register("twice")
+async def respond_and_duplicate(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request, and prepare a duplicate of the response for the behaviour ``late``."""
+    if wants_stream(exchange):
+        await run_without_fault(origin, exchange, body)
+        return
+    origin.record_run(exchange, body)
+    await exchange.respond(200, origin.response_headers(exchange), origin.own_body(exchange))
+    origin.duplicate_response = origin.encode_response(exchange, b"stale")
+
+
+@behaviours.register("late")
+async def send_duplicate_first(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Send the duplicate response to an earlier request, then run this one."""
+    duplicate, origin.duplicate_response = origin.duplicate_response, b""
+    await exchange.channel.sock.sendall(duplicate)
+    await run_without_fault(origin, exchange, body)
+
+
+@behaviours.register("broken")
+async def break_off(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and break the connection in the middle of an event, or of the body."""
+    if not wants_stream(exchange):
+        await truncated(origin, exchange, body)
+        return
+    first = origin.record_run(exchange, body)
+    await origin.stream(exchange, first, first + 1)
+    await exchange.write(b"id: %d\nda" % (first + 2))
+    exchange.closing = True
+    await exchange.channel.abort()
+
+
+@behaviours.register("broken_off")
+async def break_off_before_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and break the connection before the first event."""
+    if not wants_stream(exchange):
+        await reset(origin, exchange, body)
+        return
+    first = origin.record_run(exchange, body)
+    await origin.stream(exchange, first, first - 1)
+    exchange.closing = True
+    await exchange.channel.abort()
+
+
+@behaviours.register("short")
+async def end_within_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Complete the HTTP response in the middle of an event; truncate a response without events."""
+    if not wants_stream(exchange):
+        await truncated(origin, exchange, body)
+        return
+    first = origin.record_run(exchange, body)
+    await origin.stream(exchange, first, first)
+    await exchange.write(b"id: %d\nda" % (first + 1))
+    await exchange.end()
+
+
+async def start_unframed(origin: Origin, exchange: Exchange, body: bytes, content: bytes) -> None:
+    """Run the request and send a response that has neither a length nor chunks."""
+    origin.record_run(exchange, body)
+    exchange.closing = True
+    fields = origin.response_headers(exchange)
+    if wants_stream(exchange):
+        fields.append((b"content-type", b"text/event-stream"))
+    await exchange.channel.sock.sendall(encode_head(200, fields) + content)
+
+
+def unframed_content(origin: Origin, exchange: Exchange) -> bytes:
+    """Return the complete body of a response that ends with its connection."""
+    if not wants_stream(exchange):
+        return origin.own_body(exchange)
+    first = int(header(exchange.headers, names.LAST_EVENT) or b"0") + 1
+    numbers = range(first, origin.events + 1)
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number) for number in numbers)
+
+
+@behaviours.register("unframed")
+async def end_with_connection(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and send a complete response that ends with its connection."""
+    await start_unframed(origin, exchange, body, unframed_content(origin, exchange))
+    await exchange.channel.close_gracefully()
+
+
+@behaviours.register("unframed_reset")
+async def reset_unframed(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Reset the connection of a response that would end with it."""
+    content = unframed_content(origin, exchange)
+    await start_unframed(origin, exchange, body, content[: len(content) // 2])
+    await exchange.channel.abort()
+
+
+@behaviours.register("unframed_short")
+async def close_unframed_within_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Close the connection in the middle of an event; reset it during another response."""
+    if not wants_stream(exchange):
+        await reset_unframed(origin, exchange, body)
+        return
+    content = unframed_content(origin, exchange)
+    await start_unframed(origin, exchange, body, content[:-4])
+    await exchange.channel.close_gracefully()
+
+
+@behaviours.register("unframed_empty")
+async def close_unframed_before_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Close the connection before the first event; reset it before another response."""
+    if not wants_stream(exchange):
+        await reset(origin, exchange, body)
+        return
+    await start_unframed(origin, exchange, body, b"")
+    await exchange.channel.close_gracefully()
+
+
+@behaviours.register("from_the_start")
+async def ignore_last_event_id(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and send the stream from its first event, ignoring ``Last-Event-ID``."""
+    origin.record_run(exchange, body)
+    await origin.stream(exchange, 1, origin.events)
+    await exchange.end()
+
+
+@behaviours.register("unknown")
+async def respond_not_found(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and respond with status 404."""
+    origin.record_run(exchange, body)
+    await exchange.respond(404, origin.response_headers(exchange), b"unknown")
+
+
+@behaviours.register("gap")
+async def skip_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and skip one event of the stream."""
+    first = origin.record_run(exchange, body)
+    await origin.stream(exchange, first, first)
+    await exchange.write(b"id: %d\ndata: x\n\n" % (first + 2))
+    await exchange.end()
+
+
+@behaviours.register("silent")
+async def silent(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and never respond."""
+    origin.record_run(exchange, body)
+    try:
+        await curio.Event().wait()
+    except curio.CancelledError:
+        origin.stopped += 1
+        raise
+
+
+@behaviours.register("dripping")
+async def drip(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request, send one event of its stream and then only a byte now and then."""
+    first = origin.record_run(exchange, body)
+    await origin.stream(exchange, first, first)
+    await exchange.write(b"id: ")
+    try:
+        while True:
+            await exchange.write(b"9")
+            await curio.sleep(DRIP_SECONDS)
+    except curio.CancelledError:
+        origin.stopped += 1
+        raise
+
+
+async def send_endlessly(exchange: Exchange, head: bytes, block: bytes = ENDLESS_BLOCK) -> None:
+    """Send a head and then the same block until the caller closes the connection."""
+    exchange.closing = True
+    sock = exchange.channel.sock
+    try:
+        await sock.sendall(head)
+        while True:
+            await sock.sendall(block)
+    except OSError:
+        await exchange.channel.abort()
+
+
+@behaviours.register("endless_head")
+async def endless_head(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and send a head that does not end."""
+    origin.record_run(exchange, body)
+    await send_endlessly(exchange, b"HTTP/1.1 200 OK\r\nx-filler: ")
+
+
+@behaviours.register("endless_informational")
+async def endless_informational(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and send informational responses without end."""
+    origin.record_run(exchange, body)
+    await send_endlessly(exchange, b"", b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+@behaviours.register("endless_body")
+async def endless_body(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and send a body that does not end."""
+    origin.record_run(exchange, body)
+    await send_endlessly(exchange, encode_head(200, origin.response_headers(exchange)))
+
+
+@behaviours.register("endless_rejection")
+async def endless_rejection(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Refuse the request without running it, with a body that does not end."""
+    await send_endlessly(exchange, encode_head(503, [(names.NOT_RUN, b"1")]))
+
+
+@behaviours.register("endless_stream")
+async def endless_stream(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and send a stream of bytes that are no events, without end."""
+    origin.record_run(exchange, body)
+    fields = [*origin.response_headers(exchange), (b"content-type", b"text/event-stream")]
+    await send_endlessly(exchange, encode_head(200, fields), b"\x00garbage\n\n" + ENDLESS_BLOCK)
