--- a/src/hickorylever/direct/status_servers.py
+++ b/src/hickorylever/direct/status_servers.py
@@ -35,7 +35,7 @@
         for service, pool in node.directory.pools.items():
             metrics.endpoints.set({"service": service}, len(pool))
             metrics.budget_left.set({"service": service}, node.budget.remaining(service, now))
-        for service, queue in self.router.forwarder.queues.items():
+        for service, queue in self.router.forwarder.placer.queues.items():
             metrics.waiting.set({"service": service}, len(queue.entries))
         for watcher in node.store_watchers:
             metrics.store_age.set({"kind": watcher.kind}, now - watcher.last_success_at)
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -52,7 +52,7 @@
             endpoint.running = 8
         headers = harness.headers(parts="5a:20,bad:30,0b:5")
         task = await curio.spawn(harness.send_request, PATH, "POST", headers)
-        queues = harness.router.forwarder.queues
+        queues = harness.router.forwarder.placer.queues
         await harness.until(lambda: any(queue.entries for queue in queues.values()))
         for number in range(3):
             update = CrashUpdate(number, ("5a", "bad", f"own-{number}"))
