Keep to the rate of requests that an endpoint names, all routers together

What callers saw: nothing yet; an endpoint in need got twice as many requests as it had asked for.

Cause: nothing read Server-Limit. The class: an endpoint's word about itself that routers don't know.

Each router counts its own requests and those that the others report, without waiting for the interval between datagrams, and uses nine tenths of the limit over two seconds. As reports are late, room is used at random moments. Endpoints whose limit is used up are left out of the placement and of the mean of the load bound; where all are, requests queue and are refused like those beyond any capacity. An answer without a limit ends it. The stand-in names limits, and the soak has a fault and a check for them.

--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass, field
 
 from .capacity import PREFILL_TOKENS_PER_SECOND
+from .peer_protocol import LimitUpdate
 from .prompt_cache import PromptCacheIndex
+from .rate_limit import RateLimit
 from .records import EndpointEntry
 
 FIRST_PAUSE_SECONDS = 0.25  # After the first failed connection or rejection with status 421.
@@ -49,6 +51,7 @@
     :param deferred_until: time before which the endpoint wants no new requests.
     :param leaving: whether it shuts down, which lasts until its next start.
     :param warm_at: when the slow phase after the endpoint's start ends.
+    :param rate_limit: limit on the requests of all routers, or None.
     :param missing_since: since when its entry is missing after an outage of the store, or None.
     :param peers: loads of the other routers, by their address.
     :param peer_requests: total requests in `peers`.
@@ -68,6 +71,7 @@
     deferred_until: float = 0.0
     leaving: bool = False
     warm_at: float = 0.0
+    rate_limit: RateLimit | None = None
     missing_since: float | None = None
     peers: dict[str, PeerLoad] = field(default_factory=dict)
     peer_requests: int = 0
@@ -92,6 +96,35 @@
         """Return whether it takes new requests now, as far as it said so itself."""
         return self.accepting and now >= self.deferred_until
 
+    def limit_rate(self, rate: float | None, router_count: int, now: float) -> bool:
+        """Set the limit that the endpoint names, and return whether it has changed.
+
+        :param rate: requests per second, or None for any number.
+        :param router_count: routers that share the limit, with this one.
+        """
+        if rate is None:
+            changed = self.rate_limit is not None
+            self.rate_limit = None
+            return changed
+        if self.rate_limit is None:
+            self.rate_limit = RateLimit(rate, router_count, now)
+            return True
+        changed = self.rate_limit.rate != rate
+        self.rate_limit.rate = rate
+        self.rate_limit.router_count = router_count
+        return changed
+
+    def record_peer_limit(
+        self, router: str, update: LimitUpdate, router_count: int, now: float
+    ) -> None:
+        """Take over what another router knows of the limit, and count what it has sent.
+
+        :param router: IP address of the router.
+        """
+        self.limit_rate(update.rate, router_count, now)
+        if self.rate_limit is not None:
+            self.rate_limit.record_peer_count(router, update.count, now)
+
     @property
     def usable_at(self) -> float:
         """Return the end of the pauses."""
@@ -160,6 +193,8 @@
         """
         if not self.running:
             self.busy_since = now
+        if self.rate_limit is not None:
+            self.rate_limit.record_send(now)
         self.running += 1
         self.prefill += tokens
 
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -78,6 +78,8 @@
         self.log_choice(call, choice)
         began = time.monotonic()
         endpoint.add_request(choice.uncached, began)
+        if endpoint.rate_limit is not None:
+            self.node.peer_sync.queue_limit(endpoint)
         peer_sync = self.node.peer_sync
         pending_prefill = PendingPrefill(endpoint, choice.uncached, peer_sync)
         peer_sync.announce_load(endpoint)
@@ -197,6 +199,8 @@
         if info.retry_after is not None:
             endpoint.defer(info.retry_after, now)
             log(Event.ENDPOINT_DEFERS, endpoint.name, seconds=info.retry_after)
+        if info.stamped:
+            self.record_rate_limit(endpoint, info.rate_limit, now)
         if info.leaving and not endpoint.leaving:
             endpoint.leaving = True
             started_ms = endpoint.entry.started_ms
@@ -205,6 +209,18 @@
             node.peer_sync.outbox.queue_leaving(update)
             log(Event.ENDPOINT_LEAVES, endpoint.name, started_ms=started_ms)
 
+    def record_rate_limit(self, endpoint: Endpoint, rate: float | None, now: float) -> None:
+        """Record the limit that an endpoint's answer names, and tell the other routers.
+
+        :param rate: requests per second, or None for any number.
+        """
+        if rate is None and endpoint.rate_limit is None:
+            return
+        peer_sync = self.node.peer_sync
+        if endpoint.limit_rate(rate, peer_sync.router_count, now):
+            log(Event.ENDPOINT_LIMITS, endpoint.name, rate=rate)
+            peer_sync.queue_limit(endpoint)
+
     def record_outcome(
         self, call: Call, endpoint: Endpoint, outcome: Outcome, seconds: float
     ) -> None:
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -49,6 +49,11 @@
         self.quarantined = self.make(
             Gauge, "hickorylever_quarantined", "Prompt parts and requests that are not run"
         )
+        self.rate_limits = self.make(
+            Gauge,
+            "hickorylever_rate_limits",
+            "Endpoints that limit the rate of requests, by service",
+        )
         self.in_flight = self.make(Gauge, "hickorylever_in_flight", "Requests under way")
         self.descriptors = self.make(Gauge, "hickorylever_descriptors", "Open descriptors")
 
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -78,6 +78,19 @@
     age: int
 
 
+class LimitUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender knows of an endpoint's rate limit.
+
+    :param endpoint: hash of the endpoint's name.
+    :param rate: requests per second of all routers, or None for any number.
+    :param count: requests that the sender has sent since it learned of the limit.
+    """
+
+    endpoint: int
+    rate: float | None
+    count: int
+
+
 class LeavingUpdate(msgspec.Struct, array_like=True, frozen=True):
     """An endpoint shuts down.
 
@@ -100,6 +113,7 @@
     :param answer_wanted: whether the sender asks for a datagram in return.
     :param leaving: whether the sender is shutting down.
     :param routers: IP addresses of routers that the sender knows.
+    :param limits: rate limits of endpoints, where one or the number of requests has changed.
     :param answered: causes that other routers suspect and the sender saw answered.
     """
 
@@ -117,6 +131,7 @@
     routers: list[str] = []
     answered: list[str] = []
     suspects: list[SuspectUpdate] = []
+    limits: list[LimitUpdate] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -8,12 +8,13 @@
 
 from ..events import Event, log, logger
 from ..http import listen
-from .endpoints import PeerLoad
+from .endpoints import Endpoint, PeerLoad
 from .outbox import Outbox
 from .peer_protocol import (
     FLUSH_INTERVAL_SECONDS,
     FLUSH_SECONDS_PER_PEER,
     Datagram,
+    LimitUpdate,
     PeerTable,
     decode,
     encode,
@@ -26,6 +27,7 @@
 
 TICK_SECONDS = 0.02
 DATAGRAM_BUFFER_BYTES = 65536
+MAX_LIMIT_UPDATES = 24  # In one datagram, so that it fits a packet.
 MAX_ADDRESSES_PER_DATAGRAM = 64
 DECODE_ERRORS = (msgspec.DecodeError, TypeError, ValueError)
 
@@ -34,6 +36,8 @@
     """Exchanges datagrams with the other routers.
 
     :param node: the components of this router.
+    :ivar limited_endpoints: hashes of the names of endpoints whose rate limit, or the number of
+        requests sent under it, has changed.
     """
 
     def __init__(self, node):
@@ -46,6 +50,7 @@
         self.pulls = StatePulls(node, self.domain_hash, self.watching)
         self.rank = watcher_rank(node.settings.address, node.settings.link_mbps)
         self.registration = Registration(node, self.peers, self.rank)
+        self.limited_endpoints: set[int] = set()
         self.sock = None
 
     async def run(self) -> None:
@@ -75,7 +80,7 @@
             data = encode(self.datagram(**self.outbox.take(now)))
             for peer in alive:
                 await self.send(data, peer.address)
-        if updates := self.node.quarantine.take_updates(now):
+        if updates := self.take_urgent_updates(now):
             data = encode(self.datagram(**updates))
             for peer in alive:
                 await self.send(data, peer.address)
@@ -89,6 +94,37 @@
             await curio.spawn(self.registration.delete, address, daemon=True)
         await self.pulls.catch_up(now, alive)
 
+    def take_urgent_updates(self, now: float) -> dict[str, list]:
+        """Return the updates that don't wait for the interval between datagrams, by field."""
+        updates = self.node.quarantine.take_updates(now)
+        limits = [self.limit_update(key) for key in sorted(self.limited_endpoints)]
+        if limits:
+            updates["limits"] = limits[:MAX_LIMIT_UPDATES]
+            self.limited_endpoints.difference_update(
+                update.endpoint for update in updates["limits"]
+            )
+        return updates
+
+    def limit_update(self, key: int) -> LimitUpdate:
+        """Return what this router knows of an endpoint's rate limit.
+
+        :param key: hash of the endpoint's name.
+        """
+        endpoint = self.node.directory.by_hash.get(key)
+        limit = endpoint.rate_limit if endpoint else None
+        if limit is None:
+            return LimitUpdate(key, None, 0)
+        return LimitUpdate(key, limit.rate, limit.own_count)
+
+    @property
+    def router_count(self) -> int:
+        """Return the number of routers that are alive, with this one."""
+        return len(self.peers.alive(time.monotonic())) + 1
+
+    def queue_limit(self, endpoint: Endpoint) -> None:
+        """Queue what is known of an endpoint's rate limit for the next datagram."""
+        self.limited_endpoints.add(name_hash(endpoint.name))
+
     def datagram(self, **updates) -> Datagram:
         """Return a datagram with this router's positions and the given updates."""
         return Datagram(
@@ -163,6 +199,10 @@
             endpoint = by_hash.get(update.endpoint)
             if endpoint is not None:
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
+        for update in datagram.limits:
+            endpoint = by_hash.get(update.endpoint)
+            if endpoint is not None:
+                endpoint.record_peer_limit(address, update, self.router_count, now)
         self.node.quarantine.apply(datagram, now)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -124,9 +124,14 @@
     """Return the candidates that can take one more request within the bound, or all if none can.
 
     The bound is a multiple of the candidates' mean, of whose excess over 1 only the share
-    `BOUND_EXCESS_RATIO` is used, plus `BOUND_SLACK_REQUESTS`. Of the returned candidates, only
-    those with capacity are kept if there are any; the second value says whether that is so.
+    `BOUND_EXCESS_RATIO` is used, plus `BOUND_SLACK_REQUESTS`. Candidates whose rate limit permits
+    no request now are left out first. Of the returned candidates, only those with capacity are
+    kept if there are any; the second value says whether that is so.
     """
+    permitted = within_rate_limit(candidates, request)
+    if not permitted:
+        return candidates, False
+    candidates = permitted
     mean = sum([candidate.requests for candidate in candidates]) / max(1, len(candidates))
     multiple = 1.0 + BOUND_EXCESS_RATIO * (request.load_multiple - 1.0)
     limit = multiple * mean + BOUND_SLACK_REQUESTS
@@ -135,6 +140,15 @@
     return (available, True) if available else (allowed, False)
 
 
+def within_rate_limit(candidates: list[Candidate], request: PlacementRequest) -> list[Candidate]:
+    """Return the candidates without a rate limit and those whose limit permits a request now."""
+    return [
+        candidate
+        for candidate in candidates
+        if (limit := candidate.endpoint.rate_limit) is None or limit.permits(request.now)
+    ]
+
+
 def place(pool: Pool, request: PlacementRequest) -> Choice | None:
     """Return the best endpoint for a request, or None if no endpoint is usable."""
     if request.engine is not None and request.parts:
--- a/src/hickorylever/direct/records.py
+++ b/src/hickorylever/direct/records.py
@@ -227,6 +227,8 @@
     :param leaving: whether the endpoint states that it is about to shut down.
     :param retry_after: time for which the endpoint wants no more requests from this router, or
         None when not stated.
+    :param rate_limit: requests per second that the endpoint takes from all routers together, or
+        None for any number.
     """
 
     status: int
@@ -238,6 +240,7 @@
     waiting: int | None = None
     leaving: bool = False
     retry_after: float | None = None
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorylever/direct/status_servers.py
+++ b/src/hickorylever/direct/status_servers.py
@@ -34,6 +34,8 @@
         metrics.descriptors.set({}, len(os.listdir("/proc/self/fd")))
         for service, pool in node.directory.pools.items():
             metrics.endpoints.set({"service": service}, len(pool))
+            limited = sum(endpoint.rate_limit is not None for endpoint in pool)
+            metrics.rate_limits.set({"service": service}, limited)
             metrics.budget_left.set({"service": service}, node.budget.remaining(service, now))
         for service, queue in self.router.forwarder.placer.queues.items():
             metrics.waiting.set({"service": service}, len(queue.entries))
--- a/src/hickorylever/platform/headers.py
+++ b/src/hickorylever/platform/headers.py
@@ -13,7 +13,7 @@
 LOAD = re.compile(rb"([0-9]{1,7}),([0-9]{1,7}),([0-9]{1,7})")
 MILLISECONDS = re.compile(rb"[0-9]{1,10}(?:\.[0-9]{1,6})?")
 SECONDS_PER_MILLISECOND = 0.001
-SECONDS = re.compile(rb"[0-9]{0,9}\.?[0-9]{1,9}")
+DECIMAL = re.compile(rb"[0-9]{0,9}\.?[0-9]{1,9}")
 ERA = re.compile(rb"[0-9]{1,15}")
 AUTH_SCHEME = b"bearer"
 
@@ -84,13 +84,14 @@
         running=int(load[1]) if load else None,
         waiting=int(load[2]) if load else None,
         leaving=status != 421 and header(fields, names.LEAVING).strip() == names.LEAVING_VALUE,
-        retry_after=read_seconds(header(fields, b"retry-after")) if status == 503 else None,
+        retry_after=read_decimal(header(fields, b"retry-after")) if status == 503 else None,
+        rate_limit=read_decimal(header(fields, names.LIMIT)),
     )
 
 
-def read_seconds(value: bytes) -> float | None:
-    """Return a number of seconds, or None if it is missing or malformed."""
-    return float(value) if SECONDS.fullmatch(value.strip()) else None
+def read_decimal(value: bytes) -> float | None:
+    """Return a decimal number, or None if it is missing or malformed."""
+    return float(value) if DECIMAL.fullmatch(value.strip()) else None
 
 
 def read_era(fields: Headers) -> int | None:
--- a/src/hickorylever/platform/names.py
+++ b/src/hickorylever/platform/names.py
@@ -15,6 +15,7 @@
 NOT_RUN = b"hickorylever-not-executed"
 LOAD = b"hickorylever-server-load"
 LEAVING = b"server-leaving"
+LIMIT = b"server-limit"
 LEAVING_VALUE = b"1"
 STORE_ERA = b"store-era"
 
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -65,6 +65,7 @@
     :ivar arrivals: number of requests received.
     :ivar stopped: number of requests cancelled because the caller disconnected.
     :param leaving: whether each response says that the endpoint shuts down.
+    :param limit: requests per second that each response names as the endpoint's limit.
     :param retry_after: seconds in the responses of the behaviour ``defer``.
     :ivar duplicate_response: duplicate response that the behaviour ``late`` sends first.
     :param crashing_parts: ids of prompt parts on which the endpoint crashes when it begins to
@@ -78,6 +79,7 @@
     events: int = 6
     pause: float = 0.001
     leaving: bool = False
+    limit: float | None = None
     retry_after: bytes = b"1"
     runs: list[Run] = field(default_factory=list)
     arrivals: int = 0
@@ -146,6 +148,8 @@
         headers = [(names.ATTEMPT_ID, request_id), (names.STAMP, self.name.encode())]
         if self.leaving:
             headers.append((names.LEAVING, names.LEAVING_VALUE))
+        if self.limit is not None:
+            headers.append((names.LIMIT, b"%.3f" % self.limit))
         return headers
 
     def own_body(self, exchange: Exchange) -> bytes:
--- a/src/hickorylever/soak/checks.py
+++ b/src/hickorylever/soak/checks.py
@@ -24,6 +24,11 @@
 REPORT_SECONDS = 1.0  # Time in which all routers learn of a crash.
 RECOVERY_SECONDS = 6.0  # Time after which sound requests are served again.
 MIN_SOUND_REQUESTS = 20
+LIMIT_SPAN_SECONDS = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_EXCESS = 5
+LIMIT_REACTION_SECONDS = 3.0  # From the first answer that names a limit.
+ROUTER_FAULTS = frozenset(("kill", "kill_all", "pause", "stop"))
 DEADLINE_TOLERANCE_SECONDS = 0.5  # Time after its deadline by which a request must have ended.
 COMPLETE_STREAM = b"".join(
     b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS_PER_STREAM + 1)
@@ -137,14 +142,13 @@
     harness: SoakHarness, traffic: TrafficLog
 ) -> Iterator[str]:
     """A part that crashed `MAX_CRASHES` endpoints reaches few others a little later."""
-    disturbing = frozenset(("kill", "kill_all", "pause", "stop"))
     for part, times in crash_times(harness).items():
         late = [
             time
             for time in times
             if time > times[MAX_CRASHES - 1] + REPORT_SECONDS
             and harness.is_fault_free(
-                time - FAULT_FREE_SECONDS, time, frozenset(faults) - disturbing
+                time - FAULT_FREE_SECONDS, time, frozenset(faults) - ROUTER_FAULTS
             )
         ]
         if len(late) > MAX_LATE_RUNS:
@@ -189,6 +193,28 @@
             yield f"{sum(sound)} of {len(sound)} sound requests were served beside {part}"
 
 
+@checks.register("limit")
+def endpoint_gets_no_more_than_its_limit(
+    harness: SoakHarness, traffic: TrafficLog
+) -> Iterator[str]:
+    """An endpoint gets little more than the limit that it names, in any `LIMIT_SPAN_SECONDS`."""
+    for period in harness.limit_periods:
+        allowed = LIMIT_RATIO * period.rate * LIMIT_SPAN_SECONDS + LIMIT_EXCESS
+        times = [run.time for run in harness.origins[period.index].runs]
+        named_at = min((time for time in times if time >= period.started_at), default=0.0)
+        for start in times:
+            end = start + LIMIT_SPAN_SECONDS
+            if start < named_at + LIMIT_REACTION_SECONDS or end > period.ended_at:
+                continue
+            count = sum(start <= time < end for time in times)
+            if count > allowed and harness.is_fault_free(
+                start - FAULT_FREE_SECONDS, end, frozenset(faults) - ROUTER_FAULTS
+            ):
+                name = harness.origins[period.index].name
+                yield f"{name} named {period.rate} a second and got {count} in {end - start:g} s"
+                break
+
+
 @checks.register("planned work")
 def planned_operations_abort_no_request(
     harness: SoakHarness, traffic: TrafficLog
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -8,7 +8,7 @@
 
 from ..registry import Registry
 from .proxy import Proxy
-from .world import DRAIN_GRACE_SECONDS, RouterProcess, SoakHarness, now
+from .world import DRAIN_GRACE_SECONDS, LimitPeriod, RouterProcess, SoakHarness, now
 
 Fault = Callable[[SoakHarness, random.Random, float], Awaitable[None]]
 faults: Registry[Fault] = Registry("fault")
@@ -40,6 +40,8 @@
 EXIT_POLL_SECONDS = 0.05
 DRAINING_SECONDS = 3.5
 CRASHING_PART_SECONDS = 8.0
+LIMIT_SECONDS = 9.0
+LIMITS_PER_SECOND = (0.5, 2.0, 8.0)
 
 
 async def restart(router: RouterProcess, signal_number: signal.Signals, pause: float) -> None:
@@ -188,6 +190,20 @@
         harness.crashing_part = ""
 
 
+@faults.register("limit")
+async def limit_endpoint(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
+    """Let an endpoint name a limit on its requests per second."""
+    index = rng.randrange(len(harness.origins))
+    origin = harness.origins[index]
+    if origin.limit is not None:
+        return
+    origin.limit = rng.choice(LIMITS_PER_SECOND)
+    started_at = now()
+    await curio.sleep(LIMIT_SECONDS)
+    harness.limit_periods.append(LimitPeriod(index, origin.limit, started_at, now()))
+    origin.limit = None
+
+
 @faults.register("leave")
 async def drain_endpoint(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
     """Drain an endpoint for `DRAINING_SECONDS`."""
--- a/src/hickorylever/soak/world.py
+++ b/src/hickorylever/soak/world.py
@@ -101,6 +101,20 @@
     ended_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class LimitPeriod:
+    """Period in which an endpoint names a limit, in monotonic seconds.
+
+    :param index: of the endpoint.
+    :param rate: requests per second.
+    """
+
+    index: int
+    rate: float
+    started_at: float
+    ended_at: float
+
+
 @dataclass
 class SoakHarness:
     """Asynchronous context manager that runs the store, the endpoints and the routers.
@@ -112,6 +126,7 @@
     :param drain_periods: index of an endpoint, and start and end, in monotonic seconds, of a
         period in which its entry was draining.
     :param shutdown_periods: the same for periods in which an endpoint said that it shuts down.
+    :param limit_periods: periods in which an endpoint named a limit on its requests.
     :param draining: indexes of endpoints whose entry is draining.
     :param start_counts: how often each endpoint has started, by index.
     :param version: version of the latest configuration.
@@ -129,6 +144,7 @@
     fault_periods: list[FaultPeriod] = field(default_factory=list)
     drain_periods: list[tuple[int, float, float]] = field(default_factory=list)
     shutdown_periods: list[tuple[int, float, float]] = field(default_factory=list)
+    limit_periods: list[LimitPeriod] = field(default_factory=list)
     draining: set[int] = field(default_factory=set)
     start_counts: dict[int, int] = field(default_factory=dict)
     version: int = 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,7 @@
 from hickorylever.soak.faults import faults
 from hickorylever.soak.proxy import Proxy
 from hickorylever.soak.run import Report, run_fault
-from hickorylever.soak.world import FaultPeriod, SoakHarness
+from hickorylever.soak.world import FaultPeriod, LimitPeriod, SoakHarness
 
 
 def test_short_soak_finds_no_violation():
@@ -46,6 +46,13 @@
     return list(checks[name](harness, traffic))
 
 
+LIMITED = {"limit_periods": [LimitPeriod(0, 1.0, 49.5, 60.0)]}
+
+
+def make_runs(start, count):
+    return [make_run(start + 0.1 * n) for n in range(count)]
+
+
 CRASHING = {"crashing_parts": ["c000"]}
 
 
@@ -121,6 +128,16 @@
     ("sound parts", make_sound(25, 10), make_crashes(5), CRASHING, True),
     ("sound parts", make_sound(25, 20), make_crashes(5), CRASHING, False),
     ("sound parts", make_sound(19, 0), make_crashes(5), CRASHING, False),
+    ("limit", [], [make_run(50.0), *make_runs(54.0, 12)], LIMITED, True),
+    ("limit", [], [make_run(50.0), *make_runs(54.0, 11)], LIMITED, False),
+    ("limit", [], [make_run(50.0), *make_runs(51.0, 12)], LIMITED, False),
+    (
+        "limit",
+        [],
+        [make_run(50.0), *make_runs(54.0, 12)],
+        {**LIMITED, "fault_periods": [FaultPeriod("pause", 49.0, 53.0)]},
+        False,
+    ),
     ("planned work", [make_request()], [make_run(50.0)], {}, True),
     ("planned work", [make_request(disconnected=True)], [make_run(50.0)], {}, False),
     (
