Never forget the crashes of a cause that is in quarantine for lack of memory

Found by reading: the oldest of 4,096 suspects was dropped even if it was in quarantine, and reporting it to the other routers then failed with a KeyError. test_memory_is_bounded_and_the_quarantine_stays failed before.

--- a/src/hickorylever/direct/crashes.py
+++ b/src/hickorylever/direct/crashes.py
@@ -97,7 +97,8 @@
             suspect.crashes.add(crash)
             self.crash_times.setdefault(crash, latest)
         if len(self.suspects) > MAX_SUSPECTS:
-            self.suspects.popitem(last=False)
+            oldest = next(cause for cause in self.suspects if cause not in self.quarantine)
+            del self.suspects[oldest]
 
     def record_answer(self, causes: Iterable[str], now: float) -> None:
         """Record that an endpoint has answered a request with these causes."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -76,14 +76,18 @@
 
 
 @pytest.mark.parametrize("limit", ["MAX_SUSPECTS", "MAX_ANSWERED"])
-def test_memory_is_bounded(limit, monkeypatch):
+def test_memory_is_bounded_and_the_quarantine_stays(limit, monkeypatch):
     monkeypatch.setattr(crashes_module, limit, 8)
     tracker = CrashTracker()
+    for number in range(3):
+        tracker.record_crash(number, ["b"], 0.0)
     for number in range(50):
         tracker.record_crash(number, [f"s{number}"], 0.0)
         tracker.record_answer([f"a{number}"], 0.0)
     table = tracker.suspects if limit == "MAX_SUSPECTS" else tracker.answered
     assert len(table) == 8
+    assert tracker.quarantine == {"b"}
+    assert "b" in tracker.suspects
 
 
 def test_a_router_that_saw_a_part_answered_says_so_to_one_that_suspects_it():
