Tell other routers how old an answer is that clears a cause

Found by reading: a router that was told of an answer dated it anew and told others in turn, so that a part which turned bad stayed free of blame for ever. Reports carry the age now, as those of crashes do, and the reports that wait are bounded. The new test failed before.

--- a/src/hickorylever/direct/crashes.py
+++ b/src/hickorylever/direct/crashes.py
@@ -7,6 +7,7 @@
 one that crashed different requests, and of these the one that fewest requests share.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
@@ -49,7 +50,7 @@
     requests there report it.
 
     :ivar suspects: causes that nothing has cleared, least recently suspected first.
-    :ivar answered: when a request with each cause was last answered, oldest first.
+    :ivar answered: when a request with each cause was last answered; the latest report is last.
     :ivar crash_times: when each crash was first reported.
     :ivar quarantine: causes of requests that are not run.
     """
@@ -85,7 +86,7 @@
         :param requests: last causes of the requests that ran.
         :param latest: when the latest crash happened.
         """
-        if cause in self.answered:
+        if self.is_answered(cause, latest):
             return
         suspect = self.suspects.setdefault(cause, Suspect(depth))
         self.suspects.move_to_end(cause)
@@ -100,10 +101,14 @@
             oldest = next(cause for cause in self.suspects if cause not in self.quarantine)
             del self.suspects[oldest]
 
-    def record_answer(self, causes: Iterable[str], now: float) -> None:
+    def is_answered(self, cause: str, now: float) -> bool:
+        """Return whether a request with this cause was answered within `RETENTION_SECONDS`."""
+        return now - self.answered.get(cause, -math.inf) <= RETENTION_SECONDS
+
+    def record_answer(self, causes: Iterable[str], answered_at: float) -> None:
         """Record that an endpoint has answered a request with these causes."""
         for cause in causes:
-            self.answered[cause] = now
+            self.answered[cause] = max(answered_at, self.answered.get(cause, answered_at))
             self.answered.move_to_end(cause)
             self.clear(cause)
         while len(self.answered) > MAX_ANSWERED:
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -62,6 +62,16 @@
     causes: tuple[str, ...]
 
 
+class AnswerUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """A cause that is suspected elsewhere and that the sender saw answered.
+
+    :param age: seconds since the latest answer.
+    """
+
+    cause: str
+    age: int
+
+
 class SuspectUpdate(msgspec.Struct, array_like=True, frozen=True):
     """A cause in quarantine.
 
@@ -114,7 +124,7 @@
     :param leaving: whether the sender is shutting down.
     :param routers: IP addresses of routers that the sender knows.
     :param limits: rate limits of endpoints, where one or the number of requests has changed.
-    :param answered: causes that other routers suspect and the sender saw answered.
+    :param suspects: causes in quarantine.
     """
 
     incarnation: int
@@ -129,7 +139,7 @@
     crashes: list[CrashUpdate] = []
     leaving_endpoints: list[LeavingUpdate] = []
     routers: list[str] = []
-    answered: list[str] = []
+    answered: list[AnswerUpdate] = []
     suspects: list[SuspectUpdate] = []
     limits: list[LimitUpdate] = []
 
--- a/src/hickorylever/direct/quarantine.py
+++ b/src/hickorylever/direct/quarantine.py
@@ -6,12 +6,13 @@
 
 from ..events import Event, log
 from .call import Call
-from .crashes import CrashTracker
+from .crashes import RETENTION_SECONDS, CrashTracker
 from .endpoints import Endpoint
-from .peer_protocol import CrashUpdate, Datagram, SuspectUpdate, name_hash
+from .peer_protocol import AnswerUpdate, CrashUpdate, Datagram, SuspectUpdate, name_hash
 
 CRASH_SENDS = 2  # Datagrams that report a crash, as some may be lost.
 ANSWER_SENDS = 2
+MAX_PENDING_CRASHES = 1024  # Reports that wait to be sent.
 MAX_CRASH_UPDATES = 12  # In one datagram, so that it fits a packet.
 MAX_ANSWER_UPDATES = 12
 MAX_SUSPECT_UPDATES = 4
@@ -45,7 +46,8 @@
     def record_loss(self, call: Call, endpoint: Endpoint, now: float) -> None:
         """Record that an endpoint closed the connection before the answer had got far."""
         update = CrashUpdate(crash_number(endpoint), call.causes)
-        self.crash_sends.setdefault(update, CRASH_SENDS)
+        if len(self.crash_sends) < MAX_PENDING_CRASHES:
+            self.crash_sends.setdefault(update, CRASH_SENDS)
         self.record_crash(update, now)
 
     def record_answer(self, call: Call, now: float) -> None:
@@ -83,17 +85,18 @@
     def apply(self, datagram: Datagram, now: float) -> None:
         """Apply another router's reports, and report back what this one saw answered."""
         for update in datagram.crashes:
-            self.report_answered(update.causes)
+            self.report_answered(update.causes, now)
             self.record_crash(update, now)
         self.apply_suspects(datagram.suspects, now)
         before = self.tracker.quarantine
-        self.tracker.record_answer(datagram.answered, now)
+        for update in datagram.answered:
+            self.tracker.record_answer((update.cause,), now - update.age)
         self.log_changes(before)
 
     def apply_suspects(self, updates: list[SuspectUpdate], now: float) -> None:
         """Apply the causes that another router has in quarantine."""
         before = self.tracker.quarantine
-        self.report_answered(update.cause for update in updates)
+        self.report_answered((update.cause for update in updates), now)
         for update in updates:
             latest = now - update.age
             self.tracker.record_suspect(
@@ -103,10 +106,10 @@
             self.tracker.update_quarantine()
         self.log_changes(before)
 
-    def report_answered(self, causes: Iterable[str]) -> None:
+    def report_answered(self, causes: Iterable[str], now: float) -> None:
         """Queue a report of the causes that this router saw answered."""
         for cause in causes:
-            if cause in self.tracker.answered:
+            if self.tracker.is_answered(cause, now):
                 self.answer_sends.setdefault(cause, ANSWER_SENDS)
 
     def suspect_updates(self, now: float) -> list[SuspectUpdate]:
@@ -126,17 +129,23 @@
 
     def take_updates(self, now: float) -> dict[str, list]:
         """Remove and return the updates for one datagram, by its field; empty if none is due."""
+        answered = take_sends(self.answer_sends, MAX_ANSWER_UPDATES)
         updates = {
-            "crashes": take(self.crash_sends, MAX_CRASH_UPDATES),
-            "answered": take(self.answer_sends, MAX_ANSWER_UPDATES),
+            "crashes": take_sends(self.crash_sends, MAX_CRASH_UPDATES),
+            "answered": [self.answer_update(cause, now) for cause in answered],
         }
         if self.tracker.quarantine and now >= self.repeat_at:
             self.repeat_at = now + REPEAT_SECONDS
             updates["suspects"] = self.suspect_updates(now)[:MAX_SUSPECT_UPDATES]
         return updates if any(updates.values()) else {}
 
+    def answer_update(self, cause: str, now: float) -> AnswerUpdate:
+        """Return when a cause was last answered."""
+        age = now - self.tracker.answered.get(cause, -math.inf)
+        return AnswerUpdate(cause, math.ceil(min(age, RETENTION_SECONDS)))
 
-def take(sends: dict, limit: int) -> list:
+
+def take_sends(sends: dict, limit: int) -> list:
     """Return the first keys of a table of sends and count one send of each.
 
     Those that are to be sent again come last.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -121,3 +121,17 @@
     quarantine.crash_sends[CrashUpdate(1, ("b",))] = CRASH_SENDS
     sent = [quarantine.take_updates(0.0) for _ in range(CRASH_SENDS + 1)]
     assert [bool(updates) for updates in sent] == [True] * CRASH_SENDS + [False]
+
+
+def test_reports_between_routers_do_not_prolong_the_time_for_which_an_answer_counts():
+    first, second = Quarantine(), Quarantine()
+    first.tracker.record_answer(["b"], 0.0)
+    step = crashes_module.RETENTION_SECONDS / 20
+    for number in range(1, 24):
+        now = number * step
+        for router, other in ((first, second), (second, first)):
+            router.record_crash(CrashUpdate(number, ("b",)), now)
+            router.crash_sends[CrashUpdate(number, ("b",))] = 1
+            other.apply(Datagram(1, **router.take_updates(now)), now)
+            router.apply(Datagram(1, **other.take_updates(now)), now)
+    assert first.tracker.quarantine == second.tracker.quarantine == {"b"}
