Report all causes in quarantine in turn

Found by reading: only the first four by name were repeated to the other routers, so that a lost datagram about another one was not made up for. The new test failed before.

--- a/src/hickorylever/direct/quarantine.py
+++ b/src/hickorylever/direct/quarantine.py
@@ -30,13 +30,15 @@
 
     :ivar crash_sends: number of datagrams that still report each crash.
     :ivar answer_sends: the same for causes that others suspect and this router saw answered.
-    :ivar repeat_at: monotonic seconds of the next report of the quarantined causes.
+    :ivar suspect_sends: the same for causes in quarantine.
+    :ivar repeat_at: monotonic seconds at which the causes in quarantine are reported again.
     """
 
     def __init__(self):
         self.tracker = CrashTracker()
         self.crash_sends: dict[CrashUpdate, int] = {}
         self.answer_sends: dict[str, int] = {}
+        self.suspect_sends: dict[str, int] = {}
         self.repeat_at = 0.0
 
     def holds(self, call: Call) -> bool:
@@ -129,14 +131,20 @@
 
     def take_updates(self, now: float) -> dict[str, list]:
         """Remove and return the updates for one datagram, by its field; empty if none is due."""
+        if now >= self.repeat_at:
+            self.repeat_at = now + REPEAT_SECONDS
+            self.suspect_sends = dict.fromkeys(sorted(self.tracker.quarantine), 1)
         answered = take_sends(self.answer_sends, MAX_ANSWER_UPDATES)
+        suspects = take_sends(self.suspect_sends, MAX_SUSPECT_UPDATES)
         updates = {
             "crashes": take_sends(self.crash_sends, MAX_CRASH_UPDATES),
             "answered": [self.answer_update(cause, now) for cause in answered],
+            "suspects": [
+                self.suspect_update(cause, now)
+                for cause in suspects
+                if cause in self.tracker.quarantine
+            ],
         }
-        if self.tracker.quarantine and now >= self.repeat_at:
-            self.repeat_at = now + REPEAT_SECONDS
-            updates["suspects"] = self.suspect_updates(now)[:MAX_SUSPECT_UPDATES]
         return updates if any(updates.values()) else {}
 
     def answer_update(self, cause: str, now: float) -> AnswerUpdate:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -135,3 +135,16 @@
             other.apply(Datagram(1, **router.take_updates(now)), now)
             router.apply(Datagram(1, **other.take_updates(now)), now)
     assert first.tracker.quarantine == second.tracker.quarantine == {"b"}
+
+
+def test_all_causes_in_quarantine_are_reported_in_turn():
+    quarantine = Quarantine()
+    causes = {f"b{number}" for number in range(10)}
+    for cause in causes:
+        for number in range(3):
+            quarantine.record_crash(CrashUpdate(hash((cause, number)), (cause,)), 0.0)
+    reported = set()
+    for _ in range(3):
+        reported |= {update.cause for update in quarantine.take_updates(0.0)["suspects"]}
+    assert reported == causes
+    assert quarantine.take_updates(0.0) == {}
