--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -52,7 +52,7 @@
         for _ in range(MAX_ENDPOINTS_TRIED):
             choice = await self.placer.place(call)
             self.placer.refuse_quarantined(call)
-            if choice is None or self.node.quarantine.holds(call):
+            if choice is None or self.node.quarantine.refuses(call):
                 break
             outcome = await self.attempt(call, choice)
             if outcome.result is Result.ANSWERED:
@@ -79,7 +79,7 @@
         began = time.monotonic()
         endpoint.add_request(choice.uncached, began)
         if endpoint.rate_limit is not None:
-            self.node.peer_sync.queue_limit(endpoint)
+            self.node.peer_sync.limits.queue(endpoint)
         peer_sync = self.node.peer_sync
         pending_prefill = PendingPrefill(endpoint, choice.uncached, peer_sync)
         peer_sync.announce_load(endpoint)
@@ -216,10 +216,10 @@
         """
         if rate is None and endpoint.rate_limit is None:
             return
-        peer_sync = self.node.peer_sync
-        if endpoint.limit_rate(rate, peer_sync.router_count, now):
+        limits = self.node.peer_sync.limits
+        if endpoint.limit_rate(rate, limits.router_count, now):
             log(Event.ENDPOINT_LIMITS, endpoint.name, rate=rate)
-            peer_sync.queue_limit(endpoint)
+            limits.queue(endpoint)
 
     def record_outcome(
         self, call: Call, endpoint: Endpoint, outcome: Outcome, seconds: float
@@ -269,7 +269,7 @@
                 return False
         elif not call.route.repeatable or call.attempts >= call.route.max_attempts:
             return False
-        if self.node.quarantine.holds(call):
+        if self.node.quarantine.refuses(call):
             return False
         return self.node.budget.withdraw(call.service.name, now)
 
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -8,13 +8,14 @@
 
 from ..events import Event, log, logger
 from ..http import listen
-from .endpoints import Endpoint, PeerLoad
+from .endpoints import PeerLoad
+from .limit_reports import LimitReports
 from .outbox import Outbox
 from .peer_protocol import (
     FLUSH_INTERVAL_SECONDS,
     FLUSH_SECONDS_PER_PEER,
     Datagram,
-    LimitUpdate,
+    Peer,
     PeerTable,
     decode,
     encode,
@@ -27,7 +28,6 @@
 
 TICK_SECONDS = 0.02
 DATAGRAM_BUFFER_BYTES = 65536
-MAX_LIMIT_UPDATES = 24  # In one datagram, so that it fits a packet.
 MAX_ADDRESSES_PER_DATAGRAM = 64
 DECODE_ERRORS = (msgspec.DecodeError, TypeError, ValueError)
 
@@ -36,8 +36,6 @@
     """Exchanges datagrams with the other routers.
 
     :param node: the components of this router.
-    :ivar limited_endpoints: hashes of the names of endpoints whose rate limit, or the number of
-        requests sent under it, has changed.
     """
 
     def __init__(self, node):
@@ -50,7 +48,7 @@
         self.pulls = StatePulls(node, self.domain_hash, self.watching)
         self.rank = watcher_rank(node.settings.address, node.settings.link_mbps)
         self.registration = Registration(node, self.peers, self.rank)
-        self.limited_endpoints: set[int] = set()
+        self.limits = LimitReports(node, self.peers)
         self.sock = None
 
     async def run(self) -> None:
@@ -77,19 +75,13 @@
         self.node.budget.router_count = len(self.peers.by_address) + 1
         interval = FLUSH_INTERVAL_SECONDS + FLUSH_SECONDS_PER_PEER * len(alive)
         if self.outbox.due(now, interval):
-            data = encode(self.datagram(**self.outbox.take(now)))
-            for peer in alive:
-                await self.send(data, peer.address)
+            await self.broadcast(alive, **self.outbox.take(now))
         if updates := self.take_urgent_updates(now):
-            data = encode(self.datagram(**updates))
-            for peer in alive:
-                await self.send(data, peer.address)
+            await self.broadcast(alive, **updates)
         unreachable = self.peers.take_due_probes(now)
         if unreachable:
             addresses = [peer.address for peer in alive][:MAX_ADDRESSES_PER_DATAGRAM]
-            data = encode(self.datagram(answer_wanted=True, routers=addresses))
-            for peer in unreachable:
-                await self.send(data, peer.address)
+            await self.broadcast(unreachable, answer_wanted=True, routers=addresses)
         for address in self.peers.take_expired(self.rank, now):
             await curio.spawn(self.registration.delete, address, daemon=True)
         await self.pulls.catch_up(now, alive)
@@ -97,33 +89,15 @@
     def take_urgent_updates(self, now: float) -> dict[str, list]:
         """Return the updates that don't wait for the interval between datagrams, by field."""
         updates = self.node.quarantine.take_updates(now)
-        limits = [self.limit_update(key) for key in sorted(self.limited_endpoints)]
-        if limits:
-            updates["limits"] = limits[:MAX_LIMIT_UPDATES]
-            self.limited_endpoints.difference_update(
-                update.endpoint for update in updates["limits"]
-            )
+        if limits := self.limits.take():
+            updates["limits"] = limits
         return updates
 
-    def limit_update(self, key: int) -> LimitUpdate:
-        """Return what this router knows of an endpoint's rate limit.
-
-        :param key: hash of the endpoint's name.
-        """
-        endpoint = self.node.directory.by_hash.get(key)
-        limit = endpoint.rate_limit if endpoint else None
-        if limit is None:
-            return LimitUpdate(key, None, 0)
-        return LimitUpdate(key, limit.rate, limit.own_count)
-
-    @property
-    def router_count(self) -> int:
-        """Return the number of routers that are alive, with this one."""
-        return len(self.peers.alive(time.monotonic())) + 1
-
-    def queue_limit(self, endpoint: Endpoint) -> None:
-        """Queue what is known of an endpoint's rate limit for the next datagram."""
-        self.limited_endpoints.add(name_hash(endpoint.name))
+    async def broadcast(self, peers: list[Peer], **updates) -> None:
+        """Send a datagram with the given updates to other routers."""
+        data = encode(self.datagram(**updates))
+        for peer in peers:
+            await self.send(data, peer.address)
 
     def datagram(self, **updates) -> Datagram:
         """Return a datagram with this router's positions and the given updates."""
@@ -199,10 +173,7 @@
             endpoint = by_hash.get(update.endpoint)
             if endpoint is not None:
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
-        for update in datagram.limits:
-            endpoint = by_hash.get(update.endpoint)
-            if endpoint is not None:
-                endpoint.record_peer_limit(address, update, self.router_count, now)
+        self.limits.apply(address, datagram.limits, now)
         self.node.quarantine.apply(datagram, now)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
@@ -220,9 +191,7 @@
 
     async def leave(self) -> None:
         """Announce to the other routers that this one is shutting down."""
-        data = encode(self.datagram(leaving=True))
-        for peer in self.peers.alive(time.monotonic()):
-            await self.send(data, peer.address)
+        await self.broadcast(self.peers.alive(time.monotonic()), leaving=True)
 
     def announce_load(self, endpoint) -> None:
         """Queue this router's load at an endpoint for the next datagram."""
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -32,7 +32,7 @@
 
         :raises RequestError: if it is refused.
         """
-        if call.ran is Ran.NO and self.node.quarantine.holds(call):
+        if call.ran is Ran.NO and self.node.quarantine.refuses(call):
             raise RequestError(Kind.QUARANTINED, "", Ran.NO, QUARANTINE_RETRY_AFTER_SECONDS)
 
     async def refuse_queued(self) -> None:
--- a/src/hickorylever/direct/quarantine.py
+++ b/src/hickorylever/direct/quarantine.py
@@ -41,7 +41,7 @@
         self.suspect_sends: dict[str, int] = {}
         self.repeat_at = 0.0
 
-    def holds(self, call: Call) -> bool:
+    def refuses(self, call: Call) -> bool:
         """Return whether the call must not run."""
         return self.tracker.is_quarantined(call.causes)
 
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -289,11 +289,11 @@
         seen = second.directory.endpoints["i-0"]
         endpoint.limit_rate(3.0, 2, time.monotonic())
         endpoint.add_request(0.0, time.monotonic())
-        first.peer_sync.queue_limit(endpoint)
+        first.peer_sync.limits.queue(endpoint)
         await fleet.until(lambda: seen.rate_limit is not None)
         assert (seen.rate_limit.rate, len(seen.rate_limit.sends)) == (3.0, 1)
         endpoint.limit_rate(None, 2, time.monotonic())
-        first.peer_sync.queue_limit(endpoint)
+        first.peer_sync.limits.queue(endpoint)
         await fleet.until(lambda: seen.rate_limit is None)
 
     play(scenario, 2)
--- a/tests/test_trace_causes.py
+++ b/tests/test_trace_causes.py
@@ -42,7 +42,7 @@
 
 
 async def quarantine_all_requests(harness):
-    harness.node.quarantine.holds = lambda call: True
+    harness.node.quarantine.refuses = lambda call: True
 
 
 async def fill_all_slots(harness):
