Delete a released cause from the store whichever router wrote it

Found by reading: where the router that had written a cause ended, no other one deleted its object, and a fleet that started later put the cause in quarantine again. The new test failed before (its object stayed).

--- a/src/hickorylever/direct/registration.py
+++ b/src/hickorylever/direct/registration.py
@@ -25,7 +25,8 @@
     :param peers: table that the routers found in the store are added to.
     :param rank: rank of this router; the one with the lowest rank writes the causes.
     :ivar era: of the store that this router was last registered in.
-    :ivar stored_causes: causes that the store holds.
+    :ivar stored_causes: causes that this router found in the store or wrote there.
+    :ivar known_causes: causes that the store may hold, whoever wrote them.
     """
 
     def __init__(self, node, peers, rank: int):
@@ -34,6 +35,7 @@
         self.rank = rank
         self.era = 0
         self.stored_causes: set[str] = set()
+        self.known_causes: set[str] = set()
 
     async def run(self) -> None:
         """Keep this router registered in the store until cancelled."""
@@ -70,6 +72,7 @@
         """
         updates = [update for update in map(parse_suspect, objects) if update is not None]
         self.stored_causes.update(update.cause for update in updates)
+        self.known_causes |= self.stored_causes
         self.node.quarantine.apply_suspects(updates, time.monotonic())
 
     async def create(self) -> None:
@@ -96,6 +99,7 @@
         node = self.node
         while True:
             await curio.sleep(REGISTER_RETRY_SECONDS * (1 + node.rng.random()))
+            self.known_causes |= node.quarantine.tracker.quarantine
             try:
                 if self.era != self.known_era():
                     self.stored_causes.clear()
@@ -106,7 +110,10 @@
                 log_failure(error)
 
     async def store_quarantine(self) -> None:
-        """Create the objects of causes that came into quarantine and delete the others' ones."""
+        """Create the objects of causes in quarantine and delete those of released ones.
+
+        Another router may have written the latter before this one had the lowest rank.
+        """
         node = self.node
         for update in node.quarantine.suspect_updates(time.monotonic()):
             if update.cause not in self.stored_causes:
@@ -116,8 +123,9 @@
                         node.codec.ROUTERS, suspect_object_name(update.cause), spec
                     )
                 self.stored_causes.add(update.cause)
-        for cause in self.stored_causes - node.quarantine.tracker.quarantine:
+        for cause in self.known_causes - node.quarantine.tracker.quarantine:
             await node.store.delete(node.codec.ROUTERS, suspect_object_name(cause))
+            self.known_causes.discard(cause)
             self.stored_causes.discard(cause)
 
     async def delete(self, address: str) -> None:
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -271,6 +271,24 @@
     play(scenario, 1)
 
 
+def test_a_released_cause_is_deleted_by_another_router_than_wrote_it(monkeypatch):
+    monkeypatch.setattr(registration, "REGISTER_RETRY_SECONDS", 0.05)
+
+    async def scenario(fleet):
+        first, second = sorted(fleet.nodes, key=lambda node: node.peer_sync.rank)
+        quarantine_a_part(first)
+        await fleet.until(lambda: stored_causes(fleet))
+        await fleet.until(lambda: second.quarantine.tracker.quarantine == {"bad"})
+        await curio.sleep(0.3)
+        first.peer_sync.registration.rank = second.peer_sync.rank + 1
+        second.peer_sync.peers.by_address.clear()
+        for router in fleet.nodes:
+            router.quarantine.tracker.record_answer(["bad"], 1.0)
+        await fleet.until(lambda: not stored_causes(fleet))
+
+    play(scenario, 2)
+
+
 def test_malformed_causes_in_the_store_are_left_out():
     async def scenario(fleet):
         for number, spec in enumerate(({"suspect": 1}, {"suspect": ["b", 1]}, {"suspect": None})):
