Count the answers of the drain test by answers, not by time

The stop now comes after more than 40 answers, and each of the 20 callers must get one during it, which was not asked for before.

--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -55,14 +55,15 @@
                 statuses.append((response.status, response.body is not None))
 
         callers = [await curio.spawn(call, number) for number in range(20)]
-        await curio.sleep(0.1)
+        await harness.until(lambda: len(statuses) > 40)
+        before = len(statuses)
         harness.router.server.draining = True
         harness.node.draining = True
         await harness.router.drain()
         stopped = True
         for caller in callers:
             await caller.join()
-        assert len(statuses) > 40
+        assert len(statuses) >= before + len(callers)
         assert set(statuses) == {(200, True)}
 
     run_scenario(scenario, ("well",), ("well",))
