Give each run of the tests a loopback network of its own; date crashes in tests as they happen

test_loads_and_cached_parts_reach_the_other_routers failed twice when two runs of the tests overlapped. Two runs at the same time show the cause: both bind 127.0.1.1 and port 18473.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -3,7 +3,7 @@
 import curio
 import pytest
 from direct_harness import entry, run_scenario
-from test_peer_sync import play
+from test_peer_sync import NETWORK, play
 
 from hickorylever.direct.endpoints import MAX_DEFERRAL_SECONDS, Endpoint
 from hickorylever.direct.peer_protocol import LeavingUpdate, name_hash
@@ -133,7 +133,7 @@
         await fleet.until(
             lambda: not any(n.directory.endpoints["i-0"].accepting for n in fleet.nodes[1:])
         )
-        starting = await fleet.start(7, seeds=["127.0.1.1"])
+        starting = await fleet.start(7, seeds=[f"{NETWORK}.1"])
         await fleet.until(starting.ready)
         await fleet.until(lambda: not starting.directory.endpoints["i-0"].accepting)
         await fleet.store.put("servers", "i-0", entry(fleet.ports[0], born=BORN + 1))
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -1,6 +1,7 @@
 """Several routers on separate loopback addresses that exchange datagrams and state."""
 
 import dataclasses
+import os
 import time
 
 import curio
@@ -13,13 +14,16 @@
 from hickorylever.direct.outbox import Outbox
 from hickorylever.direct.peer_protocol import CrashUpdate
 from hickorylever.direct.records import PromptPart
+from hickorylever.direct.registration import router_object_name
 
 PEER_PORT = 18473
+# Runs of the tests that overlap each have a loopback network of their own.
+NETWORK = f"127.{64 + os.getpid() // 256 % 64}.{os.getpid() % 256}"
 TIMEOUT_SECONDS = 5.0
 
 
 class Fleet(DirectHarness):
-    """Routers without listeners for callers, at 127.0.1.1 and the following addresses."""
+    """Routers without listeners for callers, from the first address of `NETWORK` on."""
 
     def __init__(self, count, endpoints=2):
         super().__init__(*[("well",)] * endpoints, autostart=False)
@@ -30,7 +34,7 @@
         settings = dataclasses.replace(
             self.settings(),
             vm=f"entry-{number}",
-            address=f"127.0.1.{number + 1}",
+            address=f"{NETWORK}.{number + 1}",
             peer_port=PEER_PORT,
             store=("127.0.0.1", store_port or self.store_port),
             seeds=tuple(seeds),
@@ -76,8 +80,8 @@
         first.peer_sync.outbox.queue_cached_part("i-0", "ab12", 900, 0.0)
         for node in (second, third):
             seen = node.directory.endpoints["i-0"]
-            await fleet.until(lambda seen=seen: "127.0.1.1" in seen.peers)
-            assert seen.peers["127.0.1.1"].requests == 1
+            await fleet.until(lambda seen=seen: f"{NETWORK}.1" in seen.peers)
+            assert seen.peers[f"{NETWORK}.1"].requests == 1
             assert seen.prompt_cache.cached_prefix_tokens([PromptPart("ab12", 900)]) == 900
 
     play(scenario, 3)
@@ -125,7 +129,7 @@
 
 def test_a_router_without_the_store_gets_changes_from_other_routers(monkeypatch):
     async def scenario(fleet):
-        isolated = await fleet.start(7, seeds=["127.0.1.1"], store_port=1)
+        isolated = await fleet.start(7, seeds=[f"{NETWORK}.1"], store_port=1)
         await fleet.until(isolated.ready)
         await fleet.store.put("config", "main", configuration(version=8))
         await fleet.store.put("servers", "i-0", entry(fleet.ports[0], state="draining"))
@@ -157,7 +161,7 @@
 def test_a_starting_router_gets_the_cached_parts():
     async def scenario(fleet):
         fleet.nodes[0].directory.endpoints["i-0"].prompt_cache.add([PromptPart("cd", 700)], 0)
-        starting = await fleet.start(5, seeds=["127.0.1.1"])
+        starting = await fleet.start(5, seeds=[f"{NETWORK}.1"])
         await fleet.until(starting.ready)
         cache = starting.directory.endpoints["i-0"].prompt_cache
         await fleet.until(lambda: cache.cached_prefix_tokens([PromptPart("cd", 700)]) == 700)
@@ -169,7 +173,7 @@
     async def scenario(fleet):
         first, second = fleet.nodes
         await first.peer_sync.leave()
-        await fleet.until(lambda: "127.0.1.1" not in second.peer_sync.peers.by_address)
+        await fleet.until(lambda: f"{NETWORK}.1" not in second.peer_sync.peers.by_address)
 
     play(scenario, 2)
 
@@ -178,7 +182,7 @@
 def test_malformed_datagrams_are_dropped(data):
     async def scenario(fleet):
         node = fleet.nodes[0]
-        node.peer_sync.sock._socket.sendto(data, ("127.0.1.2", PEER_PORT))
+        node.peer_sync.sock._socket.sendto(data, (f"{NETWORK}.2", PEER_PORT))
         await curio.sleep(0.05)
         assert fleet.nodes[1].ready()
 
@@ -206,8 +210,8 @@
     async def scenario(fleet):
         first, second = fleet.nodes
         datagram = first.peer_sync.datagram(leaving=leaving)
-        await first.peer_sync.handle_datagram("127.0.1.1", datagram)
-        assert list(first.peer_sync.peers.by_address) == ["127.0.1.2"]
+        await first.peer_sync.handle_datagram(f"{NETWORK}.1", datagram)
+        assert list(first.peer_sync.peers.by_address) == [f"{NETWORK}.2"]
 
     play(scenario, 2)
 
@@ -225,26 +229,28 @@
     monkeypatch.setattr(peer_protocol, "PEER_LIFETIME_SECONDS", 1.5)
 
     async def scenario(fleet):
-        await fleet.store.put("hickorylever-routers", "127-0-1-99", {"address": "127.0.1.99"})
+        address = f"{NETWORK}.99"
+        expired = ("hickorylever-routers", router_object_name(address))
+        await fleet.store.put(*expired, {"address": address})
         for node in fleet.nodes:
-            node.peer_sync.peers.add_addresses(["127.0.1.99"], time.monotonic())
-        expired = ("hickorylever-routers", "127-0-1-99")
+            node.peer_sync.peers.add_addresses([address], time.monotonic())
         await fleet.until(lambda: expired not in fleet.store.objects)
         assert fleet.store.calls["DELETE"] == 1
-        assert ("hickorylever-routers", "127-0-1-1") in fleet.store.objects
+        assert ("hickorylever-routers", router_object_name(f"{NETWORK}.1")) in fleet.store.objects
 
     play(scenario, 2)
 
 
 def quarantine_a_part(node):
     for number in range(3):
-        node.quarantine.record_crash(CrashUpdate(number, ("5a", "bad", f"own-{number}")), 0.0)
+        update = CrashUpdate(number, ("5a", "bad", f"own-{number}"))
+        node.quarantine.record_crash(update, time.monotonic())
 
 
 def test_a_starting_router_gets_the_quarantine_of_another():
     async def scenario(fleet):
         quarantine_a_part(fleet.nodes[0])
-        starting = await fleet.start(5, seeds=["127.0.1.1"])
+        starting = await fleet.start(5, seeds=[f"{NETWORK}.1"])
         await fleet.until(lambda: starting.quarantine.tracker.quarantine == {"bad"})
 
     play(scenario, 1)
@@ -265,7 +271,7 @@
         starting.peer_sync.peers.by_address.clear()
         await fleet.until(lambda: starting.quarantine.tracker.quarantine == {"bad"})
         for router in fleet.nodes:
-            router.quarantine.tracker.record_answer(["bad"], 1.0)
+            router.quarantine.tracker.record_answer(["5a", "bad"], time.monotonic())
         await fleet.until(lambda: not stored_causes(fleet))
 
     play(scenario, 1)
@@ -283,7 +289,7 @@
         first.peer_sync.registration.rank = second.peer_sync.rank + 1
         second.peer_sync.peers.by_address.clear()
         for router in fleet.nodes:
-            router.quarantine.tracker.record_answer(["bad"], 1.0)
+            router.quarantine.tracker.record_answer(["5a", "bad"], time.monotonic())
         await fleet.until(lambda: not stored_causes(fleet))
 
     play(scenario, 2)
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -5,9 +5,10 @@
 import curio
 import pytest
 from direct_harness import configuration, entry, run_scenario
-from test_peer_sync import play
+from test_peer_sync import NETWORK, play
 
 from hickorylever.direct.position import Position
+from hickorylever.direct.registration import router_object_name
 from hickorylever.exceptions import HistoryLost
 from hickorylever.http import Client
 from hickorylever.platform import Store
@@ -198,7 +199,7 @@
     monkeypatch.setattr("hickorylever.direct.registration.REGISTER_RETRY_SECONDS", 0.05)
 
     async def scenario(fleet):
-        key = ("hickorylever-routers", "127-0-1-1")
+        key = ("hickorylever-routers", router_object_name(f"{NETWORK}.1"))
         copy = dataclasses.replace(
             fleet.store.copy(),
             objects={name: value for name, value in fleet.store.objects.items() if name != key},
@@ -216,7 +217,7 @@
 
 def test_a_router_without_the_store_follows_the_others_into_the_new_era():
     async def scenario(fleet):
-        isolated = await fleet.start(7, seeds=["127.0.1.1"], store_port=1)
+        isolated = await fleet.start(7, seeds=[f"{NETWORK}.1"], store_port=1)
         await fleet.until(isolated.ready)
         copy = fleet.store.copy()
         await fleet.store.put("config", "main", configuration(version=8))
