Tell changes of the quarantine in the one place where it changes

Five methods compared the quarantine before and after a call to log what had changed. The tracker now calls back where it changes the set. The answers of one request or datagram are recorded together, so that the quarantine is computed once for them.

--- a/src/hickorylever/direct/crashes.py
+++ b/src/hickorylever/direct/crashes.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from .. import defaults
@@ -37,6 +37,11 @@
     latest: float = 0.0
     requests: set[str] = field(default_factory=set)
 
+    @property
+    def candidate(self) -> bool:
+        """Return whether it may explain enough crashes to be quarantined."""
+        return len(self.crashes) >= QUARANTINE_ENDPOINTS
+
     def add_request(self, request: str) -> None:
         """Add one of the requests, up to `MAX_REQUESTS`."""
         if len(self.requests) < MAX_REQUESTS:
@@ -49,13 +54,18 @@
     A crash is identified by a number for the endpoint's incarnation, as all routers that had
     requests there report it.
 
+    :param on_change: called with the causes in quarantine before and after a change.
     :ivar suspects: causes that nothing has cleared, least recently suspected first.
     :ivar answered: when a request with each cause was last answered; the latest report is last.
     :ivar crash_times: when each crash was first reported.
     :ivar quarantine: causes of requests that are not run.
     """
 
-    def __init__(self):
+    def __init__(
+        self,
+        on_change: Callable[[frozenset[str], frozenset[str]], None] = lambda before, after: None,
+    ):
+        self.on_change = on_change
         self.suspects: OrderedDict[str, Suspect] = OrderedDict()
         self.answered: OrderedDict[str, float] = OrderedDict()
         self.crash_times: dict[int, float] = {}
@@ -65,14 +75,9 @@
         """Record that a request with these causes ran at an endpoint when it crashed."""
         for depth, cause in enumerate(causes):
             self.record_suspect(cause, depth, (crash,), causes[-1:], now)
-        if any(self.is_candidate(cause) for cause in causes):
+        if any(cause in self.suspects and self.suspects[cause].candidate for cause in causes):
             self.update_quarantine()
 
-    def is_candidate(self, cause: str) -> bool:
-        """Return whether a cause may explain enough crashes to be quarantined."""
-        suspect = self.suspects.get(cause)
-        return suspect is not None and len(suspect.crashes) >= QUARANTINE_ENDPOINTS
-
     def record_suspect(
         self,
         cause: str,
@@ -105,20 +110,17 @@
         """Return whether a request with this cause was answered within `RETENTION_SECONDS`."""
         return now - self.answered.get(cause, -math.inf) <= RETENTION_SECONDS
 
-    def record_answer(self, causes: Iterable[str], answered_at: float) -> None:
-        """Record that an endpoint has answered a request with these causes."""
-        for cause in causes:
+    def record_answers(self, answers: Mapping[str, float]) -> None:
+        """Record when an endpoint has answered requests with each of these causes."""
+        cleared = []
+        for cause, answered_at in answers.items():
             self.answered[cause] = max(answered_at, self.answered.get(cause, answered_at))
             self.answered.move_to_end(cause)
-            self.clear(cause)
+            if suspect := self.suspects.pop(cause, None):
+                cleared.append(suspect)
         while len(self.answered) > MAX_ANSWERED:
             self.answered.popitem(last=False)
-
-    def clear(self, cause: str) -> None:
-        """Forget the crashes that a cause may explain."""
-        was_candidate = self.is_candidate(cause)
-        self.suspects.pop(cause, None)
-        if was_candidate:
+        if any(suspect.candidate for suspect in cleared):
             self.update_quarantine()
 
     def record_alive(self, crash: int, sent_at: float) -> None:
@@ -137,7 +139,7 @@
     def update_quarantine(self) -> None:
         """Quarantine the causes that explain most crashes, each with enough of its own."""
         candidates = {
-            cause: suspect for cause, suspect in self.suspects.items() if self.is_candidate(cause)
+            cause: suspect for cause, suspect in self.suspects.items() if suspect.candidate
         }
         chosen = choose_causes(candidates)
         kept = {
@@ -145,7 +147,9 @@
             for cause in self.quarantine & candidates.keys()
             if not any(explains_better(suspect, candidates[cause]) for suspect in chosen.values())
         }
-        self.quarantine = frozenset(chosen.keys() | kept)
+        before, self.quarantine = self.quarantine, frozenset(chosen.keys() | kept)
+        if self.quarantine != before:
+            self.on_change(before, self.quarantine)
 
     def is_quarantined(self, causes: Iterable[str]) -> bool:
         """Return whether a request has a cause in quarantine."""
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -236,7 +236,7 @@
         while True:
             await curio.sleep(EXPIRY_INTERVAL_SECONDS)
             self.directory.expire(time.monotonic())
-            self.quarantine.expire(time.monotonic())
+            self.quarantine.tracker.expire(time.monotonic())
             await self.client.reap()
 
 
--- a/src/hickorylever/direct/quarantine.py
+++ b/src/hickorylever/direct/quarantine.py
@@ -6,7 +6,7 @@
 
 from ..events import Event, log
 from .call import Call
-from .crashes import RETENTION_SECONDS, CrashTracker
+from .crashes import CrashTracker
 from .endpoints import Endpoint
 from .peer_protocol import AnswerUpdate, CrashUpdate, Datagram, SuspectUpdate, name_hash
 
@@ -35,7 +35,7 @@
     """
 
     def __init__(self):
-        self.tracker = CrashTracker()
+        self.tracker = CrashTracker(self.log_changes)
         self.crash_sends: dict[CrashUpdate, int] = {}
         self.answer_sends: dict[str, int] = {}
         self.suspect_sends: dict[str, int] = {}
@@ -50,54 +50,37 @@
         update = CrashUpdate(crash_number(endpoint), call.causes)
         if len(self.crash_sends) < MAX_PENDING_CRASHES:
             self.crash_sends.setdefault(update, CRASH_SENDS)
-        self.record_crash(update, now)
+        self.tracker.record_crash(update.crash, update.causes, now)
 
     def record_answer(self, call: Call, now: float) -> None:
         """Record that an endpoint answers the call, or has got far with it."""
-        before = self.tracker.quarantine
-        self.tracker.record_answer(call.causes, now)
-        self.log_changes(before)
+        self.tracker.record_answers(dict.fromkeys(call.causes, now))
 
     def record_alive(self, endpoint: Endpoint, sent_at: float) -> None:
         """Record that an endpoint answers a request, sent at a time in monotonic seconds."""
         if self.tracker.crash_times:
             self.tracker.record_alive(crash_number(endpoint), sent_at)
 
-    def record_crash(self, update: CrashUpdate, now: float) -> None:
-        """Record a crash, and log the causes that are quarantined or released for it."""
-        before = self.tracker.quarantine
-        self.tracker.record_crash(update.crash, update.causes, now)
-        self.log_changes(before)
-
-    def log_changes(self, before: frozenset[str]) -> None:
+    def log_changes(self, before: frozenset[str], after: frozenset[str]) -> None:
         """Log the causes that have come into quarantine or left it."""
-        after = self.tracker.quarantine
         for cause in after - before:
             crashes = len(self.tracker.suspects[cause].crashes)
             log(Event.CAUSE_QUARANTINED, cause, logging.WARNING, crashes=crashes)
         for cause in before - after:
             log(Event.CAUSE_RELEASED, cause)
 
-    def expire(self, now: float) -> None:
-        """Forget what is old."""
-        before = self.tracker.quarantine
-        self.tracker.expire(now)
-        self.log_changes(before)
-
     def apply(self, datagram: Datagram, now: float) -> None:
         """Apply another router's reports, and report back what this one saw answered."""
         for update in datagram.crashes:
             self.report_answered(update.causes, now)
-            self.record_crash(update, now)
+            self.tracker.record_crash(update.crash, update.causes, now)
         self.apply_suspects(datagram.suspects, now)
-        before = self.tracker.quarantine
-        for update in datagram.answered:
-            self.tracker.record_answer((update.cause,), now - update.age)
-        self.log_changes(before)
+        self.tracker.record_answers(
+            {update.cause: now - update.age for update in datagram.answered}
+        )
 
     def apply_suspects(self, updates: list[SuspectUpdate], now: float) -> None:
         """Apply the causes that another router has in quarantine."""
-        before = self.tracker.quarantine
         self.report_answered((update.cause for update in updates), now)
         for update in updates:
             latest = now - update.age
@@ -106,7 +89,6 @@
             )
         if updates:
             self.tracker.update_quarantine()
-        self.log_changes(before)
 
     def report_answered(self, causes: Iterable[str], now: float) -> None:
         """Queue a report of the causes that this router saw answered."""
@@ -138,7 +120,11 @@
         suspects = take_sends(self.suspect_sends, MAX_SUSPECT_UPDATES)
         updates = {
             "crashes": take_sends(self.crash_sends, MAX_CRASH_UPDATES),
-            "answered": [self.answer_update(cause, now) for cause in answered],
+            "answered": [
+                AnswerUpdate(cause, math.ceil(now - self.tracker.answered[cause]))
+                for cause in answered
+                if cause in self.tracker.answered
+            ],
             "suspects": [
                 self.suspect_update(cause, now)
                 for cause in suspects
@@ -147,11 +133,6 @@
         }
         return updates if any(updates.values()) else {}
 
-    def answer_update(self, cause: str, now: float) -> AnswerUpdate:
-        """Return when a cause was last answered."""
-        age = now - self.tracker.answered.get(cause, -math.inf)
-        return AnswerUpdate(cause, math.ceil(min(age, RETENTION_SECONDS)))
-
 
 def take_sends(sends: dict, limit: int) -> list:
     """Return the first keys of a table of sends and count one send of each.
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -1,5 +1,7 @@
 """Test harness: a direct router with stand-ins of the store and the endpoints, on loopback."""
 
+import time
+
 import curio
 import msgspec
 
@@ -198,6 +200,13 @@
     return listener.getsockname()[1], task
 
 
+def quarantine_a_part(node):
+    """Let three endpoints crash under requests that share the part ``bad``."""
+    for number in range(3):
+        causes = ("5a", "bad", f"own-{number}")
+        node.quarantine.tracker.record_crash(number, causes, time.monotonic())
+
+
 def events(*numbers):
     return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
 
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -4,9 +4,8 @@
 
 import curio
 import pytest
-from direct_harness import run_scenario
+from direct_harness import quarantine_a_part, run_scenario
 
-from hickorylever.direct.peer_protocol import CrashUpdate
 from hickorylever.direct.records import Engine, Service
 
 PATH = "/resumable/stream/x"
@@ -54,9 +53,7 @@
         task = await curio.spawn(harness.send_request, PATH, "POST", headers)
         queues = harness.router.forwarder.placer.queues
         await harness.until(lambda: any(queue.entries for queue in queues.values()))
-        for number in range(3):
-            update = CrashUpdate(number, ("5a", "bad", f"own-{number}"))
-            harness.node.quarantine.record_crash(update, time.monotonic())
+        quarantine_a_part(harness.node)
         quarantined_at = time.monotonic()
         response = await task.join()
         assert (response.status, harness.runs) == (503, [])
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -6,7 +6,7 @@
 
 import curio
 import pytest
-from direct_harness import DirectHarness, configuration, entry
+from direct_harness import DirectHarness, configuration, entry, quarantine_a_part
 
 from hickorylever import platform
 from hickorylever.direct import endpoints, peer_protocol, registration
@@ -241,12 +241,6 @@
     play(scenario, 2)
 
 
-def quarantine_a_part(node):
-    for number in range(3):
-        update = CrashUpdate(number, ("5a", "bad", f"own-{number}"))
-        node.quarantine.record_crash(update, time.monotonic())
-
-
 def test_a_starting_router_gets_the_quarantine_of_another():
     async def scenario(fleet):
         quarantine_a_part(fleet.nodes[0])
@@ -271,7 +265,9 @@
         starting.peer_sync.peers.by_address.clear()
         await fleet.until(lambda: starting.quarantine.tracker.quarantine == {"bad"})
         for router in fleet.nodes:
-            router.quarantine.tracker.record_answer(["5a", "bad"], time.monotonic())
+            router.quarantine.tracker.record_answers(
+                dict.fromkeys(["5a", "bad"], time.monotonic())
+            )
         await fleet.until(lambda: not stored_causes(fleet))
 
     play(scenario, 1)
@@ -289,7 +285,9 @@
         first.peer_sync.registration.rank = second.peer_sync.rank + 1
         second.peer_sync.peers.by_address.clear()
         for router in fleet.nodes:
-            router.quarantine.tracker.record_answer(["5a", "bad"], time.monotonic())
+            router.quarantine.tracker.record_answers(
+                dict.fromkeys(["5a", "bad"], time.monotonic())
+            )
         await fleet.until(lambda: not stored_causes(fleet))
 
     play(scenario, 2)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -38,7 +38,7 @@
     tracker = CrashTracker()
     for report in reports:
         if isinstance(report, str):
-            tracker.record_answer(report, 0.0)
+            tracker.record_answers(dict.fromkeys(report, 0.0))
         else:
             tracker.record_crash(report[0], report[1], 1.0)
     assert tracker.quarantine == frozenset(quarantined)
@@ -83,7 +83,7 @@
         tracker.record_crash(number, ["b"], 0.0)
     for number in range(50):
         tracker.record_crash(number, [f"s{number}"], 0.0)
-        tracker.record_answer([f"a{number}"], 0.0)
+        tracker.record_answers(dict.fromkeys([f"a{number}"], 0.0))
     table = tracker.suspects if limit == "MAX_SUSPECTS" else tracker.answered
     assert len(table) == 8
     assert tracker.quarantine == {"b"}
@@ -92,9 +92,9 @@
 
 def test_a_router_that_saw_a_part_answered_says_so_to_one_that_suspects_it():
     first, second = Quarantine(), Quarantine()
-    second.tracker.record_answer(["a"], 0.0)
+    second.tracker.record_answers(dict.fromkeys(["a"], 0.0))
     for number in range(3):
-        first.record_crash(CrashUpdate(number, ("a",)), 1.0)
+        first.tracker.record_crash(number, ("a",), 1.0)
     assert first.tracker.quarantine == {"a"}
     second.apply(Datagram(1, **first.take_updates(1.0)), 1.0)
     assert second.tracker.quarantine == frozenset()
@@ -105,14 +105,14 @@
 def test_reports_between_routers_do_not_prolong_a_quarantine():
     first, second = Quarantine(), Quarantine()
     for number in range(3):
-        first.record_crash(CrashUpdate(number, ("b",)), 0.0)
+        first.tracker.record_crash(number, ("b",), 0.0)
     for step in range(1, 300):
         now = step * 2.0
         second.apply(Datagram(1, **first.take_updates(now)), now)
         first.apply(Datagram(1, **second.take_updates(now)), now)
         assert second.tracker.quarantine == {"b"}
     for router in (first, second):
-        router.expire(crashes_module.RETENTION_SECONDS + 0.1)
+        router.tracker.expire(crashes_module.RETENTION_SECONDS + 0.1)
         assert router.tracker.quarantine == frozenset()
 
 
@@ -125,12 +125,12 @@
 
 def test_reports_between_routers_do_not_prolong_the_time_for_which_an_answer_counts():
     first, second = Quarantine(), Quarantine()
-    first.tracker.record_answer(["b"], 0.0)
+    first.tracker.record_answers(dict.fromkeys(["b"], 0.0))
     step = crashes_module.RETENTION_SECONDS / 20
     for number in range(1, 24):
         now = number * step
         for router, other in ((first, second), (second, first)):
-            router.record_crash(CrashUpdate(number, ("b",)), now)
+            router.tracker.record_crash(number, ("b",), now)
             router.crash_sends[CrashUpdate(number, ("b",))] = 1
             other.apply(Datagram(1, **router.take_updates(now)), now)
             router.apply(Datagram(1, **other.take_updates(now)), now)
@@ -142,7 +142,7 @@
     causes = {f"b{number}" for number in range(10)}
     for cause in causes:
         for number in range(3):
-            quarantine.record_crash(CrashUpdate(hash((cause, number)), (cause,)), 0.0)
+            quarantine.tracker.record_crash(hash((cause, number)), (cause,), 0.0)
     reported = set()
     for _ in range(3):
         reported |= {update.cause for update in quarantine.take_updates(0.0)["suspects"]}
