--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -42,8 +42,7 @@
 
     :param status: HTTP status of the endpoint's own response; 0 if there was none.
     :param body: body of a response that was not streamed.
-    :param disconnected: the endpoint closed the connection after the request had been sent.
-    :param begun: the endpoint had written much of its answer.
+    :param lost_early: the connection failed before the endpoint had written much of its answer.
     """
 
     result: Result
@@ -52,8 +51,7 @@
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     body: bytes = b""
     info: AnswerInfo | None = None
-    disconnected: bool = False
-    begun: bool = False
+    lost_early: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,11 +121,10 @@
         except (ConnectionLost, h11.ProtocolError, InconsistentResponse) as error:
             outcome = Outcome(self.failure_result(), str(error) or repr(error))
             lost = isinstance(error, ConnectionLost) and not isinstance(error, PeerTimeout)
-            outcome.disconnected = self.sent and lost
+            outcome.lost_early = lost and not self.begun
         except BaseException:
             await self.close()
             raise
-        outcome.begun = self.begun
         if outcome.result in (Result.LOST, Result.BROKEN, Result.EXPIRED, Result.NOT_SENT):
             await self.close()
         elif self.channel is not None:
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -242,7 +242,7 @@
             failed = result not in (Result.ANSWERED, Result.EXPIRED)
             endpoint.record_answer(failed, now)
             call.ran = Ran.YES if outcome.status else Ran.UNKNOWN
-            if outcome.disconnected and not outcome.begun:
+            if outcome.lost_early:
                 self.node.quarantine.record_loss(call, endpoint, now)
         if result is not Result.ANSWERED:
             log(
