--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -51,7 +51,7 @@
         last: Outcome | None = None
         for _ in range(MAX_ENDPOINTS_TRIED):
             choice = await self.placer.place(call)
-            self.placer.refuse_quarantined(call)
+            self.node.quarantine.check(call)
             if choice is None or self.node.quarantine.refuses(call):
                 break
             outcome = await self.attempt(call, choice)
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -13,7 +13,6 @@
 
 CAPACITY_POLL_SECONDS = 0.01
 QUARANTINE_POLL_SECONDS = 0.1  # Between two checks whether queued calls are in quarantine now.
-QUARANTINE_RETRY_AFTER_SECONDS = 5.0
 
 
 class Placer:
@@ -27,15 +26,7 @@
         self.node = node
         self.queues: dict[str, WaitQueue] = {}
 
-    def refuse_quarantined(self, call: Call) -> None:
-        """Refuse a call in quarantine that has not run.
-
-        :raises RequestError: if it is refused.
-        """
-        if call.ran is Ran.NO and self.node.quarantine.refuses(call):
-            raise RequestError(Kind.QUARANTINED, "", Ran.NO, QUARANTINE_RETRY_AFTER_SECONDS)
-
-    async def refuse_queued(self) -> None:
+    async def recheck_queued(self) -> None:
         """Wake queued calls when the quarantine changes so that they check it, until cancelled."""
         known = self.node.quarantine.tracker.quarantine
         while True:
@@ -93,7 +84,7 @@
         choice = None
         try:
             while not queue.should_refuse(queued, now := time.monotonic()):
-                self.refuse_quarantined(call)
+                self.node.quarantine.check(call)
                 if queue.next_entry(now) is not queued:
                     await queue.wake_next(now)
                     await queued.wait(now)
--- a/src/hickorylever/direct/process.py
+++ b/src/hickorylever/direct/process.py
@@ -54,7 +54,7 @@
             node.expire,
             node.watch_settings,
             node.peer_sync.run,
-            router.forwarder.placer.refuse_queued,
+            router.forwarder.placer.recheck_queued,
             *(watcher.run for watcher in create_store_watchers(node)),
         ):
             await group.spawn(supervise, task)
--- a/src/hickorylever/direct/quarantine.py
+++ b/src/hickorylever/direct/quarantine.py
@@ -5,11 +5,13 @@
 from collections.abc import Iterable
 
 from ..events import Event, log
+from ..exceptions import Kind, Ran, RequestError
 from .call import Call
 from .crashes import CrashTracker
 from .endpoints import Endpoint
 from .peer_protocol import AnswerUpdate, CrashUpdate, Datagram, SuspectUpdate, name_hash
 
+RETRY_AFTER_SECONDS = 5.0  # For callers whose request is refused.
 CRASH_SENDS = 2  # Datagrams that report a crash, as some may be lost.
 ANSWER_SENDS = 2
 MAX_PENDING_CRASHES = 1024  # Reports that wait to be sent.
@@ -45,6 +47,14 @@
         """Return whether the call must not run."""
         return self.tracker.is_quarantined(call.causes)
 
+    def check(self, call: Call) -> None:
+        """Check that a call that has not run may run.
+
+        :raises RequestError: if it must not.
+        """
+        if call.ran is Ran.NO and self.refuses(call):
+            raise RequestError(Kind.QUARANTINED, "", Ran.NO, RETRY_AFTER_SECONDS)
+
     def record_loss(self, call: Call, endpoint: Endpoint, now: float) -> None:
         """Record that an endpoint closed the connection before the answer had got far."""
         update = CrashUpdate(crash_number(endpoint), call.causes)
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -133,7 +133,7 @@
         :raises RequestError: if the call is refused or fails.
         """
         node = self.node
-        self.forwarder.placer.refuse_quarantined(call)
+        node.quarantine.check(call)
         node.budget.record_request(call.service.name, time.monotonic())
         await cancel_on_disconnect(call.exchange, forward, self.forwarder, call)
 
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -135,7 +135,7 @@
         self.router = Router(self.node)
         for watcher in create_store_watchers(self.node):
             self.tasks.append(await curio.spawn(watcher.run, daemon=True))
-        for task in (self.node.expire, self.router.forwarder.placer.refuse_queued):
+        for task in (self.node.expire, self.router.forwarder.placer.recheck_queued):
             self.tasks.append(await curio.spawn(task, daemon=True))
         self.port = await self.serve(self.router.server)
         await self.until(lambda: self.node.ready())
