--- a/src/hickorylever/direct/outbox.py
+++ b/src/hickorylever/direct/outbox.py
@@ -116,20 +116,27 @@
         return {
             "loads": [LoadUpdate(key, *load) for key, load in loads.items()],
             "cached_parts": [CachedPartUpdate(*key, tokens) for key, tokens in parts.items()],
-            "leaving_endpoints": self.take_leaving(),
+            "leaving_endpoints": take_sends(self.leaving_endpoints, MAX_LEAVING_UPDATES),
         }
 
-    def take_leaving(self) -> list[LeavingUpdate]:
-        """Return shutdowns to announce, each in `LEAVING_REPEATS` datagrams."""
-        updates = list(self.leaving_endpoints)[:MAX_LEAVING_UPDATES]
-        for update in updates:
-            self.leaving_endpoints[update] -= 1
-            if not self.leaving_endpoints[update]:
-                del self.leaving_endpoints[update]
-        return updates
-
     def prune(self, now: float) -> None:
         """Drop records of cached parts that may be sent again anyway."""
         if len(self.sent_parts) > 4096:
             recent = now - CACHED_PART_REPEAT_SECONDS
             self.sent_parts = {key: at for key, at in self.sent_parts.items() if at >= recent}
+
+
+def take_sends(sends: dict, limit: int) -> list:
+    """Return the first updates of a table and count one datagram for each.
+
+    Those that are to be sent again come last.
+
+    :param sends: number of datagrams that still carry each update.
+    :param limit: number of updates in one datagram.
+    """
+    taken = list(sends)[:limit]
+    for update in taken:
+        left = sends.pop(update) - 1
+        if left:
+            sends[update] = left
+    return taken
--- a/src/hickorylever/direct/quarantine.py
+++ b/src/hickorylever/direct/quarantine.py
@@ -9,6 +9,7 @@
 from .call import Call
 from .crashes import CrashTracker
 from .endpoints import Endpoint
+from .outbox import take_sends
 from .peer_protocol import AnswerUpdate, CrashUpdate, Datagram, SuspectUpdate, name_hash
 
 RETRY_AFTER_SECONDS = 5.0  # For callers whose request is refused.
@@ -142,16 +143,3 @@
             ],
         }
         return updates if any(updates.values()) else {}
-
-
-def take_sends(sends: dict, limit: int) -> list:
-    """Return the first keys of a table of sends and count one send of each.
-
-    Those that are to be sent again come last.
-    """
-    taken = list(sends)[:limit]
-    for key in taken:
-        left = sends.pop(key) - 1
-        if left:
-            sends[key] = left
-    return taken
