--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, field
 
 from .capacity import PREFILL_TOKENS_PER_SECOND
-from .peer_protocol import LimitUpdate
 from .prompt_cache import PromptCacheIndex
 from .rate_limit import RateLimit
 from .records import EndpointEntry
@@ -102,28 +101,16 @@
         :param rate: requests per second, or None for any number.
         :param router_count: routers that share the limit, with this one.
         """
+        limit = self.rate_limit
+        known = limit.rate if limit else None
         if rate is None:
-            changed = self.rate_limit is not None
             self.rate_limit = None
-            return changed
-        if self.rate_limit is None:
+        elif limit is None:
             self.rate_limit = RateLimit(rate, router_count, now)
-            return True
-        changed = self.rate_limit.rate != rate
-        self.rate_limit.rate = rate
-        self.rate_limit.router_count = router_count
-        return changed
-
-    def record_peer_limit(
-        self, router: str, update: LimitUpdate, router_count: int, now: float
-    ) -> None:
-        """Take over what another router knows of the limit, and count what it has sent.
-
-        :param router: IP address of the router.
-        """
-        self.limit_rate(update.rate, router_count, now)
-        if self.rate_limit is not None:
-            self.rate_limit.record_peer_count(router, update.count, now)
+        else:
+            limit.rate = rate
+            limit.router_count = router_count
+        return rate != known
 
     @property
     def usable_at(self) -> float:
--- a/src/hickorylever/direct/limit_reports.py
+++ b/src/hickorylever/direct/limit_reports.py
@@ -52,7 +52,13 @@
 
         :param address: IP address of the router.
         """
+        if not updates:
+            return
+        router_count = self.router_count
         for update in updates:
             endpoint = self.node.directory.by_hash.get(update.endpoint)
-            if endpoint is not None:
-                endpoint.record_peer_limit(address, update, self.router_count, now)
+            if endpoint is None:
+                continue
+            endpoint.limit_rate(update.rate, router_count, now)
+            if endpoint.rate_limit is not None:
+                endpoint.rate_limit.record_peer_count(address, update.count, now)
--- a/src/hickorylever/direct/rate_limit.py
+++ b/src/hickorylever/direct/rate_limit.py
@@ -100,13 +100,15 @@
             return
         self.peers[router] = PeerCount(count, now)
         self.record_sends(new, now)
-        if self.room_at(now) > now:
-            self.back_off(self.room_at(now))
+        room_at = self.room_at(now)
+        if room_at > now:
+            self.back_off(room_at)
 
     def record_sends(self, number: int, now: float) -> None:
         """Count requests, and forget those before the window."""
         self.sends.extend([now] * number)
-        while self.sends[0] <= now - self.window:
+        oldest = now - self.window
+        while self.sends[0] <= oldest:
             self.sends.popleft()
 
     def room_at(self, now: float) -> float:
--- a/src/hickorylever/platform/names.py
+++ b/src/hickorylever/platform/names.py
@@ -15,8 +15,8 @@
 NOT_RUN = b"hickorylever-not-executed"
 LOAD = b"hickorylever-server-load"
 LEAVING = b"server-leaving"
-LIMIT = b"server-limit"
 LEAVING_VALUE = b"1"
+LIMIT = b"server-limit"
 STORE_ERA = b"store-era"
 
 # Headers that only routers may set, or that end at the router. They are removed from callers'
