--- a/src/hickorylever/platform/standins/__init__.py
+++ b/src/hickorylever/platform/standins/__init__.py
@@ -1,3 +1,3 @@
 """Simulated store and endpoints of the platform, for tests. Routers do not import them."""
 
-from . import behaviours as behaviours
+from . import behaviours as behaviours  # Registers the behaviours of endpoints.
--- a/src/hickorylever/platform/standins/behaviours.py
+++ b/src/hickorylever/platform/standins/behaviours.py
@@ -1,10 +1,12 @@
 """Ways in which a simulated endpoint handles a request."""
 
+from collections.abc import Callable
+
 import curio
 
-from ...http import Exchange, header
+from ...http import Exchange
 from .. import names
-from .origin import Origin, behaviours, encode_head, wants_stream
+from .origin import Origin, behaviours, encode_event, encode_head, wants_stream
 
 SLOW_DELAY_SECONDS = 0.9
 DRIP_SECONDS = 0.05
@@ -166,59 +168,60 @@
     await exchange.end()
 
 
-async def start_unframed(origin: Origin, exchange: Exchange, body: bytes, content: bytes) -> None:
-    """Run the request and send a response that has neither a length nor chunks."""
-    origin.record_run(exchange, body)
+async def send_unframed(
+    origin: Origin,
+    exchange: Exchange,
+    body: bytes,
+    cut: Callable[[int], int] = lambda size: size,
+) -> None:
+    """Run the request and send a response that has neither a length nor chunks.
+
+    :param cut: returns how many bytes of the body to send, for its size.
+    """
+    first = origin.record_run(exchange, body)
     exchange.closing = True
     fields = origin.response_headers(exchange)
+    content = origin.own_body(exchange)
     if wants_stream(exchange):
         fields.append((b"content-type", b"text/event-stream"))
-    await exchange.channel.sock.sendall(encode_head(200, fields) + content)
+        content = b"".join(map(encode_event, range(first, origin.events + 1)))
+    await exchange.channel.sock.sendall(encode_head(200, fields) + content[: cut(len(content))])
 
 
-def unframed_content(origin: Origin, exchange: Exchange) -> bytes:
-    """Return the complete body of a response that ends with its connection."""
-    if not wants_stream(exchange):
-        return origin.own_body(exchange)
-    first = int(header(exchange.headers, names.LAST_EVENT) or b"0") + 1
-    numbers = range(first, origin.events + 1)
-    return b"".join(b"id: %d\ndata: piece %d\n\n" % (number, number) for number in numbers)
+async def close_early(exchange: Exchange) -> None:
+    """Close the connection of a stream; reset that of a response which would end with it."""
+    if wants_stream(exchange):
+        await exchange.channel.close_gracefully()
+    else:
+        await exchange.channel.abort()
 
 
 @behaviours.register("unframed")
 async def end_with_connection(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Run the request and send a complete response that ends with its connection."""
-    await start_unframed(origin, exchange, body, unframed_content(origin, exchange))
+    await send_unframed(origin, exchange, body)
     await exchange.channel.close_gracefully()
 
 
 @behaviours.register("unframed_reset")
 async def reset_unframed(origin: Origin, exchange: Exchange, body: bytes) -> None:
-    """Reset the connection of a response that would end with it."""
-    content = unframed_content(origin, exchange)
-    await start_unframed(origin, exchange, body, content[: len(content) // 2])
+    """Reset the connection in the middle of a response that would end with it."""
+    await send_unframed(origin, exchange, body, lambda size: size // 2)
     await exchange.channel.abort()
 
 
 @behaviours.register("unframed_short")
-async def close_unframed_within_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
-    """Close the connection in the middle of an event; reset it during another response."""
-    if not wants_stream(exchange):
-        await reset_unframed(origin, exchange, body)
-        return
-    content = unframed_content(origin, exchange)
-    await start_unframed(origin, exchange, body, content[:-4])
-    await exchange.channel.close_gracefully()
+async def end_unframed_within_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """End a response without a length in the middle of an event."""
+    await send_unframed(origin, exchange, body, lambda size: size - 4)
+    await close_early(exchange)
 
 
 @behaviours.register("unframed_empty")
-async def close_unframed_before_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
-    """Close the connection before the first event; reset it before another response."""
-    if not wants_stream(exchange):
-        await reset(origin, exchange, body)
-        return
-    await start_unframed(origin, exchange, body, b"")
-    await exchange.channel.close_gracefully()
+async def end_unframed_before_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """End a response without a length before its first event."""
+    await send_unframed(origin, exchange, body, lambda size: 0)
+    await close_early(exchange)
 
 
 @behaviours.register("from_the_start")
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -172,7 +172,7 @@
             200, [*self.response_headers(exchange), (b"content-type", b"text/event-stream")]
         )
         for number in range(first, last + 1):
-            await exchange.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            await exchange.write(encode_event(number))
             await curio.sleep(self.pause)
 
 
@@ -181,6 +181,11 @@
     return re.findall(r"(\w+):", header(headers, names.PREFIX).decode())
 
 
+def encode_event(number: int) -> bytes:
+    """Return an encoded event of a stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
 def encode_head(status: int, fields: list[tuple[bytes, bytes]]) -> bytes:
     """Return the encoded head of a response."""
     lines = b"".join(b"%s: %s\r\n" % field for field in fields)
--- a/src/hickorylever/soak/checks.py
+++ b/src/hickorylever/soak/checks.py
@@ -28,7 +28,7 @@
 LIMIT_RATIO = 1.5
 LIMIT_EXCESS = 5
 LIMIT_REACTION_SECONDS = 3.0  # From the first answer that names a limit.
-ROUTER_FAULTS = frozenset(("kill", "kill_all", "pause", "stop"))
+OTHER_THAN_ROUTER_FAULTS = frozenset(faults) - {"kill", "kill_all", "pause", "stop"}
 DEADLINE_TOLERANCE_SECONDS = 0.5  # Time after its deadline by which a request must have ended.
 COMPLETE_STREAM = b"".join(
     b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS_PER_STREAM + 1)
@@ -147,9 +147,7 @@
             time
             for time in times
             if time > times[MAX_CRASHES - 1] + REPORT_SECONDS
-            and harness.is_fault_free(
-                time - FAULT_FREE_SECONDS, time, frozenset(faults) - ROUTER_FAULTS
-            )
+            and harness.is_fault_free(time - FAULT_FREE_SECONDS, time, OTHER_THAN_ROUTER_FAULTS)
         ]
         if len(late) > MAX_LATE_RUNS:
             yield f"{part} reached endpoints {len(late)} times after {MAX_CRASHES} crashes"
@@ -208,7 +206,7 @@
                 continue
             count = sum(start <= time < end for time in times)
             if count > allowed and harness.is_fault_free(
-                start - FAULT_FREE_SECONDS, end, frozenset(faults) - ROUTER_FAULTS
+                start - FAULT_FREE_SECONDS, end, OTHER_THAN_ROUTER_FAULTS
             ):
                 name = harness.origins[period.index].name
                 yield f"{name} named {period.rate} a second and got {count} in {end - start:g} s"
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -144,7 +144,7 @@
     """Partition a router from the store: drop traffic or responses, or refuse connections."""
     proxy = rng.choice(harness.store_proxies)
     await impair(proxy, rng.choice(("silent", "one_way", "refusing")), True, seconds)
-    await proxy.reset_connections()
+    await proxy.close_connections()
 
 
 @faults.register("slow_store")
