--- a/src/hickorylever/http/__init__.py
+++ b/src/hickorylever/http/__init__.py
@@ -3,8 +3,9 @@
 from .channel import Channel
 from .client import Client, ClientResponse, connect
 from .disconnect import cancel_on_disconnect
+from .exchange import Exchange
 from .headers import Headers, check_head, end_to_end, header
-from .server import Exchange, Limits, Server, listen
+from .server import Limits, Server, listen
 
 __all__ = [
     "Channel",
--- a/src/hickorylever/http/disconnect.py
+++ b/src/hickorylever/http/disconnect.py
@@ -6,7 +6,7 @@
 import curio
 
 from ..exceptions import ConnectionLost
-from .server import Exchange
+from .exchange import Exchange
 
 
 async def wait_for_disconnect(exchange: Exchange) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -28,6 +28,7 @@
     "departures",
     "directory",
     "prompt_cache",
+    "rate_limit",
     "crashes",
     "outbox",
     "peer_protocol",
