--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -127,6 +127,7 @@
             endpoint.name,
             request=call.info.id,
             domain=endpoint.entry.failure_domain,
+            version=endpoint.entry.version,
             rank=choice.rank,
             uncached=round(choice.uncached),
             source=choice.source.name if choice.source else "",
--- a/src/hickorylever/direct/records.py
+++ b/src/hickorylever/direct/records.py
@@ -146,6 +146,7 @@
     :param draining: whether the endpoint takes no new requests.
     :param warmup_left: remaining time for which the endpoint is slow after its start.
     :param started_ms: start of the endpoint as Unix time in milliseconds; 0 when unknown.
+    :param version: version of the endpoint's software.
     """
 
     name: str
@@ -157,6 +158,7 @@
     draining: bool = False
     warmup_left: float = 0.0
     started_ms: int = 0
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,6 +184,7 @@
     :param parts: parts of the prompt, in order.
     :param last_event_id: id of the last event that the caller received of a stream to resume.
     :param key: bearer key.
+    :param resumes: id of the request that brought the first event of a stream to resume.
     """
 
     id: str
@@ -192,6 +195,7 @@
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
     key: str = ""
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -49,6 +49,8 @@
         "account": call.account.name if call.account else "",
         "limit": round(call.deadline - call.started_at, 3),
         "path": call.attempt_results,
+        "resumes": call.info.resumes,
+        "after": call.info.last_event_id,
         "events": stream.event_count if stream else 0,
         "first": round(stream.first_event_at - call.started_at, 3)
         if stream and stream.event_count
--- a/src/hickorylever/platform/documents.py
+++ b/src/hickorylever/platform/documents.py
@@ -117,11 +117,15 @@
 
 
 class WireEndpoint(Wire):
-    """State that an endpoint reports of itself. `born` is its start as Unix time in ms."""
+    """State that an endpoint reports of itself.
+
+    `born` is its start as Unix time in ms, `version` that of its software.
+    """
 
     service: str
     address: str
     zone: str
+    version: str
     max_batch_size: Count
     state: str
     warmup_left_ms: Milliseconds = 0.0
@@ -222,4 +226,5 @@
         draining=wire.state != names.STATE_READY,
         warmup_left=wire.warmup_left_ms * SECONDS_PER_MILLISECOND,
         started_ms=wire.born or 0,
+        version=wire.version,
     )
--- a/src/hickorylever/platform/headers.py
+++ b/src/hickorylever/platform/headers.py
@@ -37,6 +37,7 @@
         parts=read_parts(header(fields, names.PREFIX)),
         last_event_id=header(fields, names.LAST_EVENT).decode("latin-1"),
         key=key.strip().decode("latin-1") if scheme.lower() == AUTH_SCHEME else "",
+        resumes=header(fields, names.RESUMES).decode("latin-1"),
     )
 
 
--- a/src/hickorylever/platform/standins/documents.py
+++ b/src/hickorylever/platform/standins/documents.py
@@ -103,6 +103,7 @@
         service=entry.service,
         address=f"{entry.address}:{entry.port}",
         zone=entry.failure_domain,
+        version=entry.version,
         max_batch_size=entry.slots,
         state=names.STATE_DRAINING if entry.draining else names.STATE_READY,
         warmup_left_ms=milliseconds(entry.warmup_left),
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -79,6 +79,7 @@
     "service": "engines",
     "address": "10.0.0.1:80",
     "zone": "a",
+    "version": "v1",
     "max-batch-size": 8,
     "state": "ready",
     "seq": 3,
@@ -96,6 +97,8 @@
         {"service": None},
         {"zone": 7},
         {"born": 1.5},
+        {"version": 2},
+        {"version": None},
     ],
 )
 def test_invalid_endpoint_is_rejected(change):
@@ -104,7 +107,9 @@
         decode_endpoint("i", msgspec.json.encode({**GOOD, **change}))
 
 
-@pytest.mark.parametrize("field", ["service", "address", "zone", "state", "max-batch-size"])
+@pytest.mark.parametrize(
+    "field", ["service", "address", "zone", "version", "state", "max-batch-size"]
+)
 def test_endpoint_with_missing_field_is_rejected(field):
     entry = {key: value for key, value in GOOD.items() if key != field}
     with pytest.raises(ContentError):
