Test that streams don't hold events of two software versions, known to be red

All five cases fail on the current code: a router continues a stream of v1 at v1.1 within one answer, and sends a caller that takes its stream up to v1.1.

--- a/src/hickorylever/platform/standins/behaviours.py
+++ b/src/hickorylever/platform/standins/behaviours.py
@@ -184,7 +184,8 @@
     content = origin.own_body(exchange)
     if wants_stream(exchange):
         fields.append((b"content-type", b"text/event-stream"))
-        content = b"".join(map(encode_event, range(first, origin.events + 1)))
+        numbers = range(first, origin.events + 1)
+        content = b"".join(encode_event(number, origin.version) for number in numbers)
     await exchange.channel.sock.sendall(encode_head(200, fields) + content[: cut(len(content))])
 
 
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -56,6 +56,7 @@
 class Origin:
     """Simulated endpoint.
 
+    :param version: version of its software, which each event of a stream names.
     :param script: names of the behaviours for the next requests. The last one is used for all
         further requests.
     :param events: number of events in a stream.
@@ -86,6 +87,7 @@
     stopped: int = 0
     duplicate_response: bytes = b""
     crashing_parts: frozenset[str] = frozenset()
+    version: str = ""
     on_crash: Callable[[], Awaitable[object]] | None = None
     crashed: curio.Event = field(default_factory=curio.Event)
 
@@ -172,7 +174,7 @@
             200, [*self.response_headers(exchange), (b"content-type", b"text/event-stream")]
         )
         for number in range(first, last + 1):
-            await exchange.write(encode_event(number))
+            await exchange.write(encode_event(number, self.version))
             await curio.sleep(self.pause)
 
 
@@ -181,9 +183,13 @@
     return re.findall(r"(\w+):", header(headers, names.PREFIX).decode())
 
 
-def encode_event(number: int) -> bytes:
-    """Return an encoded event of a stream."""
-    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+def encode_event(number: int, version: str = "") -> bytes:
+    """Return an encoded event of a stream.
+
+    :param version: of the endpoint's software; empty to leave it out.
+    """
+    writer = f"software-version: {version}\n".encode() if version else b""
+    return b"id: %d\ndata: piece %d\n%s\n" % (number, number, writer)
 
 
 def encode_head(status: int, fields: list[tuple[bytes, bytes]]) -> bytes:
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -73,23 +73,32 @@
 
 
 class Response:
-    """Response to a caller; `body` is None if the connection ended early."""
+    """Response to a caller; `body` is None if the connection ended early.
+
+    `received` holds what arrived of the body in any case.
+    """
 
     def __init__(self, status=0, headers=(), body=None):
         self.status = status
         self.headers = dict(headers)
         self.body = body
+        self.received = b""
 
 
 class DirectHarness:
     """Starts the servers in ``async with`` within a curio task.
 
     :param scripts: script of behaviours for each endpoint.
+    :param versions: version of the software of each endpoint, which its events name; by default
+        all have the same one, and events don't name it.
     """
 
-    def __init__(self, *scripts, autostart=True):
+    def __init__(self, *scripts, autostart=True, versions=None):
         self.store = StandinStore()
         self.origins = [Origin(f"i-{n}", list(script)) for n, script in enumerate(scripts)]
+        self.versions = versions or ["v1"] * len(scripts)
+        for origin, version in zip(self.origins, versions or (), strict=False):
+            origin.version = version
         self.tasks = []
         self.client = http.Client()
         self.autostart = autostart
@@ -101,8 +110,8 @@
         for origin in self.origins:
             self.ports.append(await self.serve(origin))
         await self.store.put("config", "main", configuration())
-        for origin, port in zip(self.origins, self.ports, strict=True):
-            await self.store.put("servers", origin.name, entry(port))
+        for origin, port, version in zip(self.origins, self.ports, self.versions, strict=True):
+            await self.store.put("servers", origin.name, entry(port, version=version))
         if self.autostart:
             await self.start_router()
         return self
@@ -160,17 +169,22 @@
             fields.append((b"hickorylever-prompt-prefix", parts.encode()))
         return fields + [(name.encode(), value.encode()) for name, value in more.items()]
 
-    async def send_request(self, path, method="POST", headers=None, body=b"hello", host=SITE):
+    async def send_request(
+        self, path, method="POST", headers=None, body=b"hello", host=SITE, port=None, address=HOST
+    ):
         """Send a request on a new connection and return the :class:`Response`."""
-        channel = await self.client.acquire(HOST, self.port, fresh=True)
+        channel = await self.client.acquire(address, port or self.port, fresh=True)
+        response = Response()
         try:
             fields = self.headers() if headers is None else headers
             await self.client.send_request(channel, method, path, fields, body, host)
             answer = await self.client.receive_response(channel)
             response = Response(answer.status, answer.headers)
-            response.body = await answer.body()
+            async for block in answer.iter_bytes():
+                response.received += block
+            response.body = response.received
         except ConnectionLost:
-            response = locals().get("response") or Response()
+            pass
         finally:
             await channel.close()
         return response
--- /dev/null
+++ b/tests/test_stream_versions.py
@@ -0,0 +1,71 @@
+"""Streams go on only at endpoints whose software version began them."""
+
+import re
+
+import pytest
+from direct_harness import run_scenario
+
+RESUMABLE = "/resumable/stream/x"
+WELL = ("well",)
+BREAKS = ("broken", "well")  # The first request breaks off after two events.
+
+
+def versions_in(*responses):
+    """Return the versions that wrote the events of a stream, in order of their ids."""
+    content = b"".join(response.received for response in responses)
+    numbered = re.findall(rb"id: (\d+)\ndata: piece \1\nsoftware-version: (\S+)\n\n", content)
+    assert [int(number) for number, _ in numbered] == list(range(1, len(numbered) + 1))
+    return [version.decode() for _, version in numbered]
+
+
+@pytest.mark.parametrize(
+    ("versions", "whole"),
+    [
+        (["v1", "v1.1", "v1"], True),
+        (["v1", "v1.1", "v1.2", "v1"], True),
+        (["v1", "v1.1", "v1.1"], False),
+    ],
+)
+def test_router_does_not_join_events_of_two_versions_in_one_answer(versions, whole):
+    """Other versions are idle, and closer to the router's choice than the busy one that began."""
+
+    async def scenario(harness):
+        for endpoint in harness.node.directory.endpoints.values():
+            began = endpoint.entry.version == "v1"
+            endpoint.running += 3 * began * (endpoint.name != "i-0")
+            endpoint.running += 2 * (not began)
+        response = await harness.send_request(RESUMABLE)
+        assert response.status == 200
+        assert set(versions_in(response)) == {"v1"}
+        assert len(versions_in(response)) == (6 if whole else 2)
+        assert (response.body is not None) is whole
+
+    scripts = [BREAKS, *[WELL] * (len(versions) - 1)]
+    run_scenario(scenario, *scripts, versions=versions)
+
+
+@pytest.mark.parametrize(
+    ("versions", "whole"), [(["v1", "v1.1", "v1"], True), (["v1", "v1.1"], False)]
+)
+def test_caller_does_not_get_events_of_two_versions_when_it_resumes(versions, whole):
+    async def scenario(harness):
+        for name, endpoint in harness.node.directory.endpoints.items():
+            endpoint.running += 0 if name == "i-0" else 2 if name == "i-1" else 3
+        harness.node.budget.allowance = 0.0  # The router itself may not retry.
+        first_headers = harness.headers()
+        first = await harness.send_request(RESUMABLE, headers=first_headers)
+        assert (versions_in(first), first.body) == (["v1"] * 2, None)
+        await harness.store.remove("servers", "i-0")
+        await harness.until(lambda: "i-0" not in harness.node.directory.endpoints)
+        first_id = dict(first_headers)[b"hickorylever-attempt-id"].decode()
+        headers = harness.headers(**{"last-event-id": "2", "resumes": first_id})
+        rest = await harness.send_request(RESUMABLE, headers=headers)
+        assert set(versions_in(first, rest)) == {"v1"}
+        if whole:
+            assert rest.body is not None
+        else:
+            assert rest.status == 503
+            assert len(harness.runs) == 1
+
+    scripts = [BREAKS, *[WELL] * (len(versions) - 1)]
+    run_scenario(scenario, *scripts, versions=versions)
