Let streams go on only at the software version that began them

A router that continued a broken stream, or to which a caller came back, placed it like a new one, by load and cached parts; it did not even know versions. The class: a pool treated as alike although its members differ, and a choice made again by someone who doesn't know the first.

Each router now records which version wrote the first event of a stream. While a service has, or may have had, several versions, it tells three routers, chosen by the stream's key; one that is asked to go on with a stream that it doesn't know asks the others. If nobody knows, the stream goes on only where a single version can have begun it, and is else rejected at once, as not run. Which versions there were comes from the directory, from other routers, and from the store after the end of all routers. Streams begin at a new version 2.5 s late, so that routers that are cut off notice first.

--- a/src/hickorylever/direct/call.py
+++ b/src/hickorylever/direct/call.py
@@ -24,6 +24,8 @@
     :param rejections: attempts that endpoints rejected without running the request.
     :param queued_seconds: seconds spent queued for an endpoint with capacity.
     :param tried: names of the endpoints tried.
+    :param version: software version of the endpoints at which a stream may go on; None for any.
+    :param stream_key: key of the stream in the table of streams, once it has an event.
     :param attempt_results: endpoint, failure domain and result of each attempt, for the log.
     """
 
@@ -43,6 +45,8 @@
     tried: set[str] = field(default_factory=set)
     attempt_results: list[str] = field(default_factory=list)
     stream: CallerStream | None = None
+    version: str | None = None
+    stream_key: int = 0
 
     @property
     def priority(self) -> int:
--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -10,6 +10,7 @@
 from .pool import Pool
 from .position import UNKNOWN, Position
 from .records import EndpointEntry, Listing, PromptPart, StoredObject
+from .versions import VersionHistory
 
 MISSING_GRACE_SECONDS = 2.0  # Time to write an entry again that the store lost or let expire.
 REVIVAL_MARGIN_SECONDS = 1.0  # Added to the time after which the store removes an entry.
@@ -30,13 +31,23 @@
     :ivar latest: latest known position of an entry or of the removal of one.
     :ivar change_log: latest changes, oldest first.
     :ivar change_log_start: position after which `change_log` is complete.
+    :param on_new_version: called with the hash of the name of an endpoint that has started again
+        with another software version.
     :ivar departures: endpoints that have left or are about to.
+    :ivar versions: versions of the endpoints' software.
     """
 
-    def __init__(self, decode, reject=lambda error: None, entry_lifetime: float = 0.0):
+    def __init__(
+        self,
+        decode,
+        reject=lambda error: None,
+        entry_lifetime: float = 0.0,
+        on_new_version=lambda key: None,
+    ):
         self.decode = decode
         self.reject = reject
         self.entry_lifetime = entry_lifetime
+        self.on_new_version = on_new_version
         self.endpoints: dict[str, Endpoint] = {}
         self.pools: dict[str, Pool] = {}
         self.by_hash: dict[int, Endpoint] = {}
@@ -45,11 +56,19 @@
         self.change_log: deque[StoredObject] = deque(maxlen=CHANGE_LOG_LENGTH)
         self.change_log_start = UNKNOWN
         self.departures = Departures()
+        self.versions = VersionHistory()
 
     def pool(self, service: str) -> Pool:
         """Return the endpoints of a service, sorted by name."""
         return self.pools.get(service) or Pool()
 
+    def endpoints_of_version(self, service: str, version: str | None) -> list[Endpoint]:
+        """Return the endpoints of a service with a software version, or all for None."""
+        pool = self.pool(service)
+        if version is None:
+            return pool
+        return [endpoint for endpoint in pool if endpoint.entry.version == version]
+
     def apply_listing(self, listing: Listing, now: float, keep_missing: bool) -> None:
         """Replace all entries, unless later ones are known.
 
@@ -71,7 +90,7 @@
         self.latest = max(self.latest, Position(listing.position.era, 0))
         self.change_log.clear()
         self.change_log_start = self.latest
-        self.rebuild_indexes()
+        self.rebuild_indexes(now)
 
     def apply_changes(
         self, objects: Iterable[StoredObject], position: Position, now: float
@@ -89,7 +108,7 @@
             else:
                 self.apply(entry, now)
         self.latest = max(self.latest, position)
-        self.rebuild_indexes()
+        self.rebuild_indexes(now)
 
     def apply(self, stored: StoredObject, now: float) -> None:
         """Add or update one endpoint; one whose entry can't be decoded is removed."""
@@ -102,7 +121,9 @@
             return
         self.objects[stored.name] = stored
         endpoint = self.endpoints.get(entry.name)
-        if endpoint is None or endpoint.entry.started_ms != entry.started_ms:
+        if endpoint is not None and endpoint.entry.version != entry.version:
+            self.on_new_version(name_hash(entry.name))
+        if endpoint is None or endpoint.entry.incarnation != entry.incarnation:
             endpoint = self.endpoints[entry.name] = self.create(entry, stored.position.era, now)
         endpoint.entry = entry
         endpoint.missing_since = None
@@ -202,6 +223,7 @@
     def expire(self, now: float) -> None:
         """Remove expired loads, and endpoints that are missing for `MISSING_GRACE_SECONDS`."""
         self.departures.expire(now)
+        self.versions.expire(now)
         for endpoint in self.endpoints.values():
             endpoint.expire_loads(now)
         overdue = [
@@ -213,9 +235,9 @@
         for name in overdue:
             self.remove(name, now)
         if overdue:
-            self.rebuild_indexes()
+            self.rebuild_indexes(now)
 
-    def rebuild_indexes(self) -> None:
+    def rebuild_indexes(self, now: float) -> None:
         """Rebuild the indexes by service and by hash."""
         by_service: dict[str, list[Endpoint]] = {}
         for endpoint in self.endpoints.values():
@@ -225,3 +247,8 @@
             for service, endpoints in by_service.items()
         }
         self.by_hash = {name_hash(name): endpoint for name, endpoint in self.endpoints.items()}
+        present = {
+            service: frozenset(endpoint.entry.version for endpoint in pool)
+            for service, pool in self.pools.items()
+        }
+        self.versions.observe(present, now)
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -50,6 +50,8 @@
         """
         last: Outcome | None = None
         for _ in range(MAX_ENDPOINTS_TRIED):
+            if not self.node.resumption.may_continue(call):
+                break
             choice = await self.placer.place(call)
             self.node.quarantine.check(call)
             if choice is None or self.node.quarantine.refuses(call):
@@ -89,6 +91,9 @@
                 peer_sync.outbox.queue_cached_part(endpoint.name, part.id, part.tokens, began)
         if call.stream is not None:
             call.stream.pending_prefill = pending_prefill
+            call.stream.on_first_event = lambda: self.node.resumption.record_first_event(
+                call, endpoint
+            )
         attempt = Attempt(
             self.node.client,
             endpoint,
@@ -161,9 +166,10 @@
         return (
             call.deadline - now >= MIN_RETRY_SECONDS
             and self.node.budget.remaining(service, now) >= 1.0
+            and self.node.resumption.may_continue(call)
             and any(
                 endpoint.usable(now) and not endpoint.silent(now)
-                for endpoint in self.node.directory.pool(service)
+                for endpoint in self.node.directory.endpoints_of_version(service, call.version)
                 if endpoint.name not in call.tried
             )
         )
@@ -291,6 +297,9 @@
         if call.stream is not None and call.stream.started:
             raise RequestError(Kind.ANSWER_LOST, "the stream ended early", call.ran)
         if last is None:
+            if call.version is not None and not self.has_endpoint(call):
+                detail = "no endpoint of the software version that began the stream is left"
+                raise RequestError(Kind.VERSION_GONE, detail, Ran.NO)
             raise RequestError(Kind.NO_ENDPOINT, "", Ran.NO, self.retry_after(call))
         if last.result is Result.FAILED and last.status not in NOT_RUN_STATUSES:
             await self.send_response(call, last)
@@ -302,9 +311,14 @@
     def retry_after(self, call: Call) -> float:
         """Return the seconds after which the caller of a refused call should retry."""
         now = time.monotonic()
-        pool = self.node.directory.pool(call.service.name)
+        pool = self.node.directory.endpoints_of_version(call.service.name, call.version)
         return retry_after(pool, now, call.deadline - now)
 
+    def has_endpoint(self, call: Call) -> bool:
+        """Return whether an endpoint of the call's service and version takes new requests."""
+        pool = self.node.directory.endpoints_of_version(call.service.name, call.version)
+        return any(endpoint.accepting for endpoint in pool)
+
 
 # Error and execution state sent to the caller, by the final result.
 CALLER_ERRORS = {
@@ -322,4 +336,6 @@
     if call.route.kind is RouteKind.STREAM:
         resume_after = call.info.last_event_id if call.route.resumable else None
         call.stream = CallerStream(call.exchange, resume_after or None)
+        if resume_after:
+            await forwarder.node.resumption.resolve(call)
     await forwarder.run(call)
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -33,6 +33,11 @@
         self.placed = self.make(
             Counter, "hickorylever_placed_total", "Placings by service and reuse of the prompt"
         )
+        self.resumed = self.make(
+            Counter,
+            "hickorylever_streams_resumed_total",
+            "Streams that callers took up, by where their version was known from",
+        )
         self.store_era = self.make(
             Gauge,
             "hickorylever_store_era",
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -19,6 +19,7 @@
 from .position import NO_CONFIGURATION, ConfigurationState, Decision, KnownState, Position, decide
 from .quarantine import Quarantine
 from .records import Changes, Configuration, Listing, StoredObject
+from .resumption import Resumption
 from .routes import RouteTable
 from .settings import DirectSettings
 from .store_watcher import StoreWatcher
@@ -68,12 +69,16 @@
             settings.store, Client(max_idle=ENDPOINT_IDLE_TIMEOUT_SECONDS), self.count_store_call
         )
         self.directory = Directory(
-            codec.decode_endpoint, self.reject, settings.endpoint_entry_lifetime
+            codec.decode_endpoint,
+            self.reject,
+            settings.endpoint_entry_lifetime,
+            lambda key: self.peer_sync.streams.table.forget_endpoint(key),
         )
         self.budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
         )
         self.quarantine = Quarantine()
+        self.resumption = Resumption(self)
         self.routes: RouteTable | None = None
         self.configuration_callbacks: list[Callable[[RouteTable], None]] = []
         self.stored_configuration: StoredObject | None = None
@@ -237,6 +242,8 @@
             await curio.sleep(EXPIRY_INTERVAL_SECONDS)
             self.directory.expire(time.monotonic())
             self.quarantine.tracker.expire(time.monotonic())
+            self.peer_sync.streams.expire(time.monotonic())
+            self.resumption.check_contact(time.monotonic())
             await self.client.reap()
 
 
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -1,7 +1,8 @@
 """The protocol between routers, without I/O: messages and peer table.
 
 A datagram carries what changed since the last one: loads of endpoints, prompt parts that an
-endpoint has cached, requests during which an endpoint crashed, and endpoints that shut down.
+endpoint has cached, requests during which an endpoint crashed, endpoints that shut down, and which
+software version began a stream.
 """
 
 from collections.abc import Iterable
@@ -11,9 +12,11 @@
 import xxhash
 
 from ..settings import is_ipv4_address
-from .position import NOTHING_KNOWN, KnownState
+from .position import NOTHING_KNOWN, UNKNOWN, KnownState
+from .streams import StreamUpdate
 
 ALIVE_TIMEOUT_SECONDS = 4.0  # Since the last datagram.
+CONTACT_SECONDS = 2.2  # Since the last datagram; some of the heartbeats may be lost.
 PEER_LIFETIME_SECONDS = 60.0  # Since the last datagram.
 FLUSH_INTERVAL_SECONDS = 0.04  # Between two datagrams.
 FLUSH_SECONDS_PER_PEER = 0.006  # Added to the interval.
@@ -125,6 +128,8 @@
     :param routers: IP addresses of routers that the sender knows.
     :param limits: rate limits of endpoints, where one or the number of requests has changed.
     :param suspects: causes in quarantine.
+    :param streams: streams that have begun.
+    :param stream_questions: keys of streams that the sender asks for.
     """
 
     incarnation: int
@@ -142,6 +147,8 @@
     answered: list[AnswerUpdate] = []
     suspects: list[SuspectUpdate] = []
     limits: list[LimitUpdate] = []
+    streams: list[StreamUpdate] = []
+    stream_questions: list[int] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -213,6 +220,7 @@
 
     :param own_address: IP address of this router.
     :param started_at: when this router started.
+    :ivar latest_endpoints: latest position of an endpoint's entry that another router has named.
     :ivar expired: routers that expired and whose objects are still to be deleted.
     :ivar shortage_since: since when too few routers watch the store, or None.
     """
@@ -221,6 +229,7 @@
         self.own_address = own_address
         self.started_at = started_at
         self.by_address: dict[str, Peer] = {}
+        self.latest_endpoints = UNKNOWN
         self.expired: list[str] = []
         self.shortage_since: float | None = None
 
@@ -247,6 +256,7 @@
         peer.last_heard = now
         peer.incarnation = datagram.incarnation
         peer.known = datagram.known
+        self.latest_endpoints = max(self.latest_endpoints, datagram.known.endpoints)
         peer.domain_hash = datagram.domain_hash
         peer.rank = datagram.rank
         peer.watching = datagram.watching
@@ -303,6 +313,14 @@
         """Return the routers whose last datagram arrived within `ALIVE_TIMEOUT_SECONDS`."""
         return [peer for peer in self.by_address.values() if peer.alive(now)]
 
+    def in_contact(self, now: float) -> bool:
+        """Return whether half of the other routers were heard within `CONTACT_SECONDS`."""
+        heard = sum(
+            peer.last_heard > 0 and now - peer.last_heard <= CONTACT_SECONDS
+            for peer in self.by_address.values()
+        )
+        return 2 * heard >= len(self.by_address)
+
     def take_due_probes(self, now: float) -> list[Peer]:
         """Remove expired routers and return those to probe now."""
         for address, peer in list(self.by_address.items()):
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -25,6 +25,7 @@
 from .records import PromptPart
 from .registration import Registration
 from .state_pulls import StatePulls
+from .stream_reports import StreamReports
 
 TICK_SECONDS = 0.02
 DATAGRAM_BUFFER_BYTES = 65536
@@ -49,6 +50,7 @@
         self.rank = watcher_rank(node.settings.address, node.settings.link_mbps)
         self.registration = Registration(node, self.peers, self.rank)
         self.limits = LimitReports(node, self.peers)
+        self.streams = StreamReports(node, self.peers)
         self.sock = None
 
     async def run(self) -> None:
@@ -78,6 +80,9 @@
             await self.broadcast(alive, **self.outbox.take(now))
         if updates := self.take_urgent_updates(now):
             await self.broadcast(alive, **updates)
+        told = self.streams.take(self.node.resumption.uncertain_services(now), now)
+        for address, streams in told.items():
+            await self.send(encode(self.datagram(streams=streams)), address)
         unreachable = self.peers.take_due_probes(now)
         if unreachable:
             addresses = [peer.address for peer in alive][:MAX_ADDRESSES_PER_DATAGRAM]
@@ -158,6 +163,9 @@
         if new:
             log(Event.PEER_HEARD, address, incarnation=datagram.incarnation)
         self.apply_updates(address, datagram, now)
+        await self.streams.apply(datagram, now)
+        if answers := self.streams.answers(datagram, now):
+            await self.send(encode(self.datagram(streams=answers)), address)
 
     def apply_updates(self, address: str, datagram: Datagram, now: float) -> None:
         """Apply the loads, cached prompt parts, crashes and shutdowns of a datagram.
--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -42,6 +42,7 @@
     :param parts: parts of the prompt; empty for a plain service.
     :param failure_domain: failure domain of this router.
     :param avoid: names of endpoints that have been tried.
+    :param version: software version that the endpoint must have, or None for any.
     """
 
     now: float
@@ -51,6 +52,7 @@
     parts: Sequence[PromptPart] = ()
     prompt_tokens: int = 0
     avoid: frozenset[str] = frozenset()
+    version: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,17 +127,18 @@
 
     The bound is a multiple of the candidates' mean, of whose excess over 1 only the share
     `BOUND_EXCESS_RATIO` is used, plus `BOUND_SLACK_REQUESTS`. Candidates whose rate limit permits
-    no request now are left out first. Of the returned candidates, only those with capacity are
-    kept if there are any; the second value says whether that is so.
+    no request now are left out first, and those of other versions than the request's count only in
+    the mean. Of the returned candidates, only those with capacity are kept if there are any; the
+    second value says whether that is so.
     """
     permitted = within_rate_limit(candidates, request)
-    if not permitted:
-        return candidates, False
-    candidates = permitted
-    mean = sum([candidate.requests for candidate in candidates]) / max(1, len(candidates))
+    eligible = of_version(permitted, request)
+    if not eligible:
+        return of_version(candidates, request), False
+    mean = sum([candidate.requests for candidate in permitted]) / len(permitted)
     multiple = 1.0 + BOUND_EXCESS_RATIO * (request.load_multiple - 1.0)
     limit = multiple * mean + BOUND_SLACK_REQUESTS
-    allowed = [entry for entry in candidates if entry.requests + 1 <= limit] or candidates
+    allowed = [entry for entry in eligible if entry.requests + 1 <= limit] or eligible
     available = [entry for entry in allowed if entry.available(request.engine)]
     return (available, True) if available else (allowed, False)
 
@@ -149,6 +152,13 @@
     ]
 
 
+def of_version(candidates: list[Candidate], request: PlacementRequest) -> list[Candidate]:
+    """Return the candidates of the version that the request needs."""
+    if request.version is None:
+        return candidates
+    return [entry for entry in candidates if entry.endpoint.entry.version == request.version]
+
+
 def place(pool: Pool, request: PlacementRequest) -> Choice | None:
     """Return the best endpoint for a request, or None if no endpoint is usable."""
     if request.engine is not None and request.parts:
@@ -166,7 +176,7 @@
     candidates = [
         Candidate(endpoint, *endpoint.load()) for endpoint in pool if is_usable(endpoint, request)
     ]
-    if not candidates:
+    if not of_version(candidates, request):
         return None
 
     def cost(candidate: Candidate) -> tuple[float, str]:
@@ -195,7 +205,7 @@
         for rank, endpoint in enumerate(order)
         if is_usable(endpoint, request)
     ]
-    if not candidates:
+    if not of_version(candidates, request):
         return None
     sources = copy_sources(order, cached_tokens, request.now)
     allowed, available = within_load_bound(candidates, request)
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -19,12 +19,13 @@
     """Places calls on endpoints.
 
     :param node: components of this router: directory, quarantine, metrics, settings.
-    :ivar queues: calls that wait for an endpoint with capacity, by service.
+    :ivar queues: calls that wait for an endpoint with capacity, by service and by the version that
+        the endpoint must have.
     """
 
     def __init__(self, node):
         self.node = node
-        self.queues: dict[str, WaitQueue] = {}
+        self.queues: dict[tuple[str, str | None], WaitQueue] = {}
 
     async def recheck_queued(self) -> None:
         """Wake queued calls when the quarantine changes so that they check it, until cancelled."""
@@ -45,7 +46,7 @@
         :raises RequestError: if a call that has not run waited too long for capacity.
         """
         choice = self.choose_endpoint(call) or await self.await_endpoint(call)
-        queue = self.queues.setdefault(call.service.name, WaitQueue())
+        queue = self.queues.setdefault((call.service.name, call.version), WaitQueue())
         started = call.stream is not None and call.stream.started
         if choice is None or started or (choice.available and not queue.entries):
             return choice
@@ -55,7 +56,7 @@
         """Wait for an endpoint that defers requests, if the call can still be on time then."""
         if call.ran is not Ran.NO:
             return None
-        pool = self.node.directory.pool(call.service.name)
+        pool = self.node.directory.endpoints_of_version(call.service.name, call.version)
         now = time.monotonic()
         until = wait_until(pool, now, call.started_at, call.route.latency_objective)
         if until is None:
@@ -109,6 +110,17 @@
 
     def choose_endpoint(self, call: Call) -> Choice | None:
         """Return the best endpoint for the call at this moment."""
+        too_new = self.node.resumption.too_new(call)
+        choice = self.choose_endpoint_except(call, call.tried | too_new)
+        if choice is None and too_new:
+            return self.choose_endpoint_except(call, call.tried)
+        return choice
+
+    def choose_endpoint_except(self, call: Call, avoid: set[str]) -> Choice | None:
+        """Return the best endpoint for the call at this moment.
+
+        :param avoid: names of endpoints that are left out.
+        """
         node = self.node
         placement_request = PlacementRequest(
             now=time.monotonic(),
@@ -117,6 +129,7 @@
             engine=call.service.engine,
             parts=call.info.parts,
             prompt_tokens=call.info.prompt_tokens,
-            avoid=frozenset(call.tried),
+            avoid=frozenset(avoid),
+            version=call.version,
         )
         return place(node.directory.pool(call.service.name), placement_request)
--- a/src/hickorylever/direct/records.py
+++ b/src/hickorylever/direct/records.py
@@ -160,6 +160,11 @@
     started_ms: int = 0
     version: str = ""
 
+    @property
+    def incarnation(self) -> tuple[int, str]:
+        """Return what changes when the endpoint starts again."""
+        return self.started_ms, self.version
+
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/src/hickorylever/direct/registration.py
+++ b/src/hickorylever/direct/registration.py
@@ -1,4 +1,8 @@
-"""What routers that start find in the store: the other routers, and the causes in quarantine."""
+"""What routers that start find in the store.
+
+These are the other routers, the causes in quarantine, and the software versions of services that
+have several.
+"""
 
 import contextlib
 import time
@@ -11,22 +15,23 @@
 from ..exceptions import Conflict, HickoryleverError
 from .peer_protocol import SuspectUpdate, name_hash
 from .records import StoredObject
+from .versions import VersionUpdate
 
 REGISTER_RETRY_SECONDS = 1.0
 
 
 class Registration:
-    """Keeps the object of this router and those of the causes in quarantine in the store.
+    """Keeps the object of this router and those of facts that all routers know in the store.
 
-    Causes in quarantine are kept there so that they survive the end of all routers. They are of
-    the same kind as routers, as starting routers list that kind anyway.
+    Facts are kept there so that they survive the end of all routers. Their objects are of the same
+    kind as those of routers, as starting routers list that kind anyway.
 
     :param node: the components of this router.
     :param peers: table that the routers found in the store are added to.
-    :param rank: rank of this router; the one with the lowest rank writes the causes.
+    :param rank: rank of this router; the one with the lowest rank writes the facts.
     :ivar era: of the store that this router was last registered in.
-    :ivar stored_causes: causes that this router found in the store or wrote there.
-    :ivar known_causes: causes that the store may hold, whoever wrote them.
+    :ivar stored: names of the facts' objects that this router found in the store or wrote there.
+    :ivar known: names of the facts' objects that the store may hold, whoever wrote them.
     """
 
     def __init__(self, node, peers, rank: int):
@@ -34,8 +39,8 @@
         self.peers = peers
         self.rank = rank
         self.era = 0
-        self.stored_causes: set[str] = set()
-        self.known_causes: set[str] = set()
+        self.stored: set[str] = set()
+        self.known: set[str] = set()
 
     async def run(self) -> None:
         """Keep this router registered in the store until cancelled."""
@@ -59,21 +64,27 @@
                 listing = await node.store.list_kind(node.codec.ROUTERS)
                 addresses = map(parse_router_address, listing.objects)
                 self.peers.add_addresses(addresses, time.monotonic())
-                self.apply_stored_causes(listing.objects)
+                self.apply_facts(listing.objects)
                 return
             except HickoryleverError as error:
                 log_failure(error)
                 await curio.sleep(REGISTER_RETRY_SECONDS * (1 + node.rng.random()))
 
-    def apply_stored_causes(self, objects: Iterable[StoredObject]) -> None:
-        """Put the causes in quarantine that the store holds.
+    def apply_facts(self, objects: Iterable[StoredObject]) -> None:
+        """Apply the facts that the store holds.
 
-        The time of their latest crash is not known here and taken to be now.
+        How old they are is not known here. They are taken to be new.
         """
-        updates = [update for update in map(parse_suspect, objects) if update is not None]
-        self.stored_causes.update(update.cause for update in updates)
-        self.known_causes |= self.stored_causes
-        self.node.quarantine.apply_suspects(updates, time.monotonic())
+        now = time.monotonic()
+        node = self.node
+        facts = {stored.name: fact for stored in objects if (fact := parse_fact(stored))}
+        self.stored |= facts.keys()
+        self.known |= self.stored
+        suspects = [fact for fact in facts.values() if isinstance(fact, SuspectUpdate)]
+        node.quarantine.apply_suspects(suspects, now)
+        versions = [fact for fact in facts.values() if isinstance(fact, VersionUpdate)]
+        node.directory.versions.add(versions, now)
+        node.directory.versions.complete = True
 
     async def create(self) -> None:
         """Create this router's object; an existing one is left unchanged."""
@@ -94,39 +105,60 @@
     async def register_again(self) -> None:
         """Register again whenever the store was restored, since the copy may lack the objects.
 
-        Changes of the quarantine are written to it as well.
+        Changes of the facts are written to it as well.
         """
         node = self.node
         while True:
             await curio.sleep(REGISTER_RETRY_SECONDS * (1 + node.rng.random()))
-            self.known_causes |= node.quarantine.tracker.quarantine
+            facts = self.facts()
+            self.known |= facts.keys()
             try:
                 if self.era != self.known_era():
-                    self.stored_causes.clear()
+                    self.stored.clear()
                     await self.create()
+                if self.missed_versions():
+                    listing = await node.store.list_kind(node.codec.ROUTERS)
+                    self.apply_facts(listing.objects)
                 if self.peers.is_first(self.rank, time.monotonic()):
-                    await self.store_quarantine()
+                    await self.store_facts(facts)
             except HickoryleverError as error:
                 log_failure(error)
 
-    async def store_quarantine(self) -> None:
-        """Create the objects of causes in quarantine and delete those of released ones.
+    def missed_versions(self) -> bool:
+        """Return whether versions of endpoints may have come and gone since the last list."""
+        node = self.node
+        now = time.monotonic()
+        return not node.directory.versions.complete and node.resumption.is_current(now)
+
+    def facts(self) -> dict[str, dict[str, object]]:
+        """Return the content of the facts' objects, by name."""
+        now = time.monotonic()
+        node = self.node
+        suspects = {
+            suspect_object_name(update.cause): {"suspect": msgspec.to_builtins(update)}
+            for update in node.quarantine.suspect_updates(now)
+        }
+        versions = {
+            version_object_name(*key): {"version": list(key)}
+            for key in node.directory.versions.mixed(now)
+        }
+        return suspects | versions
+
+    async def store_facts(self, facts: dict[str, dict[str, object]]) -> None:
+        """Create the objects of facts and delete those of former ones.
 
         Another router may have written the latter before this one had the lowest rank.
         """
         node = self.node
-        for update in node.quarantine.suspect_updates(time.monotonic()):
-            if update.cause not in self.stored_causes:
-                spec = {"suspect": msgspec.to_builtins(update)}
+        for name, spec in facts.items():
+            if name not in self.stored:
                 with contextlib.suppress(Conflict):
-                    await node.store.create(
-                        node.codec.ROUTERS, suspect_object_name(update.cause), spec
-                    )
-                self.stored_causes.add(update.cause)
-        for cause in self.known_causes - node.quarantine.tracker.quarantine:
-            await node.store.delete(node.codec.ROUTERS, suspect_object_name(cause))
-            self.known_causes.discard(cause)
-            self.stored_causes.discard(cause)
+                    await node.store.create(node.codec.ROUTERS, name, spec)
+                self.stored.add(name)
+        for name in self.known - facts.keys():
+            await node.store.delete(node.codec.ROUTERS, name)
+            self.known.discard(name)
+            self.stored.discard(name)
 
     async def delete(self, address: str) -> None:
         """Delete the store's object of a router that has expired."""
@@ -152,11 +184,18 @@
     return f"suspect-{name_hash(cause):08x}"
 
 
-def parse_suspect(stored: StoredObject) -> SuspectUpdate | None:
-    """Return the cause in an object, or None when it holds none or is malformed."""
+def version_object_name(service: str, version: str) -> str:
+    """Return the name of the object of a version that endpoints of a service have."""
+    return f"version-{name_hash(f'{service}/{version}'):08x}"
+
+
+def parse_fact(stored: StoredObject) -> SuspectUpdate | VersionUpdate | None:
+    """Return the fact in an object, or None when it holds none or is malformed."""
     try:
-        suspect = msgspec.json.decode(stored.spec)["suspect"]
-        return msgspec.convert([*suspect[:4], 0], SuspectUpdate)
+        spec = msgspec.json.decode(stored.spec)
+        if "version" in spec:
+            return msgspec.convert(spec["version"], VersionUpdate)
+        return msgspec.convert([*spec["suspect"][:4], 0], SuspectUpdate)
     except (msgspec.DecodeError, msgspec.ValidationError, KeyError, TypeError):
         return None
 
--- /dev/null
+++ b/src/hickorylever/direct/resumption.py
@@ -0,0 +1,160 @@
+"""Where streams go on: only at endpoints of the software version that began them."""
+
+import time
+
+from ..events import Event, log
+from ..exceptions import Kind, Ran, RequestError
+from .call import Call
+from .endpoints import Endpoint
+from .peer_protocol import CONTACT_SECONDS, name_hash
+from .streams import StreamRecord, stream_key
+
+UNLIMITED_STREAM_SECONDS = 600.0  # For which a stream without a time limit is remembered.
+EXPIRY_MARGIN_SECONDS = 1.0
+UNKNOWN_RETRY_AFTER_SECONDS = 0.25  # Another router may know the stream.
+
+
+class Resumption:
+    """Finds the version of streams that go on, and records that of streams that begin.
+
+    :param node: the components of this router.
+    :ivar had_contact: result of :meth:`in_contact` when it was last checked.
+    """
+
+    def __init__(self, node):
+        self.node = node
+        self.had_contact = False
+
+    async def resolve(self, call: Call) -> None:
+        """Set the service and the version at which a caller's stream goes on.
+
+        :raises RequestError: if they are not known.
+        """
+        source = "this router"
+        if not self.apply_record(call):
+            source = "the only version"
+            call.version = self.only_version(call.service.name)
+        if call.version is None and call.info.resumes:
+            source = "another router"
+            peer_sync = self.node.peer_sync
+            await peer_sync.streams.ask(list(self.keys(call).values()), peer_sync.broadcast)
+            self.apply_record(call)
+        known = call.version is not None
+        self.node.metrics.resumed.inc({"known_from": source if known else "nobody"})
+        log(
+            Event.STREAM_RESUMED,
+            source if known else "unknown",
+            request=call.info.id,
+            resumes=call.info.resumes,
+            service=call.service.name,
+            version=call.version or "",
+        )
+        if not known:
+            detail = "which software version began the stream is not known"
+            raise RequestError(Kind.STREAM_UNKNOWN, detail, Ran.NO, UNKNOWN_RETRY_AFTER_SECONDS)
+
+    def keys(self, call: Call) -> dict[str, int]:
+        """Return the keys of the stream that a call resumes, by the services of its route."""
+        account = call.account.name if call.account else ""
+        return {
+            weighted.service: stream_key(account, weighted.service, call.info.resumes)
+            for weighted in call.route.weighted_services
+            if weighted.weight > 0
+        }
+
+    def apply_record(self, call: Call) -> bool:
+        """Set a call's service and version if this router knows the stream that it resumes."""
+        table = self.node.peer_sync.streams.table
+        now = time.monotonic()
+        for name, key in self.keys(call).items():
+            version = table.version(key, now)
+            if version is not None:
+                call.service = self.node.routes.service(name)
+                call.version = version
+                return True
+        return False
+
+    def only_version(self, service: str) -> str | None:
+        """Return the only version that can have begun a stream of a service, if there is one."""
+        now = time.monotonic()
+        versions = self.node.directory.versions
+        possible = versions.possible(service, now)
+        if len(possible) != 1 or not versions.complete or not self.is_current(now):
+            return None
+        return next(iter(possible))
+
+    def is_current(self, now: float) -> bool:
+        """Return whether this router has learned of all changes of endpoints."""
+        node = self.node
+        latest = node.peer_sync.peers.latest_endpoints
+        return node.directory.latest >= latest and self.in_contact(now)
+
+    def in_contact(self, now: float) -> bool:
+        """Return whether the store or enough other routers were heard lately."""
+        node = self.node
+        answered = (watcher.last_success_at for watcher in node.store_watchers)
+        heard_store = now - max(answered, default=-CONTACT_SECONDS) < CONTACT_SECONDS
+        return heard_store or node.peer_sync.peers.in_contact(now)
+
+    def check_contact(self, now: float) -> None:
+        """Take the history of versions for incomplete once this router has been cut off.
+
+        Versions may have come and gone meanwhile.
+        """
+        contact = self.in_contact(now)
+        if self.had_contact and not contact:
+            self.node.directory.versions.complete = False
+        self.had_contact = contact
+
+    def uncertain_services(self, now: float) -> set[str]:
+        """Return the services whose streams may have been begun by one of several versions."""
+        versions = self.node.directory.versions
+        if not versions.complete or not self.is_current(now):
+            return set(self.node.directory.pools)
+        return {service for service, _ in versions.mixed(now)}
+
+    def too_new(self, call: Call) -> set[str]:
+        """Return the names of the endpoints at which a stream should not begin yet."""
+        if call.stream is None or not call.route.resumable or call.version is not None:
+            return set()
+        directory = self.node.directory
+        service = call.service.name
+        unsettled = directory.versions.unsettled(service, time.monotonic())
+        if not unsettled:
+            return set()
+        return {
+            endpoint.name
+            for endpoint in directory.pool(service)
+            if endpoint.entry.version in unsettled
+        }
+
+    def record_first_event(self, call: Call, endpoint: Endpoint) -> None:
+        """Record which version begins a stream.
+
+        Nothing is recorded if the endpoint has started again with another version, since its first
+        event may be from either process.
+        """
+        version = endpoint.entry.version
+        key = name_hash(endpoint.name)
+        current = self.node.directory.by_hash.get(key)
+        if current is not None and current.entry.version != version:
+            return
+        account = call.account.name if call.account else ""
+        limit = call.info.time_limit
+        lifetime = UNLIMITED_STREAM_SECONDS if limit is None else limit
+        expires_at = call.started_at + lifetime + EXPIRY_MARGIN_SECONDS
+        call.stream_key = stream_key(account, call.service.name, call.info.id)
+        call.version = version
+        record = StreamRecord(key, version, expires_at)
+        self.node.peer_sync.streams.record(call.stream_key, call.service.name, record)
+
+    def may_continue(self, call: Call) -> bool:
+        """Return whether a call may be sent to another endpoint, and set its version.
+
+        A stream that has an event may not if its version is no longer known.
+        """
+        if call.stream is None or not call.stream.event_count:
+            return True
+        table = self.node.peer_sync.streams.table
+        call.version = table.version(call.stream_key, time.monotonic())
+        return call.version is not None
--- a/src/hickorylever/direct/routes.py
+++ b/src/hickorylever/direct/routes.py
@@ -59,5 +59,8 @@
         if not weights or sum(weights) <= 0:
             raise RequestError(Kind.NO_ENDPOINT, "the route has no service with a positive weight")
         weighted = rng.choices(route.weighted_services, weights)[0]
-        service = self.services.get(weighted.service)
-        return service or Service(weighted.service, "", 0)
+        return self.service(weighted.service)
+
+    def service(self, name: str) -> Service:
+        """Return a service by its name."""
+        return self.services.get(name) or Service(name, "", 0)
--- a/src/hickorylever/direct/state_pulls.py
+++ b/src/hickorylever/direct/state_pulls.py
@@ -19,6 +19,7 @@
 from .peer_protocol import LeavingUpdate, Peer, SuspectUpdate
 from .position import NOTHING_KNOWN, UNKNOWN, KnownState, Position, parse_position
 from .records import StoredObject
+from .versions import VersionUpdate
 
 STATE_PATH = "/state"
 STATE_PULL_TIMEOUT_SECONDS = 1.0
@@ -60,6 +61,8 @@
         endpoint and part; only sent with all entries, to a router that starts.
     :param leaving_endpoints: endpoints that said that they shut down.
     :param suspects: causes in quarantine.
+    :param versions: software versions that services have had lately.
+    :param versions_complete: whether the sender knows all of them.
     """
 
     configuration: StoredObject | None
@@ -70,6 +73,8 @@
     cached_parts: dict[str, dict[str, int]] = {}
     leaving_endpoints: list[LeavingUpdate] = []
     suspects: list[SuspectUpdate] = []
+    versions: list[VersionUpdate] = []
+    versions_complete: bool = False
 
 
 class StatePulls:
@@ -146,6 +151,8 @@
             node.directory.mark_leaving(update, time.monotonic())
         node.directory.add_cached_parts(state.cached_parts)
         node.quarantine.apply_suspects(state.suspects, time.monotonic())
+        node.directory.versions.add(state.versions, time.monotonic())
+        node.directory.versions.complete |= state.versions_complete
         log(
             Event.STATE_PULLED,
             address,
@@ -199,6 +206,8 @@
             cached_parts=directory.cached_parts() if complete else {},
             leaving_endpoints=directory.leaving_updates(),
             suspects=node.quarantine.suspect_updates(time.monotonic()),
+            versions=directory.versions.updates(time.monotonic()),
+            versions_complete=directory.versions.complete,
         )
 
     def compress_state(self, content: bytes) -> bytes:
--- a/src/hickorylever/direct/status_servers.py
+++ b/src/hickorylever/direct/status_servers.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+from collections import Counter
 
 from ..exceptions import RequestError
 from ..http import Exchange, Server
@@ -37,8 +38,11 @@
             limited = sum(endpoint.rate_limit is not None for endpoint in pool)
             metrics.rate_limits.set({"service": service}, limited)
             metrics.budget_left.set({"service": service}, node.budget.remaining(service, now))
-        for service, queue in self.router.forwarder.placer.queues.items():
-            metrics.waiting.set({"service": service}, len(queue.entries))
+        waiting = Counter()
+        for (service, _), queue in self.router.forwarder.placer.queues.items():
+            waiting[service] += len(queue.entries)
+        for service, count in waiting.items():
+            metrics.waiting.set({"service": service}, count)
         for watcher in node.store_watchers:
             metrics.store_age.set({"kind": watcher.kind}, now - watcher.last_success_at)
 
--- a/src/hickorylever/direct/stream.py
+++ b/src/hickorylever/direct/stream.py
@@ -1,6 +1,7 @@
 """A stream to the caller, which may continue over several endpoints."""
 
 import time
+from collections.abc import Callable
 
 from ..exceptions import CallerGone, ConnectionLost
 from ..http import ClientResponse, Exchange, end_to_end
@@ -13,6 +14,7 @@
     :ivar started: whether the head was sent.
     :ivar event_count: number of relayed events.
     :ivar pending_prefill: prefill of the current attempt, which ends at its first event.
+    :ivar on_first_event: called before the first event of all attempts is relayed.
     :ivar first_event_at: monotonic seconds of the first event.
     :ivar latest_event_at: monotonic seconds of the latest event.
     :ivar max_gap: longest time between two events, in seconds.
@@ -24,6 +26,7 @@
         self.started = False
         self.event_count = 0
         self.pending_prefill = None
+        self.on_first_event: Callable[[], None] = lambda: None
         self.first_event_at = 0.0
         self.latest_event_at = 0.0
         self.max_gap = 0.0
@@ -44,6 +47,7 @@
         now = time.monotonic()
         if not self.event_count:
             self.first_event_at = now
+            self.on_first_event()
         else:
             self.max_gap = max(self.max_gap, now - self.latest_event_at)
         self.event_count += len(events)
--- /dev/null
+++ b/src/hickorylever/direct/stream_reports.py
@@ -0,0 +1,111 @@
+"""What routers tell and ask each other of the versions that began streams.
+
+While a service has several versions, the router that passes on the first event of a stream tells
+a few others, which are chosen by the stream's key. A router that is asked to go on with a stream
+that it doesn't know asks these first, and then all.
+"""
+
+from collections.abc import Iterable
+
+import curio
+import xxhash
+
+from .peer_protocol import Datagram, Peer, PeerTable
+from .streams import StreamRecord, StreamTable, StreamUpdate
+
+KEEPER_COUNT = 3  # Routers told of a stream, as some may end together with the one that tells.
+FIRST_ASKED_COUNT = 6  # The alive routers may have changed since the keepers were chosen.
+QUESTION_SECONDS = 0.05  # For the answers of one round.
+QUESTION_ROUNDS = 3
+MAX_STREAM_UPDATES = 24  # In one datagram, so that it fits a packet.
+
+
+def rank_for_stream(key: int, peers: Iterable[Peer]) -> list[Peer]:
+    """Return routers in the order in which they keep a stream, which all routers agree on."""
+    return sorted(
+        peers, key=lambda peer: xxhash.xxh3_64_intdigest(f"{key}/{peer.address}".encode())
+    )
+
+
+class StreamReports:
+    """Tells other routers of streams, and asks them.
+
+    :param node: the components of this router.
+    :param peers: table of the other routers.
+    :ivar table: the streams that this router knows.
+    :ivar untold: services of streams that only this router knows, by key.
+    :ivar questions: set when another router tells of the stream, by key.
+    """
+
+    def __init__(self, node, peers: PeerTable):
+        self.node = node
+        self.peers = peers
+        self.table = StreamTable()
+        self.untold: dict[int, str] = {}
+        self.questions: dict[int, curio.Event] = {}
+
+    def record(self, key: int, service: str, record: StreamRecord) -> None:
+        """Record a stream whose first event this router passes on."""
+        self.table.add(key, record)
+        self.untold[key] = service
+
+    def take(self, told_services: set[str], now: float) -> dict[str, list[StreamUpdate]]:
+        """Remove and return the streams to tell others of, by the address of the router.
+
+        :param told_services: services whose streams other routers must know.
+        """
+        keys = [key for key, service in self.untold.items() if service in told_services]
+        alive = self.peers.alive(now) if keys else []
+        taken: dict[str, list[StreamUpdate]] = {}
+        for key in keys[:MAX_STREAM_UPDATES]:
+            del self.untold[key]
+            update = self.table.update(key, now)
+            if update is not None:
+                for peer in rank_for_stream(key, alive)[:KEEPER_COUNT]:
+                    taken.setdefault(peer.address, []).append(update)
+        return taken
+
+    async def apply(self, datagram: Datagram, now: float) -> None:
+        """Record the streams that another router tells of.
+
+        Those of an endpoint that has started again with another version are left out, as in
+        :meth:`.StreamTable.forget_endpoint`.
+        """
+        for update in datagram.streams:
+            endpoint = self.node.directory.by_hash.get(update.endpoint)
+            if endpoint is not None and endpoint.entry.version != update.version:
+                continue
+            expires_at = now + update.seconds_left
+            self.table.add(update.key, StreamRecord(update.endpoint, update.version, expires_at))
+            if update.key in self.questions:
+                await self.questions[update.key].set()
+
+    def answers(self, datagram: Datagram, now: float) -> list[StreamUpdate]:
+        """Return what this router knows of the streams that another one asks for."""
+        updates = [self.table.update(key, now) for key in datagram.stream_questions]
+        return [update for update in updates if update is not None]
+
+    async def ask(self, keys: list[int], send) -> None:
+        """Ask other routers for streams until one answers, or none does.
+
+        :param keys: of the same stream in several services.
+        :param send: async function that sends a question to some routers.
+        """
+        answered = curio.Event()
+        new = [key for key in keys if key not in self.questions]
+        self.questions.update(dict.fromkeys(new, answered))
+        try:
+            for number in range(QUESTION_ROUNDS):
+                peers = rank_for_stream(keys[0], self.peers.by_address.values())
+                await send(peers if number else peers[:FIRST_ASKED_COUNT], stream_questions=keys)
+                async with curio.ignore_after(QUESTION_SECONDS):
+                    await answered.wait()
+                    return
+        finally:
+            for key in new:
+                del self.questions[key]
+
+    def expire(self, now: float) -> None:
+        """Forget streams that their callers don't take up any more."""
+        self.table.expire(now)
+        self.untold = {key: name for key, name in self.untold.items() if key in self.table.records}
--- /dev/null
+++ b/src/hickorylever/direct/streams.py
@@ -0,0 +1,93 @@
+"""Which software version wrote the first event of each stream."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+import msgspec
+import xxhash
+
+MAX_STREAMS = 65536  # The earliest ones are forgotten first, and can't go on then.
+
+
+class StreamUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """A stream that has begun.
+
+    :param key: see :func:`stream_key`.
+    :param endpoint: hash of the name of the endpoint that wrote its first event.
+    :param version: of that endpoint's software.
+    :param seconds_left: time for which its caller may still take it up.
+    """
+
+    key: int
+    endpoint: int
+    version: str
+    seconds_left: int
+
+
+@dataclass(frozen=True, slots=True)
+class StreamRecord:
+    """A stream that has begun.
+
+    :param endpoint: hash of the name of the endpoint that wrote its first event.
+    :param version: of that endpoint's software.
+    :param expires_at: monotonic seconds.
+    """
+
+    endpoint: int
+    version: str
+    expires_at: float
+
+
+def stream_key(account: str, service: str, request_id: str) -> int:
+    """Return the 64-bit number of a stream, by the request that brought its first event.
+
+    It depends on the client account, so that one account learns nothing of another's streams.
+    """
+    state = xxhash.xxh3_64()
+    for component in (account, service, request_id):
+        state.update(f"{len(component)}:{component}".encode())
+    return state.intdigest()
+
+
+class StreamTable:
+    """Streams that have begun, by their key. Times are monotonic seconds."""
+
+    def __init__(self):
+        self.records: OrderedDict[int, StreamRecord] = OrderedDict()
+
+    def add(self, key: int, record: StreamRecord) -> None:
+        """Add a stream."""
+        self.records[key] = record
+        self.records.move_to_end(key)
+        if len(self.records) > MAX_STREAMS:
+            self.records.popitem(last=False)
+
+    def version(self, key: int, now: float) -> str | None:
+        """Return the version that began a stream, or None if this isn't known."""
+        record = self.records.get(key)
+        return record.version if record is not None and record.expires_at > now else None
+
+    def update(self, key: int, now: float) -> StreamUpdate | None:
+        """Return what is known of a stream, for another router."""
+        record = self.records.get(key)
+        if record is None or record.expires_at <= now:
+            return None
+        seconds_left = int(record.expires_at - now) + 1
+        return StreamUpdate(key, record.endpoint, record.version, seconds_left)
+
+    def forget_endpoint(self, endpoint: int) -> None:
+        """Forget the streams of an endpoint that has started again with another version.
+
+        Which of its two processes wrote their first events isn't known.
+
+        :param endpoint: hash of its name.
+        """
+        for key, record in list(self.records.items()):
+            if record.endpoint == endpoint:
+                del self.records[key]
+
+    def expire(self, now: float) -> None:
+        """Forget streams that their callers don't take up any more."""
+        for key, record in list(self.records.items()):
+            if record.expires_at <= now:
+                del self.records[key]
--- /dev/null
+++ b/src/hickorylever/direct/versions.py
@@ -0,0 +1,104 @@
+"""Which software versions the endpoints of each service have had lately.
+
+A stream may go on only at the version that began it. Where a service can have had only one version
+while the stream ran, that one began it, whichever router sent it there.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+STREAM_LIFETIME_SECONDS = 60.0  # Longer than a caller waits for a stream, tries included.
+SETTLE_SECONDS = 2.5  # Longer than `peer_protocol.CONTACT_SECONDS`.
+
+
+class VersionUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """A version that endpoints of a service have had.
+
+    :param age: seconds since the last of them was there.
+    """
+
+    service: str
+    version: str
+    age: int = 0
+
+
+class VersionHistory:
+    """The versions that may have begun streams which can still go on. Times are monotonic seconds.
+
+    :ivar present: versions of the known endpoints, by service.
+    :ivar appeared: when a version was first there beside others, by service and version.
+    :ivar departed: when a version was last there, by service and version.
+    :ivar complete: whether this router has learned what there was before its start, and while it
+        was cut off.
+    """
+
+    def __init__(self):
+        self.present: dict[str, frozenset[str]] = {}
+        self.appeared: dict[tuple[str, str], float] = {}
+        self.departed: dict[tuple[str, str], float] = {}
+        self.complete = False
+
+    def observe(self, present: dict[str, frozenset[str]], now: float) -> None:
+        """Replace the versions of the known endpoints, by service."""
+        for service, versions in self.present.items():
+            for version in versions - present.get(service, frozenset()):
+                self.departed[service, version] = now
+            for version in present.get(service, frozenset()) - versions:
+                self.appeared[service, version] = now
+        self.present = present
+
+    def add(self, updates: Iterable[VersionUpdate], now: float) -> None:
+        """Add versions that another router knows of, or that the store holds."""
+        for update in updates:
+            key = update.service, update.version
+            self.departed[key] = max(self.departed.get(key, -now), now - max(0.0, update.age))
+
+    def unsettled(self, service: str, now: float) -> frozenset[str]:
+        """Return the versions that are too new for streams to begin there.
+
+        Other routers have to learn of a version first, or to notice that they are cut off. They
+        would take the versions that they know for the only ones.
+        """
+        return frozenset(
+            version
+            for (name, version), at in self.appeared.items()
+            if name == service and now - at < SETTLE_SECONDS
+        )
+
+    def possible(self, service: str, now: float) -> frozenset[str]:
+        """Return the versions that may have begun a stream of a service."""
+        return self.present.get(service, frozenset()) | {
+            version
+            for (name, version), at in self.departed.items()
+            if name == service and now - at <= STREAM_LIFETIME_SECONDS
+        }
+
+    def updates(self, now: float) -> list[VersionUpdate]:
+        """Return the versions of all services, for routers that start."""
+        ages = {key: now - at for key, at in self.departed.items()}
+        ages |= {
+            (service, version): 0.0
+            for service, versions in self.present.items()
+            for version in versions
+        }
+        return [VersionUpdate(*key, int(age)) for key, age in ages.items()]
+
+    def mixed(self, now: float) -> list[tuple[str, str]]:
+        """Return the services with several possible versions, with each of these."""
+        services = {*self.present, *(service for service, _ in self.departed)}
+        return [
+            (service, version)
+            for service in sorted(services)
+            if len(versions := self.possible(service, now)) > 1
+            for version in sorted(versions)
+        ]
+
+    def expire(self, now: float) -> None:
+        """Forget the versions whose streams have all ended, and when settled ones appeared."""
+        for key, at in list(self.departed.items()):
+            if now - at > STREAM_LIFETIME_SECONDS:
+                del self.departed[key]
+        for key, at in list(self.appeared.items()):
+            if now - at >= SETTLE_SECONDS:
+                del self.appeared[key]
--- a/src/hickorylever/exceptions.py
+++ b/src/hickorylever/exceptions.py
@@ -35,6 +35,8 @@
     CANCELLED = "cancelled"
     NO_ENDPOINT = "no_endpoint"
     NOT_READY = "not_ready"
+    STREAM_UNKNOWN = "stream_unknown"
+    VERSION_GONE = "version_gone"
     DEADLINE = "deadline"
     ENDPOINT_FAILED = "endpoint_failed"
     ANSWER_LOST = "answer_lost"
@@ -101,6 +103,8 @@
     Kind.CANCELLED: ProblemType(503, "The request was cancelled", Advice.SAFE),
     Kind.NO_ENDPOINT: ProblemType(503, "No endpoint is available", Advice.AFTER, 2),
     Kind.NOT_READY: ProblemType(503, "No configuration is in force yet", Advice.AFTER, 2),
+    Kind.STREAM_UNKNOWN: ProblemType(503, "What began the stream is not known", Advice.AFTER, 1),
+    Kind.VERSION_GONE: ProblemType(503, "What began the stream is gone", Advice.NEVER),
     Kind.DEADLINE: ProblemType(504, "The deadline passed", Advice.ASK),
     Kind.ENDPOINT_FAILED: ProblemType(502, "The endpoint failed", Advice.ASK),
     Kind.ANSWER_LOST: ProblemType(502, "The answer was lost", Advice.ASK),
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -142,6 +142,7 @@
     async def start_router(self):
         self.node = Node(self.settings(), platform, platform.Store)
         self.router = Router(self.node)
+        self.node.directory.versions.complete = True  # As after a list of the routers.
         for watcher in create_store_watchers(self.node):
             self.tasks.append(await curio.spawn(watcher.run, daemon=True))
         for task in (self.node.expire, self.router.forwarder.placer.recheck_queued):
