Copy cached prompt parts only between engines of one software version

A source of cached parts is now sought among the engines of the candidate's own version. The new test failed before: the source was an engine of v1 for one of v2. The load bound of a stream that goes on keeps the mean of all versions; a test says so.

--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CopySources:
-    """The two reachable endpoints with the longest cached prefixes of a prompt.
+    """The two reachable endpoints of a version with the longest cached prefixes of a prompt.
 
     An endpoint does not copy from itself, which is why there is a second one.
 
@@ -119,6 +119,20 @@
             return None, 0
         return source, tokens - candidate.cached_tokens
 
+    def with_endpoint(self, endpoint: Endpoint, tokens: int) -> "CopySources":
+        """Return the sources with one more endpoint considered.
+
+        :param tokens: length of the prefix that it has cached.
+        """
+        if tokens > self.best_tokens:
+            return CopySources(endpoint, tokens, self.best, self.best_tokens)
+        if tokens > self.second_tokens:
+            return CopySources(self.best, self.best_tokens, endpoint, tokens)
+        return self
+
+
+NO_SOURCES = CopySources()
+
 
 def within_load_bound(
     candidates: list[Candidate], request: PlacementRequest
@@ -217,37 +231,44 @@
     return Choice(
         best.endpoint,
         uncached_tokens(best, sources, total),
-        sources.for_candidate(best)[0],
+        source_for(best, sources)[0],
         best.rank,
         cost,
         available,
     )
 
 
-def copy_sources(order: list[Endpoint], cached_tokens: list[int], now: float) -> CopySources:
-    """Return the two reachable endpoints with the longest cached prefixes of a prompt.
+def copy_sources(
+    order: list[Endpoint], cached_tokens: list[int], now: float
+) -> dict[str, CopySources]:
+    """Return the two reachable endpoints with the longest cached prefixes, by version.
+
+    Endpoints copy only from others of their own software version.
 
     :param cached_tokens: length of the prefix that each endpoint has cached.
     """
-    best = second = None
-    best_tokens = second_tokens = 0
+    sources: dict[str, CopySources] = {}
     for endpoint, tokens in zip(order, cached_tokens, strict=True):
-        if tokens <= second_tokens or now < endpoint.paused_until:
+        if not tokens or now < endpoint.paused_until:
             continue
-        if tokens > best_tokens:
-            second, second_tokens = best, best_tokens
-            best, best_tokens = endpoint, tokens
-        else:
-            second, second_tokens = endpoint, tokens
-    return CopySources(best, best_tokens, second, second_tokens)
+        version = endpoint.entry.version
+        sources[version] = sources.get(version, NO_SOURCES).with_endpoint(endpoint, tokens)
+    return sources
+
+
+def source_for(
+    candidate: Candidate, sources: dict[str, CopySources]
+) -> tuple[Endpoint | None, int]:
+    """Return the endpoint for a candidate to copy from and the tokens to copy, or None and 0."""
+    return sources.get(candidate.endpoint.entry.version, NO_SOURCES).for_candidate(candidate)
 
 
-def uncached_tokens(candidate: Candidate, sources: CopySources, total: int) -> float:
+def uncached_tokens(candidate: Candidate, sources: dict[str, CopySources], total: int) -> float:
     """Return the prompt tokens that a candidate has to prefill, with copied tokens weighted.
 
     :param total: length of the prompt.
     """
-    copied = sources.for_candidate(candidate)[1]
+    copied = source_for(candidate, sources)[1]
     return total - candidate.cached_tokens - copied * (1.0 - COPY_COST_RATIO)
 
 
--- a/tests/test_direct_placement.py
+++ b/tests/test_direct_placement.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 import pytest
@@ -236,3 +237,37 @@
     endpoints.ranked(PARTS)
     assert Pool(pool(3), previous=endpoints).orders is endpoints.orders
     assert not Pool(pool(4), previous=endpoints).orders
+
+
+def endpoints_of_versions(*versions):
+    endpoints = pool(len(versions))
+    for endpoint, version in zip(endpoints, versions, strict=True):
+        endpoint.entry = dataclasses.replace(endpoint.entry, version=version)
+    return endpoints
+
+
+def test_cached_prefix_is_not_copied_from_another_version():
+    endpoints = endpoints_of_versions("v1", "v2", "v2")
+    old, *new = endpoints
+    old.prompt_cache.add(PARTS, 0)
+    old.prefill = 50000.0
+    new[0].prompt_cache.add(PARTS[:1], 0)
+    new[0].prefill = 5000.0
+    choice = place(endpoints, engine_request())
+    assert choice.endpoint is new[1]
+    assert choice.source is new[0]
+
+
+@pytest.mark.parametrize("engine", [ENGINE, None])
+def test_only_endpoints_of_the_version_are_chosen_within_the_bound_of_all(engine):
+    """The mean of the load bound is that of the service, not of the version."""
+    endpoints = endpoints_of_versions("v1", "v1", "v2", "v2", "v2", "v2")
+    endpoints[0].running = 30
+    endpoints[1].running = 20
+    choice = place(endpoints, engine_request(engine=engine, version="v1"))
+    assert choice.endpoint is endpoints[1]
+    assert place(endpoints, engine_request(engine=engine, version="v3")) is None
+    endpoints[0].running = 4
+    endpoints[0].failure_average = 1.0
+    choice = place(endpoints, engine_request(engine=engine, version="v1"))
+    assert choice.endpoint is endpoints[0]
