Soak: callers take streams up elsewhere while endpoints of several versions come and go

Checks for ORDER (all events of a stream, over all tries, are of one version) and LOST (streams that are taken up go on at least half as often as new ones begin). Endpoints are replaced by ones of three versions, in any order; callers leave a fifth of the streams that may be resumed and come back up to three times, after 0 to 1 s, at any router.

--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -173,8 +173,9 @@
         await exchange.start(
             200, [*self.response_headers(exchange), (b"content-type", b"text/event-stream")]
         )
+        version = self.version
         for number in range(first, last + 1):
-            await exchange.write(encode_event(number, self.version))
+            await exchange.write(encode_event(number, version))
             await curio.sleep(self.pause)
 
 
@@ -183,6 +184,19 @@
     return re.findall(r"(\w+):", header(headers, names.PREFIX).decode())
 
 
+EVENT = re.compile(rb"id: (\d+)\ndata: piece \1\n(?:software-version: (\S+)\n)?\n")
+
+
+def decode_events(content: bytes) -> list[tuple[int, str]]:
+    """Return the ids of the events at the start of a stream, and the versions that wrote them."""
+    events = []
+    position = 0
+    while match := EVENT.match(content, position):
+        events.append((int(match[1]), (match[2] or b"").decode()))
+        position = match.end()
+    return events
+
+
 def encode_event(number: int, version: str = "") -> bytes:
     """Return an encoded event of a stream.
 
--- a/src/hickorylever/soak/callers.py
+++ b/src/hickorylever/soak/callers.py
@@ -9,6 +9,7 @@
 from ..direct.records import RouteKind
 from ..exceptions import ConnectionLost
 from ..platform import names
+from ..platform.standins.origin import decode_events
 from .world import (
     API_KEY,
     CALLER_PORT,
@@ -25,6 +26,9 @@
 PART_TOKENS = 20
 CONNECTION_REUSE_PROBABILITY = 0.7
 DISCONNECT_PROBABILITY = 0.04
+LEAVE_STREAM_PROBABILITY = 0.2  # For streams that the caller can take up.
+RESUMES = 3
+RESUME_DELAYS_SECONDS = (0.0, 0.005, 0.1, 1.0)
 DISCONNECT_DELAY_SECONDS = (0.005, 0.1)
 CRASHING_PART_PROBABILITY = 0.3
 SUBJECT_COUNT = 6
@@ -44,6 +48,10 @@
     :param connected: whether a connection to the router was available.
     :param disconnected: whether the caller disconnected before the response was complete.
     :param parts: ids of the parts of its prompt.
+    :param resumes: id of the request that brought the first event of the stream that it takes up;
+        empty for a new one.
+    :param after: last event of that stream that the caller has.
+    :param received: what arrived of the body in any case.
     """
 
     id: str
@@ -58,6 +66,19 @@
     connected: bool = False
     disconnected: bool = False
     parts: tuple[str, ...] = ()
+    resumes: str = ""
+    after: int = 0
+    received: bytes = b""
+
+    @property
+    def events(self) -> list[tuple[int, str]]:
+        """Return the ids of the events that arrived, and the versions that wrote them."""
+        return decode_events(self.received)
+
+    @property
+    def latest_event(self) -> int:
+        """Return the last event that the caller has, of all its tries."""
+        return self.events[-1][0] if self.events else self.after
 
 
 @dataclass
@@ -94,24 +115,54 @@
                 latest = self.harness.version
                 await self.send(router, "safe", max(1, latest - self.rng.randrange(3)))
             else:
-                await self.send(router, self.rng.choice(tuple(ROUTE_KINDS)))
+                request = await self.send(router, self.rng.choice(tuple(ROUTE_KINDS)))
+                await self.take_up(request)
             await curio.sleep(self.rng.uniform(0.0, 0.03))
 
-    async def send(self, router: RouterProcess, kind: str, version: int = 0) -> SentRequest:
+    async def take_up(self, request: SentRequest) -> None:
+        """Take a stream up at other routers until the caller has all of it, or no more tries."""
+        first = request
+        for _ in range(RESUMES):
+            if request.kind != "resumable" or request.body is not None or not first.events:
+                return
+            await curio.sleep(self.rng.choice(RESUME_DELAYS_SECONDS))
+            router = self.rng.choice(self.harness.routers)
+            request = await self.send(
+                router, request.kind, resumes=first.id, after=request.latest_event
+            )
+
+    async def send(
+        self,
+        router: RouterProcess,
+        kind: str,
+        version: int = 0,
+        resumes: str = "",
+        after: int = 0,
+    ) -> SentRequest:
         """Send a request, record its outcome and return it.
 
         :param kind: key in `ROUTE_KINDS`.
         :param version: configuration version whose own route is requested; 0 for that of `kind`.
+        :param resumes: id of the request that began the stream to take up; empty for a new one.
+        :param after: last event of that stream that the caller has.
         """
         self.request_count += 1
         request_id = f"{self.number}-{self.request_count}"
         self.traffic.request_ids.add(request_id)
         start_count = router.start_count
         request = SentRequest(
-            request_id, kind, router.ip, now(), (start_count, start_count), version
+            request_id,
+            kind,
+            router.ip,
+            now(),
+            (start_count, start_count),
+            version,
+            resumes=resumes,
+            after=after,
         )
         request.parts = self.choose_parts(kind)
-        disconnects = self.rng.random() < DISCONNECT_PROBABILITY and not version
+        probability = LEAVE_STREAM_PROBABILITY if kind == "resumable" else DISCONNECT_PROBABILITY
+        disconnects = self.rng.random() < probability and not version
         timeout = (
             self.rng.uniform(*DISCONNECT_DELAY_SECONDS) if disconnects else 2 * DEADLINE_SECONDS
         )
@@ -148,6 +199,9 @@
         if request.parts:
             prefix = ",".join(f"{part}:{PART_TOKENS}" for part in request.parts)
             headers.append((names.PREFIX, prefix.encode()))
+        if request.resumes:
+            headers.append((names.RESUMES, request.resumes.encode()))
+            headers.append((names.LAST_EVENT, b"%d" % request.after))
         channel = await self.client.acquire(request.router, CALLER_PORT, fresh)
         request.connected = True
         try:
@@ -155,7 +209,9 @@
             await self.client.send_request(channel, "POST", path, headers, b"soak", VIRTUAL_HOST)
             response = await self.client.receive_response(channel)
             request.status = response.status
-            request.body = await response.body()
+            async for block in response.iter_bytes():
+                request.received += block
+            request.body = request.received
         except BaseException:
             await channel.close()
             raise
--- a/src/hickorylever/soak/checks.py
+++ b/src/hickorylever/soak/checks.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 
 from ..direct.records import RouteKind
-from ..platform.standins.origin import prompt_parts
+from ..platform.standins.origin import encode_event, prompt_parts
 from ..registry import Registry
 from .callers import DEADLINE_SECONDS, SentRequest, TrafficLog
 from .faults import PLANNED_OPERATIONS, faults
@@ -29,10 +29,12 @@
 LIMIT_EXCESS = 5
 LIMIT_REACTION_SECONDS = 3.0  # From the first answer that names a limit.
 OTHER_THAN_ROUTER_FAULTS = frozenset(faults) - {"kill", "kill_all", "pause", "stop"}
-DEADLINE_TOLERANCE_SECONDS = 0.5  # Time after its deadline by which a request must have ended.
-COMPLETE_STREAM = b"".join(
-    b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS_PER_STREAM + 1)
+MIN_RESUMED_STREAMS = 12
+LOST_RATIO = 0.5
+FAULTS_ELSEWHERE = frozenset(
+    ("kill", "stop", "crash", "cut", "release", "reload", "configure", "history")
 )
+DEADLINE_TOLERANCE_SECONDS = 0.5  # Time after its deadline by which a request must have ended.
 
 
 def count_runs(harness: SoakHarness) -> Counter[str]:
@@ -80,10 +82,54 @@
 def is_own_response(request: SentRequest) -> bool:
     """Return whether the body is the complete response to the request itself."""
     if ROUTE_KINDS[request.kind] is RouteKind.STREAM:
-        return request.body == COMPLETE_STREAM
+        numbers = range(request.after + 1, EVENTS_PER_STREAM + 1)
+        versions = [version for _, version in request.events]
+        return len(versions) == len(numbers) and request.body == b"".join(
+            map(encode_event, numbers, versions)
+        )
     return request.body.endswith(f" for {request.id}".encode())
 
 
+@checks.register("order")
+def streams_hold_events_of_one_version(harness: SoakHarness, traffic: TrafficLog) -> Iterator[str]:
+    """All events of a stream, over all tries of its caller, are of one software version."""
+    versions = defaultdict(set)
+    for request in traffic.requests:
+        versions[request.resumes or request.id].update(version for _, version in request.events)
+    for request_id, found in versions.items():
+        if len(found) > 1:
+            yield f"the stream of {request_id} holds events of {', '.join(sorted(found))}"
+
+
+@checks.register("lost")
+def streams_go_on(harness: SoakHarness, traffic: TrafficLog) -> Iterator[str]:
+    """Streams that callers take up go on half as often as new ones begin, at least.
+
+    Only those whose version at least two endpoints have from then on count.
+    """
+    versions = {request.id: request.events[0][1] for request in traffic.requests if request.events}
+    streams = [
+        request
+        for request in traffic.requests
+        if request.kind == "resumable"
+        and not request.disconnected
+        and harness.is_fault_free(
+            request.started_at - FAULT_FREE_SECONDS, request.ended_at, FAULTS_ELSEWHERE
+        )
+    ]
+    new = [request.status == 200 for request in streams if not request.resumes]
+    resumed = [
+        request.status == 200
+        for request in streams
+        if request.resumes
+        and harness.serving(versions[request.resumes], request.started_at, request.ended_at) > 1
+    ]
+    if len(resumed) < MIN_RESUMED_STREAMS or not new:
+        return
+    if sum(resumed) / len(resumed) < LOST_RATIO * sum(new) / len(new):
+        yield f"{sum(resumed)} of {len(resumed)} streams went on, {sum(new)} of {len(new)} began"
+
+
 @checks.register("no way back")
 def configuration_never_reverts(harness: SoakHarness, traffic: TrafficLog) -> Iterator[str]:
     """A router process never goes back to an earlier configuration version.
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -41,6 +41,7 @@
 DRAINING_SECONDS = 3.5
 CRASHING_PART_SECONDS = 8.0
 LIMIT_SECONDS = 9.0
+VERSION_COUNT = 3
 LIMITS_PER_SECOND = (0.5, 2.0, 8.0)
 
 
@@ -221,6 +222,20 @@
     await harness.start_endpoint(index)
 
 
+@faults.register("release")
+async def release(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
+    """Replace two endpoints one after another by ones of another version, or of a former one."""
+    number = rng.randrange(1, VERSION_COUNT + 1)
+    version = f"v{number}"
+    for index in rng.sample(range(len(harness.origins)), 2):
+        if index in harness.draining:
+            continue
+        harness.draining.add(index)
+        await harness.put_endpoint(index)
+        await curio.sleep(DRAINING_SECONDS)
+        await harness.replace_endpoint(index, version)
+
+
 @faults.register("shutdown")
 async def announce_shutdown(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
     """Make an endpoint say in its responses that it shuts down, while its entry stays ready."""
@@ -241,6 +256,7 @@
     for write, arguments in writes:
         await curio.sleep(rng.uniform(0.0, REWRITE_SECONDS / len(writes)))
         await write(*arguments)
+    await harness.remove_former_endpoints()
 
 
 @faults.register("configure")
--- a/src/hickorylever/soak/world.py
+++ b/src/hickorylever/soak/world.py
@@ -129,6 +129,7 @@
     :param limit_periods: periods in which an endpoint named a limit on its requests.
     :param draining: indexes of endpoints whose entry is draining.
     :param start_counts: how often each endpoint has started, by index.
+    :param version_periods: when an endpoint got each version of its software, by index.
     :param version: version of the latest configuration.
     :param crashing_part: prompt part that crashes endpoints now; empty for none.
     :param crashing_parts: all of them so far.
@@ -147,6 +148,7 @@
     limit_periods: list[LimitPeriod] = field(default_factory=list)
     draining: set[int] = field(default_factory=set)
     start_counts: dict[int, int] = field(default_factory=dict)
+    version_periods: dict[int, list[tuple[float, str]]] = field(default_factory=dict)
     version: int = 0
     crashing_part: str = ""
     crashing_parts: list[str] = field(default_factory=list)
@@ -158,7 +160,7 @@
         # Concurrent soak tests hold different ports, so each gets its own loopback network.
         self.network_prefix = f"127.{store_port >> 8}.{store_port & 255}"
         for number in range(self.endpoint_count):
-            origin = Origin(f"i-{number}", events=EVENTS_PER_STREAM, pause=0.01)
+            origin = Origin(f"i-{number}", events=EVENTS_PER_STREAM, pause=0.01, version="v1")
             origin.on_crash = functools.partial(self.crash_endpoint, number)
             self.origins.append(origin)
             self.proxies.append(await self.start_proxy(await self.serve(origin.server)))
@@ -221,8 +223,34 @@
         self.start_counts[number] = self.start_counts.get(number, 0) + 1
         self.draining.discard(number)
         self.origins[number].leaving = False
+        version = self.origins[number].version
+        self.version_periods.setdefault(number, []).append((now(), version))
         await self.put_endpoint(number)
 
+    async def replace_endpoint(self, number: int, version: str) -> None:
+        """Replace an endpoint by a new one of another version, at the same address."""
+        await self.proxies[number].reset_connections()
+        origin = self.origins[number]
+        old = origin.name
+        origin.version = version
+        origin.name = f"i-{number}-{self.start_counts[number]}"
+        await self.start_endpoint(number)
+        await self.store.remove(ENDPOINTS, old)
+
+    async def remove_former_endpoints(self) -> None:
+        """Remove the entries of endpoints that are gone, which a restored store holds again."""
+        present = {origin.name for origin in self.origins}
+        for kind, name in list(self.store.objects):
+            if kind == ENDPOINTS and name not in present:
+                await self.store.remove(kind, name)
+
+    def serving(self, version: str, since: float, until: float) -> int:
+        """Return how many endpoints had a version throughout a period."""
+        return sum(
+            version_at(periods, since) == version == version_at(periods, until)
+            for periods in self.version_periods.values()
+        )
+
     def add_crashing_part(self) -> None:
         """Let a new prompt part crash the endpoints that begin to answer requests with it."""
         self.crashing_part = f"c{len(self.crashing_parts):03x}"
@@ -256,6 +284,7 @@
             64,
             number in self.draining,
             started_ms=self.start_counts[number],
+            version=self.origins[number].version,
         )
         await self.store.put(ENDPOINTS, entry.name, documents.encode_endpoint(entry))
 
@@ -295,6 +324,14 @@
         )
 
 
+def version_at(periods: list[tuple[float, str]], at: float) -> str:
+    """Return the version that an endpoint had at a time.
+
+    :param periods: when it started with each version, oldest first.
+    """
+    return next((version for start, version in reversed(periods) if start <= at), "")
+
+
 def version_route(version: int) -> str:
     """Return the name of the route that only this configuration version has."""
     return f"version-{version}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,13 +10,13 @@
 from hickorylever.http import connect, listen
 from hickorylever.http.channel import Channel
 from hickorylever.platform import names
-from hickorylever.platform.standins.origin import Origin, Run
+from hickorylever.platform.standins.origin import Origin, Run, encode_event
 from hickorylever.soak.callers import SentRequest, TrafficLog
-from hickorylever.soak.checks import COMPLETE_STREAM, checks
+from hickorylever.soak.checks import checks
 from hickorylever.soak.faults import faults
 from hickorylever.soak.proxy import Proxy
 from hickorylever.soak.run import Report, run_fault
-from hickorylever.soak.world import FaultPeriod, LimitPeriod, SoakHarness
+from hickorylever.soak.world import EVENTS_PER_STREAM, FaultPeriod, LimitPeriod, SoakHarness
 
 
 def test_short_soak_finds_no_violation():
@@ -25,6 +25,17 @@
     assert len(report.traffic.requests) > 20
 
 
+def make_events(first=1, last=EVENTS_PER_STREAM, version="v1"):
+    return b"".join(encode_event(number, version) for number in range(first, last + 1))
+
+
+COMPLETE_STREAM = make_events()
+
+
+def make_stream(content, **more):
+    return make_request(kind="resumable", status=200, received=content, body=content, **more)
+
+
 def make_request(**more):
     defaults = {
         "id": "1-1",
@@ -72,6 +83,20 @@
     ] + [make_request(started_at=58.0, status=503, parts=("a000", "c000", "1"))]
 
 
+TWO_OF_V1 = {"version_periods": {0: [(0.0, "v1")], 1: [(0.0, "v1")]}}
+
+
+def make_resumed(served, rejected, version="v1"):
+    """A stream that breaks off after two events, and later tries to take it up."""
+    first = make_stream(make_events(1, 2))
+    later = [{"status": 200, "received": make_events(3, version=version)}] * served
+    later += [{"status": 503}] * rejected
+    return [first] + [
+        make_request(id="1-2", kind="resumable", resumes="1-1", after=2, started_at=51.0, **fields)
+        for fields in later
+    ]
+
+
 COMPLETE_BODY = b"done by i-0 for 1-1"
 CASES = [
     ("unasked", [], [make_run(50.0, "9-9")], {}, True),
@@ -86,12 +111,29 @@
     ("own answer", [make_request(status=200, body=b"done by i-0 for 1-2")], [], {}, True),
     (
         "own answer",
-        [make_request(kind="stream", status=200, body=COMPLETE_STREAM[:-9])],
+        [make_stream(COMPLETE_STREAM[:-9])],
         [],
         {},
         True,
     ),
-    ("own answer", [make_request(kind="stream", status=200, body=COMPLETE_STREAM)], [], {}, False),
+    ("own answer", [make_stream(COMPLETE_STREAM)], [], {}, False),
+    ("own answer", [make_stream(make_events(3), resumes="1-1", after=2)], [], {}, False),
+    ("own answer", [make_stream(make_events(4), resumes="1-1", after=2)], [], {}, True),
+    ("own answer", [make_stream(make_events(2), resumes="1-1", after=2)], [], {}, True),
+    ("order", [make_stream(make_events(1, 3) + make_events(4, version="v2"))], [], {}, True),
+    ("order", make_resumed(1, 0), [], {}, False),
+    ("order", make_resumed(1, 0, version="v2"), [], {}, True),
+    ("lost", make_resumed(4, 8), [], TWO_OF_V1, True),
+    ("lost", make_resumed(6, 6), [], TWO_OF_V1, False),
+    ("lost", make_resumed(4, 7), [], TWO_OF_V1, False),
+    ("lost", make_resumed(4, 8), [], {"version_periods": {0: [(0.0, "v1")]}}, False),
+    (
+        "lost",
+        make_resumed(4, 8),
+        [],
+        {**TWO_OF_V1, "fault_periods": [FaultPeriod("pause", 49.0, 50.0)]},
+        False,
+    ),
     ("leaving", [], [make_run(53.0)], {"drain_periods": [(0, 50.0, 53.5)]}, True),
     ("leaving", [], [make_run(51.0)], {"drain_periods": [(0, 50.0, 53.5)]}, False),
     (
