Don't take a resumed stream without an event for complete when its connection ends

Cause: of a response without length or chunks, the check asked whether any event was known, which one is for every stream that goes on, not whether this response held one. Both rows failed before. An endpoint with nothing left to send and no framing is retried, too.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -314,5 +314,5 @@
     if response.end_is_verifiable():
         if parser.partial:
             raise InconsistentResponse("the stream ended within an event")
-    elif parser.partial or parser.last_id is None:
+    elif parser.partial or not parser.numbered_count:
         raise ConnectionLost("the connection ended within the stream")
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -69,6 +69,7 @@
         (["unframed_short", "well"], True, [1, 6]),
         (["unframed_empty", "well"], True, [1, 1]),
         (["unframed_short", "unframed"], True, [1, 6]),
+        (["broken", "unframed_empty"], False, [1, 3]),
         (["broken"], False, [1, 3]),
         (["broken", "unknown"], False, [1, 3]),
         (["broken", "fail"], False, [1, 3]),
@@ -110,6 +111,15 @@
     run_scenario(scenario, WELL)
 
 
+def test_stream_that_breaks_off_before_an_event_is_not_complete_when_the_caller_resumes():
+    async def scenario(harness):
+        headers = harness.headers(**{"last-event-id": "4"})
+        response = await harness.send_request(RESUMABLE, headers=headers)
+        assert (response.status, response.body) == (200, None)
+
+    run_scenario(scenario, ("unframed_empty",))
+
+
 def test_forwarded_request():
     async def scenario(harness):
         forged = {
