Give hope to callers whose stream's version is away together with all others

A stream that goes on was refused as version_gone, without Retry-After, while its service had no endpoint at all, such as after a crash of all engines of an only version. It is no_endpoint then, as for other requests. The new test failed before.

--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -297,7 +297,7 @@
         if call.stream is not None and call.stream.started:
             raise RequestError(Kind.ANSWER_LOST, "the stream ended early", call.ran)
         if last is None:
-            if call.version is not None and not self.has_endpoint(call):
+            if self.version_is_gone(call):
                 detail = "no endpoint of the software version that began the stream is left"
                 raise RequestError(Kind.VERSION_GONE, detail, Ran.NO)
             raise RequestError(Kind.NO_ENDPOINT, "", Ran.NO, self.retry_after(call))
@@ -314,10 +314,14 @@
         pool = self.node.directory.endpoints_of_version(call.service.name, call.version)
         return retry_after(pool, now, call.deadline - now)
 
-    def has_endpoint(self, call: Call) -> bool:
-        """Return whether an endpoint of the call's service and version takes new requests."""
-        pool = self.node.directory.endpoints_of_version(call.service.name, call.version)
-        return any(endpoint.accepting for endpoint in pool)
+    def version_is_gone(self, call: Call) -> bool:
+        """Return whether only endpoints of other versions than the call's take new requests.
+
+        Where none does at all, those of its version may well come back.
+        """
+        pool = self.node.directory.pool(call.service.name)
+        versions = {endpoint.entry.version for endpoint in pool if endpoint.accepting}
+        return call.version is not None and bool(versions) and call.version not in versions
 
 
 # Error and execution state sent to the caller, by the final result.
--- a/src/hickorylever/direct/stream_reports.py
+++ b/src/hickorylever/direct/stream_reports.py
@@ -54,9 +54,11 @@
 
         :param told_services: services whose streams other routers must know.
         """
-        keys = [key for key, service in self.untold.items() if service in told_services]
-        alive = self.peers.alive(now) if keys else []
         taken: dict[str, list[StreamUpdate]] = {}
+        if not told_services or not self.untold:
+            return taken
+        keys = [key for key, service in self.untold.items() if service in told_services]
+        alive = self.peers.alive(now)
         for key in keys[:MAX_STREAM_UPDATES]:
             del self.untold[key]
             update = self.table.update(key, now)
--- a/tests/test_stream_fleet.py
+++ b/tests/test_stream_fleet.py
@@ -279,6 +279,24 @@
     play(scenario)
 
 
+def test_stream_may_be_tried_again_while_the_only_version_is_away():
+    async def scenario(fleet):
+        first = await fleet.begin(fleet.nodes[0])
+        for number in (0, 1):
+            await fleet.store.remove("servers", f"i-{number}")
+        (node,) = fleet.nodes
+        await fleet.until(lambda: not node.directory.endpoints)
+        headers = fleet.headers(**{"last-event-id": "2", "resumes": first.request_id})
+        address = node.settings.address
+        rest = await fleet.send_request(
+            RESUMABLE, headers=headers, address=address, port=CALLER_PORT
+        )
+        assert (rest.status, kind(rest)) == (503, "no_endpoint")
+        assert b"retry-after" in rest.headers
+
+    play(scenario, 1, scripts=(BREAKS, WELL), names=("v1", "v1"))
+
+
 def test_stream_goes_on_at_a_version_that_has_returned():
     async def scenario(fleet):
         first = await fleet.begin(fleet.nodes[0])
