--- a/tests/test_stream_fleet.py
+++ b/tests/test_stream_fleet.py
@@ -297,6 +297,39 @@
     play(scenario, 1, scripts=(BREAKS, WELL), names=("v1", "v1"))
 
 
+@pytest.mark.parametrize("held_by", ["load", "limit", "deferral"])
+def test_stream_waits_for_the_last_endpoint_of_its_version(held_by):
+    """Idle endpoints of another version don't take it meanwhile."""
+
+    async def scenario(fleet):
+        first = await fleet.begin(fleet.nodes[0])
+        await fleet.store.remove("servers", "i-0")
+        node = fleet.nodes[1]
+        await fleet.until(lambda: "i-0" not in node.directory.endpoints)
+        last = node.directory.endpoints[f"i-{V1_WELL}"]
+        hold = {"load": 100, "limit": 0, "deferral": 0}[held_by]
+        last.running = hold
+        if held_by == "limit":
+            last.limit_rate(8.0, 1, time.monotonic())
+            while last.rate_limit.permits(time.monotonic()):
+                last.rate_limit.record_send(time.monotonic())
+        if held_by == "deferral":
+            last.defer(0.05, time.monotonic())
+        task = await curio.spawn(resume_unsteered, fleet, node, first)
+        await curio.sleep(0.04)
+        assert len(fleet.runs) == 1
+        last.running -= hold
+        last.rate_limit = None
+        rest = await task.join()
+        assert_whole(first, rest)
+
+    async def resume_unsteered(fleet, node, first):
+        fields = {"last-event-id": "2", "resumes": first.request_id}
+        return await fleet.send(node, **fields)
+
+    play(scenario)
+
+
 def test_stream_goes_on_at_a_version_that_has_returned():
     async def scenario(fleet):
         first = await fleet.begin(fleet.nodes[0])
