Remember a stream that is taken up by the request that began it

A stream that a router had taken for one of the only version was recorded under its second request, but callers name the first. Once a second version had come, nobody knew it.

--- a/src/hickorylever/direct/call.py
+++ b/src/hickorylever/direct/call.py
@@ -48,6 +48,11 @@
     version: str | None = None
     stream_key: int = 0
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Return whether the caller takes up a stream that an earlier request began."""
+        return self.route.resumable and bool(self.info.last_event_id)
+
     @property
     def priority(self) -> int:
         """Return the priority of the account, or else of the route; 0 is most urgent."""
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -267,8 +267,8 @@
 async def forward(forwarder: Forwarder, call: Call) -> None:
     """Set up the stream of a streaming call and run the call."""
     if call.route.kind is RouteKind.STREAM:
-        resume_after = call.info.last_event_id if call.route.resumable else None
-        call.stream = CallerStream(call.exchange, resume_after or None)
-        if resume_after:
+        resume_after = call.info.last_event_id if call.resumes_stream else None
+        call.stream = CallerStream(call.exchange, resume_after)
+        if call.resumes_stream:
             await forwarder.node.resumption.resolve(call)
     await forwarder.run(call)
--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -1,5 +1,6 @@
 """Where streams go on: only at endpoints of the software version that began them."""
 
+import enum
 import time
 
 from ..events import Event, log
@@ -15,6 +16,15 @@
 UNKNOWN_RETRY_AFTER_SECONDS = 0.25  # Another router may know the stream.
 
 
+class KnownFrom(enum.Enum):
+    """From where the version of a stream that a caller takes up is known."""
+
+    OWN_RECORD = "own_record"
+    ONLY_VERSION = "only_version"
+    OTHER_ROUTER = "other_router"
+    NOBODY = "nobody"
+
+
 class Resumption:
     """Finds the version of streams that go on, and records that of streams that begin.
 
@@ -31,29 +41,32 @@
 
         :raises RequestError: if they are not known.
         """
-        source = "this router"
-        if not self.apply_record(call):
-            source = "the only version"
-            call.version = self.only_version(call.service.name)
-        if call.version is None and call.info.resumes:
-            source = "another router"
-            peer_sync = self.node.peer_sync
-            await peer_sync.streams.ask(list(self.keys(call).values()), peer_sync.broadcast)
-            self.apply_record(call)
-        known = call.version is not None
-        self.node.metrics.resumed.inc({"known_from": source if known else "nobody"})
+        known_from = await self.find_version(call)
+        self.node.metrics.resumed.inc({"known_from": known_from.value})
         log(
             Event.STREAM_RESUMED,
-            source if known else "unknown",
+            known_from.value,
             request=call.info.id,
             resumes=call.info.resumes,
             service=call.service.name,
             version=call.version or "",
         )
-        if not known:
+        if known_from is KnownFrom.NOBODY:
             detail = "which software version began the stream is not known"
             raise RequestError(Kind.STREAM_UNKNOWN, detail, Ran.NO, UNKNOWN_RETRY_AFTER_SECONDS)
 
+    async def find_version(self, call: Call) -> KnownFrom:
+        """Set the service and the version of a caller's stream, and return how they are known."""
+        if self.apply_record(call):
+            return KnownFrom.OWN_RECORD
+        call.version = self.only_version(call.service.name)
+        if call.version is not None:
+            return KnownFrom.ONLY_VERSION
+        if call.info.resumes:
+            peer_sync = self.node.peer_sync
+            await peer_sync.streams.ask(list(self.keys(call).values()), peer_sync.broadcast)
+        return KnownFrom.OTHER_ROUTER if self.apply_record(call) else KnownFrom.NOBODY
+
     def keys(self, call: Call) -> dict[str, int]:
         """Return the keys of the stream that a call resumes, by the services of its route."""
         account = call.account.name if call.account else ""
@@ -130,7 +143,7 @@
         }
 
     def record_first_event(self, call: Call, endpoint: Endpoint) -> None:
-        """Record which version begins a stream.
+        """Record which version begins a stream, or goes on with it.
 
         Nothing is recorded if the endpoint has started again with another version, since its first
         event may be from either process.
@@ -144,7 +157,8 @@
         limit = call.info.time_limit
         lifetime = UNLIMITED_STREAM_SECONDS if limit is None else limit
         expires_at = call.started_at + lifetime + EXPIRY_MARGIN_SECONDS
-        call.stream_key = stream_key(account, call.service.name, call.info.id)
+        began_with = call.info.resumes if call.resumes_stream else ""
+        call.stream_key = stream_key(account, call.service.name, began_with or call.info.id)
         call.version = version
         record = StreamRecord(key, version, expires_at)
         self.node.peer_sync.streams.record(call.stream_key, call.service.name, record)
--- a/tests/test_stream_fleet.py
+++ b/tests/test_stream_fleet.py
@@ -411,6 +411,28 @@
     play(scenario, 1)
 
 
+def test_stream_taken_up_at_the_only_version_is_known_once_there_are_two():
+    """The router that began it has ended, and the caller still names its first request."""
+
+    async def scenario(fleet):
+        first = await fleet.begin(fleet.nodes[0])
+        await fleet.end(fleet.nodes[0])
+        second, third = fleet.nodes
+        middle = await fleet.resume(second, first)
+        assert (versions_in(first, middle), middle.body) == (["v1"] * 4, None)
+        await fleet.store.put("servers", "i-0", entry(fleet.ports[0], version="v2", born=2))
+        await fleet.until(
+            lambda: all(
+                node.directory.endpoints["i-0"].entry.version == "v2" for node in fleet.nodes
+            )
+        )
+        await fleet.until(lambda: third.peer_sync.streams.table.records)
+        await fleet.end(second)
+        assert_whole(first, middle, await fleet.resume(third, first, middle))
+
+    play(scenario, 3, scripts=(BREAKS, WELL, BREAKS), names=("v1", "v1", "v1"))
+
+
 def test_other_routers_are_told_only_while_a_service_has_several_versions():
     async def scenario(fleet):
         node, other = fleet.nodes
