Take the history of versions for incomplete whenever a router is cut off, also before its first contact

A router that had read the former versions at its start, but had no list of endpoints until later, kept the history for complete though versions could come and go in between. Found by reading; no test shows it.

--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -29,12 +29,10 @@
     """Finds the version of streams that go on, and records that of streams that begin.
 
     :param node: the components of this router.
-    :ivar had_contact: result of :meth:`in_contact` when it was last checked.
     """
 
     def __init__(self, node):
         self.node = node
-        self.had_contact = False
 
     async def resolve(self, call: Call) -> None:
         """Set the service and the version at which a caller's stream goes on.
@@ -111,14 +109,12 @@
         return heard_store or node.peer_sync.peers.in_contact(now)
 
     def check_contact(self, now: float) -> None:
-        """Take the history of versions for incomplete once this router has been cut off.
+        """Take the history of versions for incomplete while this router is cut off.
 
-        Versions may have come and gone meanwhile.
+        Versions may come and go meanwhile.
         """
-        contact = self.in_contact(now)
-        if self.had_contact and not contact:
+        if not self.in_contact(now):
             self.node.directory.versions.complete = False
-        self.had_contact = contact
 
     def uncertain_services(self, now: float) -> set[str]:
         """Return the services whose streams may have been begun by one of several versions."""
