--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -3,7 +3,7 @@
 import re
 
 import pytest
-from direct_harness import run_scenario
+from direct_harness import configuration, entry, route, run_scenario
 
 RESUMABLE = "/resumable/stream/x"
 WELL = ("well",)
@@ -69,3 +69,52 @@
 
     scripts = [BREAKS, *[WELL] * (len(versions) - 1)]
     run_scenario(scenario, *scripts, versions=versions)
+
+
+def split_configuration():
+    """A configuration whose resumable route leads to two services."""
+    backends = [{"service": "engines", "weight": 1}, {"service": "others", "weight": 1}]
+    split = route("resumable/stream", "streaming", None, resumable=True, backends=backends)
+    return configuration(version=2, routes=[split])
+
+
+def test_caller_goes_on_at_the_service_that_began_its_stream():
+    async def scenario(harness):
+        for number in (2, 3):
+            content = entry(harness.ports[number], service="others", version="v1", born=2)
+            await harness.store.put("servers", f"i-{number}", content)
+        await harness.store.put("config", "main", split_configuration())
+        await harness.until(lambda: harness.node.configuration_state.version == 2)
+        await harness.until(lambda: len(harness.node.directory.pool("others")) == 2)
+        for _ in range(8):
+            headers = harness.headers()
+            first = await harness.send_request(RESUMABLE, headers=headers)
+            first_id = dict(headers)[b"hickorylever-attempt-id"].decode()
+            fields = {"last-event-id": str(len(versions_in(first))), "resumes": first_id}
+            await harness.send_request(RESUMABLE, headers=harness.headers(**fields))
+        served = [
+            (origin.name, run.request_id) for origin in harness.origins for run in origin.runs
+        ]
+        services = {request: name in ("i-0", "i-1") for name, request in served}
+        assert [services[f"{2 * n + 1:016x}"] for n in range(8)] == [
+            services[f"{2 * n + 2:016x}"] for n in range(8)
+        ]
+        assert len(set(services.values())) == 2
+
+    run_scenario(scenario, WELL, WELL, WELL, WELL, versions=["v1"] * 4)
+
+
+def test_versions_of_another_service_do_not_matter():
+    async def scenario(harness):
+        for number in (1, 2):
+            content = entry(harness.ports[number], service="others", version=f"v{number}", born=2)
+            await harness.store.put("servers", f"i-{number}", content)
+        await harness.until(lambda: len(harness.node.directory.pool("others")) == 2)
+        headers = harness.headers(**{"last-event-id": "2", "resumes": "unknown"})
+        response = await harness.send_request(RESUMABLE, headers=headers)
+        assert response.status == 200
+        resumption = harness.node.resumption
+        assert resumption.only_version("engines") == "v1"
+        assert resumption.only_version("others") is None
+
+    run_scenario(scenario, WELL, WELL, WELL, versions=["v1"] * 3)
