--- a/src/hickorylever/direct/call.py
+++ b/src/hickorylever/direct/call.py
@@ -2,10 +2,9 @@
 
 from dataclasses import dataclass, field
 
-import xxhash
-
 from ..exceptions import Ran
 from ..http import Exchange
+from .hashes import hash_strings
 from .records import Account, RequestInfo, Route, Service
 from .stream import CallerStream
 
@@ -48,6 +47,11 @@
     version: str | None = None
     stream_key: int = 0
 
+    @property
+    def account_name(self) -> str:
+        """Return the name of the client account, or an empty string if there is none."""
+        return self.account.name if self.account else ""
+
     @property
     def resumes_stream(self) -> bool:
         """Return whether the caller takes up a stream that an earlier request began."""
@@ -68,11 +72,8 @@
 
 def fingerprint(call: Call) -> str:
     """Return a digest that is equal whenever an account repeats the same request."""
-    state = xxhash.xxh3_64()
-    name = call.account.name if call.account else ""
     exchange = call.exchange
-    for component in (name, exchange.method, exchange.path, exchange.query):
-        state.update(f"{len(component)}:{component}".encode())
+    state = hash_strings((call.account_name, exchange.method, exchange.path, exchange.query))
     state.update(call.body)
     for part in call.info.parts:
         state.update(f"{part.id},{part.tokens};".encode())
--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -6,7 +6,8 @@
 from ..exceptions import ContentError
 from .departures import Departures
 from .endpoints import Endpoint
-from .peer_protocol import LeavingUpdate, name_hash
+from .hashes import name_hash
+from .peer_protocol import LeavingUpdate
 from .pool import Pool
 from .position import UNKNOWN, Position
 from .records import EndpointEntry, Listing, PromptPart, StoredObject
@@ -24,6 +25,8 @@
         :exc:`ContentError`.
     :param reject: called with the error of an entry that can't be decoded.
     :param entry_lifetime: seconds after which the store removes an entry that is not renewed.
+    :param on_new_version: called with the hash of the name of an endpoint that has started again
+        with another software version.
     :ivar endpoints: endpoints by name.
     :ivar pools: endpoints by service, sorted by name.
     :ivar by_hash: endpoints by the hash of their name.
@@ -31,8 +34,6 @@
     :ivar latest: latest known position of an entry or of the removal of one.
     :ivar change_log: latest changes, oldest first.
     :ivar change_log_start: position after which `change_log` is complete.
-    :param on_new_version: called with the hash of the name of an endpoint that has started again
-        with another software version.
     :ivar departures: endpoints that have left or are about to.
     :ivar versions: versions of the endpoints' software.
     """
--- a/src/hickorylever/direct/limit_reports.py
+++ b/src/hickorylever/direct/limit_reports.py
@@ -3,7 +3,8 @@
 import time
 
 from .endpoints import Endpoint
-from .peer_protocol import LimitUpdate, name_hash
+from .hashes import name_hash
+from .peer_protocol import LimitUpdate
 
 MAX_LIMIT_UPDATES = 24  # In one datagram, so that it fits a packet.
 
--- a/src/hickorylever/direct/observations.py
+++ b/src/hickorylever/direct/observations.py
@@ -7,7 +7,8 @@
 from .attempt import Outcome, Result
 from .call import Call
 from .endpoints import Endpoint
-from .peer_protocol import LeavingUpdate, name_hash
+from .hashes import name_hash
+from .peer_protocol import LeavingUpdate
 from .records import AnswerInfo
 
 
--- a/src/hickorylever/direct/outbox.py
+++ b/src/hickorylever/direct/outbox.py
@@ -2,12 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from .peer_protocol import (
-    CachedPartUpdate,
-    LeavingUpdate,
-    LoadUpdate,
-    name_hash,
-)
+from .hashes import name_hash
+from .peer_protocol import CachedPartUpdate, LeavingUpdate, LoadUpdate
 
 MAX_UPDATES_PER_KIND = 38  # In one datagram, so that it fits a packet.
 MAX_LEAVING_UPDATES = 4  # In one datagram; few endpoints leave at the same time.
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -6,7 +6,6 @@
 """
 
 import msgspec
-import xxhash
 
 from .position import NOTHING_KNOWN, KnownState
 from .streams import StreamUpdate
@@ -153,8 +152,3 @@
     :raises msgspec.DecodeError: when it is malformed.
     """
     return _decoder.decode(data)
-
-
-def name_hash(name: str) -> int:
-    """Return the 32-bit hash that identifies a name in datagrams."""
-    return xxhash.xxh3_64_intdigest(name.encode()) & 0xFFFFFFFF
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -9,16 +9,10 @@
 from ..events import Event, log, logger
 from ..http import listen
 from .endpoints import PeerLoad
+from .hashes import name_hash
 from .limit_reports import LimitReports
 from .outbox import Outbox
-from .peer_protocol import (
-    FLUSH_INTERVAL_SECONDS,
-    FLUSH_SECONDS_PER_PEER,
-    Datagram,
-    decode,
-    encode,
-    name_hash,
-)
+from .peer_protocol import FLUSH_INTERVAL_SECONDS, FLUSH_SECONDS_PER_PEER, Datagram, decode, encode
 from .peer_table import Peer, PeerTable, watcher_rank
 from .records import PromptPart
 from .registration import Registration
--- a/src/hickorylever/direct/peer_table.py
+++ b/src/hickorylever/direct/peer_table.py
@@ -51,9 +51,13 @@
     rank: int = 0
     watching: bool = False
 
+    def heard_within(self, seconds: float, now: float) -> bool:
+        """Return whether a datagram arrived lately."""
+        return self.last_heard > 0 and now - self.last_heard <= seconds
+
     def alive(self, now: float) -> bool:
         """Return whether a datagram arrived within `ALIVE_TIMEOUT_SECONDS`."""
-        return self.last_heard > 0 and now - self.last_heard <= ALIVE_TIMEOUT_SECONDS
+        return self.heard_within(ALIVE_TIMEOUT_SECONDS, now)
 
     def is_watching(self, now: float) -> bool:
         """Return whether its last datagram says that it watches the store and is still valid."""
@@ -162,10 +166,8 @@
 
     def in_contact(self, now: float) -> bool:
         """Return whether half of the other routers were heard within `CONTACT_SECONDS`."""
-        heard = sum(
-            peer.last_heard > 0 and now - peer.last_heard <= CONTACT_SECONDS
-            for peer in self.by_address.values()
-        )
+        peers = self.by_address.values()
+        heard = sum(peer.heard_within(CONTACT_SECONDS, now) for peer in peers)
         return 2 * heard >= len(self.by_address)
 
     def take_due_probes(self, now: float) -> list[Peer]:
--- a/src/hickorylever/direct/quarantine.py
+++ b/src/hickorylever/direct/quarantine.py
@@ -9,8 +9,9 @@
 from .call import Call
 from .crashes import CrashTracker
 from .endpoints import Endpoint
+from .hashes import name_hash
 from .outbox import take_sends
-from .peer_protocol import AnswerUpdate, CrashUpdate, Datagram, SuspectUpdate, name_hash
+from .peer_protocol import AnswerUpdate, CrashUpdate, Datagram, SuspectUpdate
 
 RETRY_AFTER_SECONDS = 5.0  # For callers whose request is refused.
 CRASH_SENDS = 2  # Datagrams that report a crash, as some may be lost.
--- a/src/hickorylever/direct/registration.py
+++ b/src/hickorylever/direct/registration.py
@@ -14,7 +14,8 @@
 
 from ..events import Event, log
 from ..exceptions import Conflict, HickoryleverError
-from .peer_protocol import SuspectUpdate, name_hash
+from .hashes import name_hash
+from .peer_protocol import SuspectUpdate
 from .records import StoredObject
 from .versions import VersionUpdate
 
--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -7,7 +7,7 @@
 from ..exceptions import Kind, Ran, RequestError
 from .call import Call
 from .endpoints import Endpoint
-from .peer_protocol import name_hash
+from .hashes import name_hash
 from .peer_table import CONTACT_SECONDS
 from .streams import StreamRecord, stream_key
 
@@ -67,9 +67,8 @@
 
     def keys(self, call: Call) -> dict[str, int]:
         """Return the keys of the stream that a call resumes, by the services of its route."""
-        account = call.account.name if call.account else ""
         return {
-            weighted.service: stream_key(account, weighted.service, call.info.resumes)
+            weighted.service: stream_key(call.account_name, weighted.service, call.info.resumes)
             for weighted in call.route.weighted_services
             if weighted.weight > 0
         }
@@ -104,8 +103,9 @@
     def in_contact(self, now: float) -> bool:
         """Return whether the store or enough other routers were heard lately."""
         node = self.node
-        answered = (watcher.last_success_at for watcher in node.store_watchers)
-        heard_store = now - max(answered, default=-CONTACT_SECONDS) < CONTACT_SECONDS
+        heard_store = any(
+            watcher.heard_within(CONTACT_SECONDS, now) for watcher in node.store_watchers
+        )
         return heard_store or node.peer_sync.peers.in_contact(now)
 
     def check_contact(self, now: float) -> None:
@@ -149,23 +149,24 @@
         current = self.node.directory.by_hash.get(key)
         if current is not None and current.entry.version != version:
             return
-        account = call.account.name if call.account else ""
         limit = call.info.time_limit
         lifetime = UNLIMITED_STREAM_SECONDS if limit is None else limit
         expires_at = call.started_at + lifetime + EXPIRY_MARGIN_SECONDS
         began_with = call.info.resumes if call.resumes_stream else ""
-        call.stream_key = stream_key(account, call.service.name, began_with or call.info.id)
+        call.stream_key = stream_key(
+            call.account_name, call.service.name, began_with or call.info.id
+        )
         call.version = version
         record = StreamRecord(key, version, expires_at)
         self.node.peer_sync.streams.record(call.stream_key, call.service.name, record)
 
     def may_continue(self, call: Call) -> bool:
-        """Return whether a call may be sent to another endpoint, and set its version.
+        """Return whether a call may be sent to another endpoint.
 
         A stream that has an event may not if its version is no longer known.
         """
         if call.stream is None or not call.stream.event_count:
             return True
         table = self.node.peer_sync.streams.table
-        call.version = table.version(call.stream_key, time.monotonic())
-        return call.version is not None
+        known = table.version(call.stream_key, time.monotonic())
+        return known is not None and known == call.version
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -46,7 +46,7 @@
     stream = call.stream
     return {
         "route": call.route.name,
-        "account": call.account.name if call.account else "",
+        "account": call.account_name,
         "limit": round(call.deadline - call.started_at, 3),
         "path": call.attempt_results,
         "resumes": call.info.resumes,
--- a/src/hickorylever/direct/store_watcher.py
+++ b/src/hickorylever/direct/store_watcher.py
@@ -62,6 +62,10 @@
             except HickoryleverError as error:
                 await self.handle_failure(error)
 
+    def heard_within(self, seconds: float, now: float) -> bool:
+        """Return whether the store answered lately."""
+        return self.last_success_at > 0 and now - self.last_success_at <= seconds
+
     @property
     def watching(self) -> bool:
         """Return whether changes of the store reach this router by its own calls."""
--- a/src/hickorylever/direct/stream_reports.py
+++ b/src/hickorylever/direct/stream_reports.py
@@ -97,9 +97,9 @@
         answered = curio.Event()
         new = [key for key in keys if key not in self.questions]
         self.questions.update(dict.fromkeys(new, answered))
+        peers = rank_for_stream(keys[0], self.peers.by_address.values())
         try:
             for number in range(QUESTION_ROUNDS):
-                peers = rank_for_stream(keys[0], self.peers.by_address.values())
                 await send(peers if number else peers[:FIRST_ASKED_COUNT], stream_questions=keys)
                 async with curio.ignore_after(QUESTION_SECONDS):
                     await answered.wait()
--- a/src/hickorylever/direct/streams.py
+++ b/src/hickorylever/direct/streams.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 
 import msgspec
-import xxhash
+
+from .hashes import hash_strings
 
 MAX_STREAMS = 65536  # The earliest ones are forgotten first, and can't go on then.
 
@@ -43,10 +44,7 @@
 
     It depends on the client account, so that one account learns nothing of another's streams.
     """
-    state = xxhash.xxh3_64()
-    for component in (account, service, request_id):
-        state.update(f"{len(component)}:{component}".encode())
-    return state.intdigest()
+    return hash_strings((account, service, request_id)).intdigest()
 
 
 class StreamTable:
@@ -62,15 +60,20 @@
         if len(self.records) > MAX_STREAMS:
             self.records.popitem(last=False)
 
+    def get(self, key: int, now: float) -> StreamRecord | None:
+        """Return a stream that its caller may still take up, or None if it isn't known."""
+        record = self.records.get(key)
+        return record if record is not None and record.expires_at > now else None
+
     def version(self, key: int, now: float) -> str | None:
         """Return the version that began a stream, or None if this isn't known."""
-        record = self.records.get(key)
-        return record.version if record is not None and record.expires_at > now else None
+        record = self.get(key, now)
+        return record.version if record else None
 
     def update(self, key: int, now: float) -> StreamUpdate | None:
         """Return what is known of a stream, for another router."""
-        record = self.records.get(key)
-        if record is None or record.expires_at <= now:
+        record = self.get(key, now)
+        if record is None:
             return None
         seconds_left = int(record.expires_at - now) + 1
         return StreamUpdate(key, record.endpoint, record.version, seconds_left)
--- a/src/hickorylever/direct/versions.py
+++ b/src/hickorylever/direct/versions.py
@@ -41,18 +41,18 @@
 
     def observe(self, present: dict[str, frozenset[str]], now: float) -> None:
         """Replace the versions of the known endpoints, by service."""
-        for service, versions in self.present.items():
-            for version in versions - present.get(service, frozenset()):
-                self.departed[service, version] = now
-            for version in present.get(service, frozenset()) - versions:
-                self.appeared[service, version] = now
+        for service, before in self.present.items():
+            after = present.get(service, frozenset())
+            self.departed |= {(service, version): now for version in before - after}
+            self.appeared |= {(service, version): now for version in after - before}
         self.present = present
 
     def add(self, updates: Iterable[VersionUpdate], now: float) -> None:
         """Add versions that another router knows of, or that the store holds."""
         for update in updates:
             key = update.service, update.version
-            self.departed[key] = max(self.departed.get(key, -now), now - max(0.0, update.age))
+            at = now - max(0, update.age)
+            self.departed[key] = max(at, self.departed.get(key, at))
 
     def unsettled(self, service: str, now: float) -> frozenset[str]:
         """Return the versions that are too new for streams to begin there.
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -4,7 +4,7 @@
 
 from hickorylever.direct.directory import MISSING_GRACE_SECONDS, Directory
 from hickorylever.direct.endpoints import FAILURE_HALF_LIFE_SECONDS
-from hickorylever.direct.peer_protocol import name_hash
+from hickorylever.direct.hashes import name_hash
 from hickorylever.direct.position import Position
 from hickorylever.direct.records import Listing, StoredObject
 from hickorylever.platform import decode_endpoint
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -31,6 +31,7 @@
     "rate_limit",
     "crashes",
     "outbox",
+    "hashes",
     "peer_protocol",
     "peer_table",
     "streams",
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,7 +6,8 @@
 from test_peer_sync import NETWORK, play
 
 from hickorylever.direct.endpoints import MAX_DEFERRAL_SECONDS, Endpoint
-from hickorylever.direct.peer_protocol import LeavingUpdate, name_hash
+from hickorylever.direct.hashes import name_hash
+from hickorylever.direct.peer_protocol import LeavingUpdate
 from hickorylever.direct.records import EndpointEntry
 from hickorylever.platform import read_answer
 from hickorylever.platform.names import LEAVING
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -3,6 +3,7 @@
 
 from hickorylever.direct import outbox as outbox_module
 from hickorylever.direct import peer_table
+from hickorylever.direct.hashes import name_hash
 from hickorylever.direct.outbox import Outbox
 from hickorylever.direct.peer_protocol import (
     CachedPartUpdate,
@@ -11,7 +12,6 @@
     LoadUpdate,
     decode,
     encode,
-    name_hash,
 )
 from hickorylever.direct.peer_table import PeerTable
 from hickorylever.direct.position import KnownState, Position
