--- a/tests/test_lease_model.py
+++ b/tests/test_lease_model.py
@@ -4,23 +4,16 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from minicheck import check_safety
+from models import assert_holds, failing
 
 from hickorylever import defaults
 from hickorylever.decisions.leases import FencingCheck, Lease, LeaseRecord, Step, Verdict
 from spec.leases import leases
 
 
-def failing(protocol):
-    properties = check_safety(protocol)["properties"]
-    return {name for name, result in properties.items() if result["holds"] is not True}
-
-
 @pytest.mark.parametrize("checks, restarts", [(False, 1), (True, 2)])
 def test_no_older_order_is_obeyed(checks, restarts):
-    result = check_safety(leases("", checks, 3, restarts))
-    print(result["reachable_states"], "states")
-    assert result["exhaustive"] and not failing(leases("", checks, 3, restarts))
+    assert_holds(leases("", checks, 3, restarts))
 
 
 BROKEN = [
--- a/tests/test_member_model.py
+++ b/tests/test_member_model.py
@@ -4,7 +4,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from minicheck import check_safety
+from models import assert_holds, failing
 
 from hickorylever.bench.mesh import Links, Mesh
 from hickorylever.bench.scheduler import EventScheduler
@@ -15,17 +15,9 @@
 SIZES = [(1, 2, 0), (1, 1, 1), (2, 1, 0)]
 
 
-def failing(protocol):
-    properties = check_safety(protocol)["properties"]
-    return {name for name, result in properties.items() if result["holds"] is not True}
-
-
 @pytest.mark.parametrize("size", SIZES)
 def test_draining_is_final_and_suspicions_are_refuted(size):
-    result = check_safety(members("", *size))
-    print(result["reachable_states"], "states")
-    assert result["exhaustive"]
-    assert all(found["holds"] is True for found in result["properties"].values())
+    assert_holds(members("", *size))
 
 
 BROKEN = [
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -9,7 +9,7 @@
 import pytest
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
-from minicheck import check_safety
+from models import assert_holds, refuted
 
 from hickorylever import defaults
 from hickorylever.decisions.revisions import (
@@ -43,15 +43,12 @@
 
 @pytest.mark.parametrize("model", MODELS)
 def test_models_hold(model):
-    result = check_safety(model())
-    assert result["exhaustive"]
-    assert all(found["holds"] is True for found in result["properties"].values())
+    assert_holds(model())
 
 
 @pytest.mark.parametrize("model, variant, invariant", BROKEN)
 def test_broken_variants_yield_a_counterexample(model, variant, invariant):
-    result = check_safety(model(variant), max_states=20_000)
-    assert result["properties"][invariant]["holds"] is False
+    assert invariant in refuted(model(variant), max_states=20_000)
 
 
 def revision(number, parent=None, digest="d", nonce="n"):
--- a/tests/test_spec_attempts.py
+++ b/tests/test_spec_attempts.py
@@ -1,7 +1,7 @@
 import random
 
 import pytest
-from minicheck import check_safety
+from models import assert_holds, refuted
 from walks import follow
 
 from hickorylever.bench.actors import TOMBSTONE_LIFETIME_SECONDS
@@ -21,16 +21,12 @@
 
 
 def test_invariants_hold():
-    result = check_safety(attempts())
-    print(f"attempts: {result['reachable_states']} states")
-    assert result["exhaustive"]
-    assert all(entry["holds"] is True for entry in result["properties"].values())
+    assert_holds(attempts())
 
 
 @pytest.mark.parametrize("variant", BROKEN_VARIANTS)
 def test_broken_variant_has_a_counterexample(variant):
-    properties = check_safety(attempts(variant))["properties"].values()
-    assert any(entry["holds"] is False for entry in properties)
+    assert refuted(attempts(variant))
 
 
 class Implementation:
--- a/tests/test_spec_claims.py
+++ b/tests/test_spec_claims.py
@@ -1,5 +1,5 @@
 import pytest
-from minicheck import check_safety
+from models import assert_holds, refuted
 
 from spec.claims import claims
 from spec.drain import drain
@@ -17,13 +17,9 @@
 
 @pytest.mark.parametrize("model", [claims, drain])
 def test_invariants_hold(model):
-    result = check_safety(model())
-    print(f"{model.__name__}: {result['reachable_states']} states")
-    assert result["exhaustive"]
-    assert all(entry["holds"] is True for entry in result["properties"].values())
+    assert_holds(model())
 
 
 @pytest.mark.parametrize("model, variant", BROKEN_VARIANTS)
 def test_broken_variant_has_a_counterexample(model, variant):
-    properties = check_safety(model(variant), max_states=15_000)["properties"].values()
-    assert any(entry["holds"] is False for entry in properties)
+    assert refuted(model(variant), max_states=15_000)
--- a/tests/test_spec_positions.py
+++ b/tests/test_spec_positions.py
@@ -1,7 +1,7 @@
 import random
 
 import pytest
-from minicheck import check_safety
+from models import assert_holds, refuted
 
 from hickorylever.direct.position import (
     NO_CONFIGURATION,
@@ -17,18 +17,14 @@
 
 
 def test_invariants_hold():
-    result = check_safety(positions(), max_states=MAX_STATES)
-    print(f"positions: {result['reachable_states']} states")
-    assert result["exhaustive"]
-    assert all(entry["holds"] is True for entry in result["properties"].values())
+    assert_holds(positions(), max_states=MAX_STATES)
 
 
 @pytest.mark.parametrize(
     "variant", ["revision_only", "arrival_order", "no_hold", "hold_forgotten"]
 )
 def test_broken_variant_has_a_counterexample(variant):
-    properties = check_safety(positions(variant), max_states=MAX_STATES)["properties"].values()
-    assert any(entry["holds"] is False for entry in properties)
+    assert refuted(positions(variant), max_states=MAX_STATES)
 
 
 def to_state(offer):
--- a/tests/test_spec_streams.py
+++ b/tests/test_spec_streams.py
@@ -1,7 +1,7 @@
 import random
 
 import pytest
-from minicheck import check_safety
+from models import assert_holds, refuted
 
 from hickorylever.direct.versions import VersionHistory, VersionUpdate
 from spec.streams import Router, State, possible, streams, transitions
@@ -11,10 +11,7 @@
 
 
 def test_invariants_hold():
-    result = check_safety(streams(), max_states=MAX_STATES)
-    print(f"streams: {result['reachable_states']} states")
-    assert result["exhaustive"]
-    assert all(entry["holds"] is True for entry in result["properties"].values())
+    assert_holds(streams(), max_states=MAX_STATES)
 
 
 @pytest.mark.parametrize(
@@ -31,8 +28,7 @@
     ],
 )
 def test_broken_variant_has_a_counterexample(variant):
-    properties = check_safety(streams(variant), max_states=MAX_STATES)["properties"]
-    assert properties["one_version"]["holds"] is False
+    assert "one_version" in refuted(streams(variant), max_states=MAX_STATES)
 
 
 def named(versions):
