--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -10,13 +10,16 @@
 from hickorylever.direct.router import Router
 from hickorylever.direct.settings import DirectSettings
 from hickorylever.exceptions import ConnectionLost
-from hickorylever.platform.standins.origin import Origin
+from hickorylever.platform.standins.origin import Origin, decode_events
 from hickorylever.platform.standins.store import StandinStore
 
 HOST = "127.0.0.1"
 SITE = "desk.example"
 KEY = "key-1"
 TIMEOUT_SECONDS = 5.0
+RESUMABLE = "/resumable/stream/x"
+WELL = ("well",)
+BREAKS = ("broken", "well")  # The first request breaks off after two events.
 
 
 def route(name, kind, service, **more):
@@ -226,5 +229,12 @@
     return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
 
 
+def versions_in(*responses):
+    """Return the versions that wrote the events of a stream, in the order of their ids."""
+    decoded = decode_events(b"".join(response.received for response in responses))
+    assert [number for number, _ in decoded] == list(range(1, len(decoded) + 1))
+    return [version for _, version in decoded]
+
+
 def spec(value):
     return msgspec.json.encode(value)
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -4,11 +4,9 @@
 
 import curio
 import pytest
-from direct_harness import SITE, configuration, entry, events, run_scenario
+from direct_harness import RESUMABLE, SITE, WELL, configuration, entry, events, run_scenario
 
-WELL = ("well",)
 STREAM = "/stream/x"
-RESUMABLE = "/resumable/stream/x"
 
 # path, script shared by all endpoints, status, runs, kind of error
 CASES = [
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -62,9 +62,9 @@
         )
 
 
-def play(scenario, count, **more):
+def play(scenario, count, fleet_class=Fleet, **more):
     async def main():
-        async with curio.timeout_after(4 * TIMEOUT_SECONDS), Fleet(count, **more) as fleet:
+        async with curio.timeout_after(4 * TIMEOUT_SECONDS), fleet_class(count, **more) as fleet:
             await fleet.start_all()
             await scenario(fleet)
 
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -4,7 +4,7 @@
 
 import curio
 import pytest
-from direct_harness import configuration, entry, run_scenario
+from direct_harness import WELL, configuration, entry, run_scenario
 from test_peer_sync import NETWORK, play
 
 from hickorylever.direct.position import Position
@@ -14,8 +14,6 @@
 from hickorylever.platform import Store
 from hickorylever.platform.standins.store import StandinStore
 
-WELL = ("well",)
-
 
 def version(node):
     return node.routes.configuration.version
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -1,13 +1,11 @@
 import curio
 import msgspec
 import pytest
-from direct_harness import configuration, entry, run_scenario
+from direct_harness import WELL, configuration, entry, run_scenario
 
 from hickorylever.direct.position import Position
 from hickorylever.direct.records import StoredObject
 
-WELL = ("well",)
-
 
 @pytest.mark.parametrize("status", [503, 429, 500])
 def test_known_state_stays_in_force_during_a_store_outage(status):
--- a/tests/test_stream_fleet.py
+++ b/tests/test_stream_fleet.py
@@ -3,116 +3,12 @@
 import time
 
 import curio
-import msgspec
 import pytest
-from direct_harness import configuration, entry
-from test_peer_sync import NETWORK, TIMEOUT_SECONDS, Fleet
-from test_stream_versions import BREAKS, RESUMABLE, WELL, versions_in
-
-from hickorylever.direct import peer_sync, registration, versions
-from hickorylever.direct.router import Router
-from hickorylever.http import listen
-
-CALLER_PORT = 18474
-V1_WELL, V2_WELL, V2_BREAKS = 1, 2, 3  # Endpoints; the first one breaks and has v1.
-
-
-class StreamFleet(Fleet):
-    """Routers with listeners for callers, before endpoints of two versions."""
-
-    def __init__(self, count, scripts=(BREAKS, WELL, WELL, WELL), names=("v1", "v1", "v2", "v2")):
-        super().__init__(count, endpoints=len(scripts))
-        self.versions = list(names)
-        for origin, script, version in zip(self.origins, scripts, names, strict=True):
-            origin.script = list(script)
-            origin.version = version
-        self.own_tasks = {}
-
-    async def start(self, number, seeds=(), store_port=None):
-        before = len(self.tasks)
-        node = await super().start(number, seeds, store_port)
-        router = Router(node)
-        node.budget.allowance = 0.0  # Routers themselves may not retry.
-        listener = listen(node.settings.address, CALLER_PORT)
-        self.tasks.append(await curio.spawn(router.server.serve, listener, daemon=True))
-        self.own_tasks[node] = self.tasks[before:]
-        return node
-
-    async def start_all(self):
-        await super().start_all()
-        await self.until(lambda: all(node.directory.versions.complete for node in self.nodes))
-
-    async def end(self, node):
-        """End a router as if its VM had lost power."""
-        for task in self.own_tasks.pop(node):
-            await task.cancel()
-        self.nodes.remove(node)
-
-    async def send(self, node, **more):
-        headers = self.headers(**more)
-        response = await self.send_request(
-            RESUMABLE, headers=headers, address=node.settings.address, port=CALLER_PORT
-        )
-        response.request_id = dict(headers)[b"hickorylever-attempt-id"].decode()
-        return response
-
-    async def begin(self, node):
-        """Let an endpoint of v1 begin a stream and break it off after two events."""
-        self.steer(node, 0)
-        response = await self.send(node)
-        assert (versions_in(response), response.body) == (["v1"] * 2, None)
-        return response
-
-    async def resume(self, node, first, *later, **more):
-        """Take the stream up at a router that prefers the endpoints of v2."""
-        self.steer(node, V2_WELL)
-        received = len(versions_in(first, *later))
-        fields = {"last-event-id": str(received), "resumes": first.request_id, **more}
-        return await self.send(node, **fields)
-
-    def steer(self, node, number):
-        """Let a router prefer an endpoint, and the first one least otherwise."""
-        for name, endpoint in node.directory.endpoints.items():
-            endpoint.running = 2 if name == "i-0" else 1
-        node.directory.endpoints[f"i-{number}"].running = 0
-
-    def runs_of(self, response):
-        return [run for run in self.runs if run.request_id == response.request_id]
-
-    def cut_off(self, node):
-        """Lose all datagrams from and to a router, and what the store sends it."""
-
-        async def lose(*_):
-            pass
-
-        node.peer_sync.send = lose
-        node.peer_sync.handle_datagram = lose
-        for watcher in node.store_watchers:
-            watcher.on_listing = watcher.on_changes = lambda *_: None
-            watcher.record_success = lambda: None
-
-
-def play(scenario, count=2, **more):
-    async def main():
-        async with curio.timeout_after(4 * TIMEOUT_SECONDS), StreamFleet(count, **more) as fleet:
-            await fleet.start_all()
-            await scenario(fleet)
-
-    curio.run(main)
-
-
-def kind(response):
-    return msgspec.json.decode(response.body)["kind"]
-
+from direct_harness import BREAKS, RESUMABLE, WELL, configuration, entry, versions_in
+from stream_fleet import CALLER_PORT, V1_WELL, assert_rejected, assert_whole, kind, play
+from test_peer_sync import NETWORK, TIMEOUT_SECONDS
 
-def assert_whole(first, *rest):
-    assert versions_in(first, *rest) == ["v1"] * 6
-    assert rest[-1].body is not None
-
-
-def assert_rejected(fleet, response, expected="stream_unknown"):
-    assert (response.status, kind(response)) == (503, expected)
-    assert not fleet.runs_of(response)
+from hickorylever.direct import peer_sync, versions
 
 
 @pytest.mark.parametrize("count", [2, 5])
@@ -372,44 +268,6 @@
     play(scenario, 1, scripts=(BREAKS, WELL, WELL), names=("v1", "v1", "v1"))
 
 
-def stored_versions(fleet):
-    return [name for _, name in fleet.store.objects if name.startswith("version-")]
-
-
-def test_a_version_that_left_is_remembered_after_the_end_of_all_routers(monkeypatch):
-    """The endpoints that are left are no proof that no other version began the stream."""
-    monkeypatch.setattr(registration, "REGISTER_RETRY_SECONDS", 0.05)
-
-    async def scenario(fleet):
-        first = await fleet.begin(fleet.nodes[0])
-        await fleet.until(lambda: len(stored_versions(fleet)) == 2)
-        for number in (0, V1_WELL):
-            await fleet.store.remove("servers", f"i-{number}")
-        (node,) = fleet.nodes
-        await fleet.until(lambda: not node.directory.endpoints_of_version("engines", "v1"))
-        await fleet.end(node)
-        starting = await fleet.start(5)
-        await fleet.until(lambda: starting.ready() and starting.directory.versions.complete)
-        assert_rejected(fleet, await fleet.resume(starting, first))
-
-    play(scenario, 1)
-
-
-def test_versions_whose_streams_have_ended_are_deleted_from_the_store(monkeypatch):
-    monkeypatch.setattr(registration, "REGISTER_RETRY_SECONDS", 0.05)
-    monkeypatch.setattr(versions, "STREAM_LIFETIME_SECONDS", 0.5)
-
-    async def scenario(fleet):
-        await fleet.until(lambda: len(stored_versions(fleet)) == 2)
-        for number in (0, V1_WELL):
-            await fleet.store.remove("servers", f"i-{number}")
-        await fleet.until(lambda: not stored_versions(fleet))
-        now = time.monotonic()
-        assert fleet.nodes[0].directory.versions.possible("engines", now) == {"v2"}
-
-    play(scenario, 1)
-
-
 def test_stream_taken_up_at_the_only_version_is_known_once_there_are_two():
     """The router that began it has ended, and the caller still names its first request."""
 
@@ -465,55 +323,3 @@
         assert [len(origin.runs) for origin in fleet.origins] == ([1, 1] if others else [0, 2])
 
     play(scenario, 1, scripts=(WELL, WELL), names=("v1", "v1"))
-
-
-def test_versions_that_came_and_went_during_a_cut_are_learned_from_the_store(monkeypatch):
-    monkeypatch.setattr(registration, "REGISTER_RETRY_SECONDS", 0.05)
-
-    async def scenario(fleet):
-        (node,) = fleet.nodes
-        history = node.directory.versions
-        name = registration.version_object_name("engines", "v9")
-        await fleet.store.put("hickorylever-routers", name, {"version": ["engines", "v9"]})
-        suspect = {"suspect": ["bad", 1, [1, 2, 3], []]}
-        await fleet.store.put("hickorylever-routers", "suspect-0", suspect)
-        deleted = fleet.store.calls.get("DELETE", 0)
-        history.complete = False
-        await fleet.until(lambda: history.complete)
-        assert "v9" in history.possible("engines", time.monotonic())
-        await curio.sleep(0.3)
-        assert ("hickorylever-routers", name) in fleet.store.objects
-        assert fleet.store.calls.get("DELETE", 0) == deleted
-        assert not node.quarantine.tracker.quarantine
-
-    play(scenario, 1)
-
-
-def test_versions_are_stored_again_by_a_router_that_knew_them_stored_before(monkeypatch):
-    """Another router has deleted them meanwhile."""
-    monkeypatch.setattr(registration, "REGISTER_RETRY_SECONDS", 0.05)
-    monkeypatch.setattr(versions, "STREAM_LIFETIME_SECONDS", 0.5)
-
-    async def scenario(fleet):
-        others = list(fleet.nodes)
-        others[0].peer_sync.peers.is_first = lambda rank, now: True
-        await fleet.until(lambda: len(stored_versions(fleet)) == 2)
-        starting = await fleet.start(5, seeds=[f"{NETWORK}.1"])
-        starting.peer_sync.peers.is_first = lambda rank, now: False
-        await fleet.until(lambda: len(starting.peer_sync.registration.stored) == 2)
-        for number in (0, V1_WELL):
-            await fleet.store.remove("servers", f"i-{number}")
-        await fleet.until(lambda: not stored_versions(fleet))
-        await fleet.until(lambda: not starting.directory.versions.mixed(time.monotonic()))
-        await curio.sleep(0.2)
-        for node in others:
-            node.peer_sync.registration.store_facts = do_nothing
-        await fleet.store.put("servers", "i-0", entry(fleet.ports[0], version="v1", born=2))
-        await fleet.until(lambda: starting.directory.versions.mixed(time.monotonic()))
-        starting.peer_sync.peers.is_first = lambda rank, now: True
-        await fleet.until(lambda: len(stored_versions(fleet)) == 2)
-
-    async def do_nothing(facts):
-        pass
-
-    play(scenario)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,21 +1,16 @@
 """Streams go on only at endpoints whose software version began them."""
 
-import re
-
 import pytest
-from direct_harness import configuration, entry, route, run_scenario
-
-RESUMABLE = "/resumable/stream/x"
-WELL = ("well",)
-BREAKS = ("broken", "well")  # The first request breaks off after two events.
-
-
-def versions_in(*responses):
-    """Return the versions that wrote the events of a stream, in order of their ids."""
-    content = b"".join(response.received for response in responses)
-    numbered = re.findall(rb"id: (\d+)\ndata: piece \1\nsoftware-version: (\S+)\n\n", content)
-    assert [int(number) for number, _ in numbered] == list(range(1, len(numbered) + 1))
-    return [version.decode() for _, version in numbered]
+from direct_harness import (
+    BREAKS,
+    RESUMABLE,
+    WELL,
+    configuration,
+    entry,
+    route,
+    run_scenario,
+    versions_in,
+)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_trace_causes.py
+++ b/tests/test_trace_causes.py
@@ -4,13 +4,12 @@
 
 import curio
 import pytest
-from direct_harness import SITE, DirectHarness, entry, run_scenario
+from direct_harness import SITE, WELL, DirectHarness, entry, run_scenario
 
 from hickorylever import events
 from hickorylever.cli import main
 from hickorylever.direct.records import Engine, Service
 
-WELL = ("well",)
 STREAM = "/stream/x"
 
 
