--- a/src/hickorylever/platform/standins/behaviours.py
+++ b/src/hickorylever/platform/standins/behaviours.py
@@ -156,6 +156,16 @@
     await exchange.channel.abort()
 
 
+@behaviours.register("broken_within_first")
+async def break_off_within_first_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and break the connection in the middle of the first event."""
+    first = origin.record_run(exchange, body)
+    await origin.stream(exchange, first, first - 1)
+    await exchange.write(encode_event(first, origin.version)[:-3])
+    exchange.closing = True
+    await exchange.channel.abort()
+
+
 @behaviours.register("short")
 async def end_within_event(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Complete the HTTP response in the middle of an event; truncate a response without events."""
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -28,7 +28,7 @@
         before = len(self.tasks)
         node = await super().start(number, seeds, store_port)
         router = Router(node)
-        node.budget.allowance = 0.0  # Routers themselves may not retry.
+        node.budget.allowance = node.budget.ratio = 0.0  # Routers themselves may not retry.
         listener = listen(node.settings.address, CALLER_PORT)
         self.tasks.append(await curio.spawn(router.server.serve, listener, daemon=True))
         self.own_tasks[node] = self.tasks[before:]
--- a/tests/test_stream_fleet.py
+++ b/tests/test_stream_fleet.py
@@ -1,14 +1,23 @@
 """Streams that callers take up at other routers than the ones that began them."""
 
+import random
 import time
 
 import curio
 import pytest
-from direct_harness import BREAKS, RESUMABLE, WELL, configuration, entry, versions_in
+from direct_harness import (
+    BREAKS,
+    RESUMABLE,
+    WELL,
+    configuration,
+    entry,
+    quarantine_a_part,
+    versions_in,
+)
 from stream_fleet import CALLER_PORT, V1_WELL, assert_rejected, assert_whole, kind, play
 from test_peer_sync import NETWORK, TIMEOUT_SECONDS
 
-from hickorylever.direct import peer_sync, versions
+from hickorylever.direct import peer_sync, streams, versions
 
 
 @pytest.mark.parametrize("count", [2, 5])
@@ -78,14 +87,19 @@
     play(scenario, scripts=(BREAKS, WELL, WELL), names=("v1", "v1", "v1"))
 
 
-@pytest.mark.parametrize("fault", ["doubled", "late", "first lost"])
+@pytest.mark.parametrize("fault", ["doubled", "late", "reordered", "first lost"])
 def test_faults_of_datagrams_do_not_keep_a_stream_from_going_on(fault):
     async def scenario(fleet):
         send = fleet.nodes[1].peer_sync.send
         calls = []
 
         async def send_faultily(data, address):
-            calls.append(data)
+            calls.append((data, address))
+            if fault == "reordered":
+                if len(calls) % 2 == 0:
+                    await send(*calls[-1])
+                    await send(*calls[-2])
+                return
             if fault == "late":
                 await curio.sleep(0.02)
             if fault != "first lost" or len(calls) > 1:
@@ -127,6 +141,67 @@
     play(scenario)
 
 
+def test_streams_go_on_while_three_in_a_hundred_datagrams_are_lost():
+    async def scenario(fleet):
+        rng = random.Random(1)
+        for node in fleet.nodes:
+            node.peer_sync.send = lose_some(rng, node.peer_sync.send)
+        for number in range(20):
+            for origin in fleet.origins:
+                origin.script = ["broken"]
+            first = await fleet.send(fleet.nodes[0], parts=f"{number + 1:x}:10")
+            for origin in fleet.origins:
+                origin.script = ["well"]
+            rest = await fleet.resume(fleet.nodes[1 + number % 4], first)
+            assert len(versions_in(first)) == 2
+            assert versions_in(first, rest) == versions_in(first)[:1] * 6
+
+    def lose_some(rng, send):
+        async def send_some(data, address):
+            if rng.random() >= 0.03:
+                await send(data, address)
+
+        return send_some
+
+    play(scenario, 5)
+
+
+def test_router_that_is_cut_off_from_the_store_alone_asks_the_others():
+    async def scenario(fleet):
+        for watcher in fleet.nodes[1].store_watchers:
+            watcher.on_listing = watcher.on_changes = lambda *_: None
+            watcher.record_success = lambda: None
+        first = await fleet.begin(fleet.nodes[0])
+        assert_whole(first, await fleet.resume(fleet.nodes[1], first))
+
+    play(scenario)
+
+
+def test_stream_that_was_forgotten_for_lack_of_memory_is_rejected(monkeypatch):
+    monkeypatch.setattr(streams, "MAX_STREAMS", 1)
+
+    async def scenario(fleet):
+        first = await fleet.begin(fleet.nodes[0])
+        fleet.origins[0].script = list(BREAKS)
+        second = await fleet.begin(fleet.nodes[0])
+        (node,) = fleet.nodes
+        assert_rejected(fleet, await fleet.resume(node, first))
+        assert_whole(second, await fleet.resume(node, second))
+
+    play(scenario, 1)
+
+
+def test_stream_whose_part_is_in_quarantine_is_not_taken_up():
+    async def scenario(fleet):
+        first = await fleet.begin(fleet.nodes[0])
+        for node in fleet.nodes:
+            quarantine_a_part(node)
+        rest = await fleet.resume(fleet.nodes[1], first, parts="5a:10,bad:10,1:10")
+        assert_rejected(fleet, rest, "quarantined")
+
+    play(scenario)
+
+
 def test_later_resumes_name_the_first_request():
     async def scenario(fleet):
         first = await fleet.begin(fleet.nodes[0])
@@ -137,7 +212,8 @@
     play(scenario, scripts=(BREAKS, BREAKS, WELL, WELL))
 
 
-def test_stream_without_an_event_may_begin_at_any_version():
+@pytest.mark.parametrize("step", ["broken_off", "broken_within_first", "unframed_empty"])
+def test_stream_without_an_event_may_begin_at_any_version(step):
     async def scenario(fleet):
         fleet.nodes[0].budget.allowance = 100.0
         fleet.steer(fleet.nodes[0], 0)
@@ -145,7 +221,7 @@
         assert response.body is not None
         assert set(versions_in(response)) == {"v2"}
 
-    play(scenario, scripts=(("broken_off",), WELL, WELL), names=("v1", "v2", "v2"))
+    play(scenario, scripts=((step,), WELL, WELL), names=("v1", "v2", "v2"))
 
 
 @pytest.mark.parametrize("ends_as", ["removed", "draining"])
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -18,6 +18,7 @@
     [
         (["v1", "v1.1", "v1"], True),
         (["v1", "v1.1", "v1.2", "v1"], True),
+        (["v1", "v1.1", "v1.2", "v1.3", "v1"], True),
         (["v1", "v1.1", "v1.1"], False),
     ],
 )
