--- a/src/hickorylever/bench/outages.py
+++ b/src/hickorylever/bench/outages.py
@@ -5,7 +5,8 @@
 from . import Report, benches
 from .metrics import RunMetrics, cache_hit_ratio, quantile
 from .routing import PREFIX_LENGTHS_BLOCKS
-from .serving import RoutingSimulation, Sidecar, Variant
+from .serving import RoutingSimulation, Variant
+from .sidecars import Sidecar
 from .workloads import CHURN, Request, Workload, make_requests
 
 WORKLOAD = dataclasses.replace(CHURN, name="outage", churn_seconds=0.0, seconds=300.0)
