--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -15,6 +15,7 @@
 from ...registry import Registry
 from .. import names
 
+EVENT = re.compile(rb"id: (\d+)\ndata: piece \1\n(?:software-version: (\S+)\n)?\n")
 Behaviour = Callable[..., object]
 behaviours: Registry[Behaviour] = Registry("behaviour of an endpoint")
 
@@ -56,7 +57,6 @@
 class Origin:
     """Simulated endpoint.
 
-    :param version: version of its software, which each event of a stream names.
     :param script: names of the behaviours for the next requests. The last one is used for all
         further requests.
     :param events: number of events in a stream.
@@ -71,6 +71,7 @@
     :ivar duplicate_response: duplicate response that the behaviour ``late`` sends first.
     :param crashing_parts: ids of prompt parts on which the endpoint crashes when it begins to
         write its answer.
+    :param version: version of its software, which each event of a stream names.
     :param on_crash: called when the endpoint crashes; by default it ends for good.
     :ivar crashed: set when the endpoint has ended.
     """
@@ -184,9 +185,6 @@
     return re.findall(r"(\w+):", header(headers, names.PREFIX).decode())
 
 
-EVENT = re.compile(rb"id: (\d+)\ndata: piece \1\n(?:software-version: (\S+)\n)?\n")
-
-
 def decode_events(content: bytes) -> list[tuple[int, str]]:
     """Return the ids of the events at the start of a stream, and the versions that wrote them."""
     events = []
