List the engines' caches once when routers start and none knows them

Cause: routers learn what engines have cached from the requests that they send. After all routers had stopped, nobody knew it, and prompts went to engines that had to read them again.

Where none does, the engines are divided by rendezvous hashing, each is asked once for its list, and the other routers pull the parts from the one that asked. Calls, results and whether a router knows all caches are told in datagrams.

--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -59,6 +59,16 @@
             "hickorylever_rate_limits",
             "Endpoints that limit the rate of requests, by service",
         )
+        self.cache_listings = self.make(
+            Counter,
+            "hickorylever_cache_listings_total",
+            "Calls that list an engine's cache, by result",
+        )
+        self.cache_parts = self.make(
+            Counter,
+            "hickorylever_cache_parts_learned_total",
+            "Cached prompt parts learned after the start, by where from",
+        )
         self.in_flight = self.make(Gauge, "hickorylever_in_flight", "Requests under way")
         self.descriptors = self.make(Gauge, "hickorylever_descriptors", "Open descriptors")
 
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -101,6 +101,17 @@
     started_ms: int
 
 
+class CacheListingUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """How far the sender is with listing the cache of an engine.
+
+    :param endpoint: hash of the engine's name.
+    :param stage: value of a :class:`.cache_plan.Stage`.
+    """
+
+    endpoint: int
+    stage: int
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """A message from one router to another.
 
@@ -116,6 +127,8 @@
     :param suspects: causes in quarantine.
     :param streams: streams that have begun.
     :param stream_questions: keys of streams that the sender asks for.
+    :param cache_listings: engines whose caches the sender lists after a start of all routers.
+    :param caches_known: whether the sender knows what engines had cached before it started.
     """
 
     incarnation: int
@@ -135,6 +148,8 @@
     limits: list[LimitUpdate] = []
     streams: list[StreamUpdate] = []
     stream_questions: list[int] = []
+    cache_listings: list[CacheListingUpdate] = []
+    caches_known: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -8,6 +8,7 @@
 
 from ..events import Event, log, logger
 from ..http import listen
+from .cache_listing import CacheListing
 from .endpoints import PeerLoad
 from .hashes import name_hash
 from .limit_reports import LimitReports
@@ -43,6 +44,7 @@
         self.registration = Registration(node, self.peers, self.rank)
         self.limits = LimitReports(node, self.peers)
         self.streams = StreamReports(node, self.peers)
+        self.caches = CacheListing(node, self.peers)
         self.sock = None
 
     async def run(self) -> None:
@@ -82,12 +84,15 @@
         for address in self.peers.take_expired(self.rank, now):
             await curio.spawn(self.registration.delete, address, daemon=True)
         await self.pulls.catch_up(now, alive)
+        await self.caches.tick(now, alive)
 
     def take_urgent_updates(self, now: float) -> dict[str, list]:
         """Return the updates that don't wait for the interval between datagrams, by field."""
         updates = self.node.quarantine.take_updates(now)
         if limits := self.limits.take():
             updates["limits"] = limits
+        if listings := self.caches.take():
+            updates["cache_listings"] = listings
         return updates
 
     async def broadcast(self, peers: list[Peer], **updates) -> None:
@@ -104,6 +109,7 @@
             domain_hash=self.domain_hash,
             rank=self.rank,
             watching=self.watching(),
+            caches_known=self.caches.plan.complete,
             **updates,
         )
 
@@ -173,6 +179,7 @@
             endpoint = by_hash.get(update.endpoint)
             if endpoint is not None:
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
+        self.caches.apply(address, datagram, now)
         self.limits.apply(address, datagram.limits, now)
         self.node.quarantine.apply(datagram, now)
         for update in datagram.leaving_endpoints:
--- a/src/hickorylever/direct/peer_table.py
+++ b/src/hickorylever/direct/peer_table.py
@@ -50,6 +50,7 @@
     domain_hash: int = 0
     rank: int = 0
     watching: bool = False
+    caches_known: bool = False
 
     def heard_within(self, seconds: float, now: float) -> bool:
         """Return whether a datagram arrived lately."""
@@ -111,6 +112,7 @@
         peer.domain_hash = datagram.domain_hash
         peer.rank = datagram.rank
         peer.watching = datagram.watching
+        peer.caches_known = datagram.caches_known
         return peer
 
     def should_watch(self, rank: int, now: float, empty: bool = False) -> bool:
--- a/src/hickorylever/direct/prompt_cache.py
+++ b/src/hickorylever/direct/prompt_cache.py
@@ -35,9 +35,27 @@
         ):
             self.tokens -= self.parts.popitem(last=False)[1]
 
-    def latest_parts(self) -> dict[str, int]:
+    def add_oldest(self, parts: Sequence[PromptPart], capacity_tokens: int) -> None:
+        """Add parts that count as used before all known ones, the last of them most recently.
+
+        Parts that exceed the limits are left out, the first ones before the others.
+
+        :param capacity_tokens: cache capacity in tokens; 0 if unknown.
+        """
+        for part in reversed(parts):
+            if part.id in self.parts:
+                continue
+            if len(self.parts) >= MAX_PARTS or (
+                capacity_tokens and self.tokens + part.tokens > capacity_tokens
+            ):
+                break
+            self.parts[part.id] = part.tokens
+            self.parts.move_to_end(part.id, last=False)
+            self.tokens += part.tokens
+
+    def latest_parts(self, limit: int = MAX_SYNCED_PARTS) -> dict[str, int]:
         """Return the most recently used parts, oldest first, with their tokens."""
-        return dict(list(self.parts.items())[-MAX_SYNCED_PARTS:])
+        return dict(list(self.parts.items())[-limit:])
 
     def cached_prefix_tokens(self, parts: Sequence[PromptPart]) -> int:
         """Return the length in tokens of the prompt's cached prefix."""
--- a/src/hickorylever/direct/state_pulls.py
+++ b/src/hickorylever/direct/state_pulls.py
@@ -16,6 +16,7 @@
     RequestError,
 )
 from ..http import Client, Exchange, Server
+from .cache_listing import CACHES_PATH
 from .peer_protocol import LeavingUpdate, SuspectUpdate
 from .peer_table import Peer
 from .position import NOTHING_KNOWN, UNKNOWN, KnownState, Position, parse_position
@@ -64,6 +65,8 @@
     :param suspects: causes in quarantine.
     :param versions: software versions that services have had lately.
     :param versions_complete: whether the sender knows all of them.
+    :param caches_known: whether `cached_parts` holds what engines had cached before the sender
+        started, too.
     """
 
     configuration: StoredObject | None
@@ -76,6 +79,7 @@
     suspects: list[SuspectUpdate] = []
     versions: list[VersionUpdate] = []
     versions_complete: bool = False
+    caches_known: bool = False
 
 
 class StatePulls:
@@ -151,6 +155,8 @@
         for update in state.leaving_endpoints:
             node.directory.mark_leaving(update, time.monotonic())
         node.directory.add_cached_parts(state.cached_parts)
+        if state.caches_known:
+            node.peer_sync.caches.plan.finish()
         node.quarantine.apply_suspects(state.suspects, time.monotonic())
         node.directory.versions.add(state.versions, time.monotonic())
         node.directory.versions.complete |= state.versions_complete
@@ -169,6 +175,9 @@
         :raises RequestError: when the path is unknown, the query is malformed or the endpoints
             have not been listed yet.
         """
+        if exchange.path == CACHES_PATH:
+            await self.node.peer_sync.caches.handle(exchange)
+            return
         if exchange.path != STATE_PATH:
             raise RequestError(Kind.NOT_FOUND)
         if not self.node.endpoints_listed:
@@ -209,6 +218,7 @@
             suspects=node.quarantine.suspect_updates(time.monotonic()),
             versions=directory.versions.updates(time.monotonic()),
             versions_complete=directory.versions.complete,
+            caches_known=complete and node.peer_sync.caches.plan.complete,
         )
 
     def compress_state(self, content: bytes) -> bytes:
--- a/src/hickorylever/platform/__init__.py
+++ b/src/hickorylever/platform/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from ..lazy import lazy_names
-from .names import CONFIGURATION, ENDPOINTS, READY_PATH, ROUTERS
+from .names import CACHE_LIST_PATH, CONFIGURATION, ENDPOINTS, READY_PATH, ROUTERS
 
 MODULES = {
     "Store": "store",
@@ -15,12 +15,14 @@
     "forwarded": "headers",
     "frontend": "early",
     "load": "settings",
+    "identify_endpoint": "headers",
     "read_answer": "headers",
+    "read_cached_parts": "caches",
     "read_request": "headers",
     "refusal": "headers",
 }
 
-__all__ = ["CONFIGURATION", "ENDPOINTS", "READY_PATH", "ROUTERS", *MODULES]
+__all__ = ["CACHE_LIST_PATH", "CONFIGURATION", "ENDPOINTS", "READY_PATH", "ROUTERS", *MODULES]
 
 
 __getattr__ = lazy_names(__name__, MODULES)
--- a/src/hickorylever/platform/headers.py
+++ b/src/hickorylever/platform/headers.py
@@ -73,6 +73,11 @@
     return result
 
 
+def identify_endpoint(endpoint: str) -> list[tuple[bytes, bytes]]:
+    """Return the headers with which another endpoint at the same address refuses a request."""
+    return [(names.EXPECTED_ENDPOINT, endpoint.encode())]
+
+
 def read_answer(status: int, fields: Headers) -> AnswerInfo:
     """Return the information in the status and headers of an endpoint's response."""
     load = LOAD.fullmatch(header(fields, names.LOAD).replace(b" ", b""))
--- a/src/hickorylever/platform/names.py
+++ b/src/hickorylever/platform/names.py
@@ -39,6 +39,7 @@
 )
 
 READY_PATH = "/v1/readyz"
+CACHE_LIST_PATH = "/v1/kv-list"
 OBJECTS_PATH = "/v1/objects"
 CONFIGURATION = ("config", "main")
 ENDPOINTS = "servers"
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 import curio
+import msgspec
 
 from ...http import Exchange, Server, cancel_on_disconnect, header
 from ...node import refuse
@@ -16,6 +17,8 @@
 from .. import names
 
 EVENT = re.compile(rb"id: (\d+)\ndata: piece \1\n(?:software-version: (\S+)\n)?\n")
+LISTING_BLOCK = b'["x","ab",1,"m"],' * 4096
+LISTING_BLOCKS = 128  # About 9 MB, more than routers read.
 Behaviour = Callable[..., object]
 behaviours: Registry[Behaviour] = Registry("behaviour of an endpoint")
 
@@ -72,6 +75,9 @@
     :param crashing_parts: ids of prompt parts on which the endpoint crashes when it begins to
         write its answer.
     :param version: version of its software, which each event of a stream names.
+    :param cached: what the endpoint lists as its cache, each as ``[text, id, tokens, model]``.
+    :param listing: how it responds when asked for that, one of `LISTINGS`.
+    :ivar list_calls: number of requests for the list.
     :param on_crash: called when the endpoint crashes; by default it ends for good.
     :ivar crashed: set when the endpoint has ended.
     """
@@ -90,6 +96,9 @@
     crashing_parts: frozenset[str] = frozenset()
     version: str = ""
     on_crash: Callable[[], Awaitable[object]] | None = None
+    cached: list[list[object]] = field(default_factory=list)
+    listing: str = "well"
+    list_calls: int = 0
     crashed: curio.Event = field(default_factory=curio.Event)
 
     def __post_init__(self):
@@ -126,6 +135,10 @@
         if expected not in ("", self.name):
             await exchange.respond(421, [(names.ENDPOINT, self.name.encode())])
             return
+        if exchange.path == names.CACHE_LIST_PATH:
+            self.list_calls += 1
+            await LISTINGS[self.listing](self, exchange)
+            return
         if self.crashing_parts.intersection(prompt_parts(exchange.headers)):
             await self.crash(exchange, body)
             return
@@ -180,6 +193,45 @@
             await curio.sleep(self.pause)
 
 
+async def list_cache(origin: Origin, exchange: Exchange) -> None:
+    """List the cache."""
+    body = msgspec.json.encode({"epoch": "e1", "next": 7, "held": origin.cached})
+    await exchange.respond(200, body=body)
+
+
+async def fail_listing(origin: Origin, exchange: Exchange) -> None:
+    """Respond with an error."""
+    await exchange.respond(500, body=b"failed")
+
+
+async def hang_listing(origin: Origin, exchange: Exchange) -> None:
+    """Never respond."""
+    await curio.Event().wait()
+
+
+async def garble_listing(origin: Origin, exchange: Exchange) -> None:
+    """Respond with something that is no list."""
+    await exchange.respond(200, body=b'{"held": 5')
+
+
+async def list_without_end(origin: Origin, exchange: Exchange) -> None:
+    """Begin a list that is larger than routers read."""
+    await exchange.start(200, [(b"content-type", b"application/json")])
+    await exchange.write(b'{"held": [')
+    for _ in range(LISTING_BLOCKS):
+        await exchange.write(LISTING_BLOCK)
+    await exchange.end()
+
+
+LISTINGS: dict[str, Callable[[Origin, Exchange], Awaitable[None]]] = {
+    "well": list_cache,
+    "fail": fail_listing,
+    "hang": hang_listing,
+    "garbled": garble_listing,
+    "endless": list_without_end,
+}
+
+
 def prompt_parts(headers: Iterable[tuple[bytes, bytes]]) -> list[str]:
     """Return the ids of the parts of a request's prompt."""
     return re.findall(r"(\w+):", header(headers, names.PREFIX).decode())
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -25,6 +25,7 @@
 PURE = (
     "availability",
     "budget",
+    "cache_plan",
     "departures",
     "directory",
     "prompt_cache",
