--- a/src/hickorylever/commands/__init__.py
+++ b/src/hickorylever/commands/__init__.py
@@ -64,10 +64,10 @@
 
     :raises SettingsError: if the text is malformed.
     """
+    from ..addresses import split_address
     from ..http import Client
     from ..metrics import Metrics
     from ..objects import ObjectClient
-    from ..settings import split_address
 
     try:
         address, port = split_address(text)
--- a/src/hickorylever/demo.py
+++ b/src/hickorylever/demo.py
@@ -17,11 +17,11 @@
 import msgspec
 
 from . import defaults, settings
+from .addresses import split_address
 from .exceptions import ConnectionLost, HickoryleverError
 from .fleet import compile_fleet
 from .http import Client
 from .records import VM, Endpoint, Fleet
-from .settings import split_address
 
 MAX_READY_CHECKS = 150
 READY_CHECK_SECONDS = 0.2
--- a/src/hickorylever/direct/peer_table.py
+++ b/src/hickorylever/direct/peer_table.py
@@ -5,7 +5,7 @@
 
 import xxhash
 
-from ..settings import is_ipv4_address
+from ..addresses import is_ipv4_address
 from .peer_protocol import Datagram
 from .position import NOTHING_KNOWN, UNKNOWN, KnownState
 
--- a/src/hickorylever/direct/process.py
+++ b/src/hickorylever/direct/process.py
@@ -15,7 +15,7 @@
 
 EXIT_MARGIN_SECONDS = 0.3  # Left for the exit itself before the process is killed.
 MAX_START_WAIT_SECONDS = 0.3  # Maximum wait of the first callers for a configuration.
-START_POLL_SECONDS = 0.01
+START_POLL_SECONDS = 0.002
 
 
 async def accept_when_ready(node: Node, router: Router, listener: socket.socket | None) -> None:
--- a/src/hickorylever/environment.py
+++ b/src/hickorylever/environment.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from . import defaults
+from .addresses import split_address
 from .decisions.budgets import RetryBudget
 from .decisions.chats import PrefixPopularity
 from .decisions.loads import LoadTable, WorkEstimator
@@ -25,7 +26,7 @@
 from .objects import ObjectClient
 from .packets import Phase
 from .records import Application, ClientAccount, ClockSample, Endpoint, Fleet, Member, Revision
-from .settings import Settings, split_address
+from .settings import Settings
 from .timers import Timers
 
 
--- a/src/hickorylever/gossip.py
+++ b/src/hickorylever/gossip.py
@@ -11,6 +11,7 @@
 from curio import socket
 
 from . import admission, configuration, defaults, limits, suspicion
+from .addresses import split_address
 from .decisions.members import VMListing
 from .decisions.swim import Datagram, Swim
 from .decisions.topics import SampleGroup
@@ -19,7 +20,6 @@
 from .packets import PacketKind, Phase, Update, member_id
 from .records import VM, Load, Member, MemberState
 from .registry import Registry
-from .settings import split_address
 
 Handler = Callable[..., Awaitable[None]]
 topics: Registry[Handler] = Registry("topic")
--- a/src/hickorylever/peer_configuration.py
+++ b/src/hickorylever/peer_configuration.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from . import defaults
+from .addresses import split_address
 from .decisions.revisions import Offer
 from .environment import Environment
 from .exceptions import ConnectionLost, ContentError, Kind, RequestError
@@ -14,7 +15,6 @@
 from .http import Client, Exchange
 from .node import pages, respond_json
 from .records import VM
-from .settings import split_address
 
 PATH = "/configuration"
 
--- a/src/hickorylever/platform/documents.py
+++ b/src/hickorylever/platform/documents.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..addresses import is_ipv4_address, split_address
 from ..direct.position import Position
 from ..direct.records import (
     Account,
@@ -18,7 +19,6 @@
     WeightedService,
 )
 from ..exceptions import ContentError
-from ..settings import is_ipv4_address, split_address
 from . import names
 
 SECONDS_PER_MILLISECOND = 0.001
--- a/src/hickorylever/platform/settings.py
+++ b/src/hickorylever/platform/settings.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from ..addresses import split_address
 from ..direct.settings import DirectSettings
 from ..exceptions import SettingsError
-from ..settings import split_address
 from . import names
 
 SECONDS_PER_MILLISECOND = 0.001
--- a/src/hickorylever/settings.py
+++ b/src/hickorylever/settings.py
@@ -1,11 +1,11 @@
 """Settings of a process, read from a TOML file."""
 
-import socket
 import tomllib
 from dataclasses import dataclass, fields
 from pathlib import Path
 
 from . import defaults
+from .addresses import split_address
 from .exceptions import SettingsError
 
 LOG_FORMATS = ("json", "text")
@@ -57,26 +57,6 @@
 }
 
 
-def split_address(text: str) -> tuple[str, int]:
-    """Return the IP address and the port of ``address:port``.
-
-    :raises ValueError: if the text is not of this form.
-    """
-    address, _, port = text.rpartition(":")
-    if not address:
-        raise ValueError(f"{text!r} is not address:port")
-    return address, int(port)
-
-
-def is_ipv4_address(text: str) -> bool:
-    """Return whether a text is an IPv4 address, as opposed to a name that needs a lookup."""
-    try:
-        socket.inet_pton(socket.AF_INET, text)
-    except (OSError, ValueError):
-        return False
-    return True
-
-
 def check_value(name: str, kind: type, value: object) -> str:
     """Return an error message for one value, or an empty string if it is valid."""
     if not isinstance(value, ACCEPTED_TYPES[kind]) or isinstance(value, bool):
--- a/src/hickorylever/sidecar.py
+++ b/src/hickorylever/sidecar.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from . import admission, configuration, defaults, frames, gossip, suspicion, vm_poller
+from .addresses import split_address
 from .decisions.attempts import AttemptTable, Refusal
 from .environment import Environment
 from .events import Event, log
@@ -19,7 +20,7 @@
 from .readiness import Readiness
 from .records import Attempt, Endpoint
 from .responses import AttemptResponse
-from .settings import Settings, split_address
+from .settings import Settings
 
 DRAIN_POLL_SECONDS = 0.05
 FRAMES_TYPE = [(b"content-type", b"application/x-hickorylever-frames")]
--- a/src/hickorylever/vm_poller.py
+++ b/src/hickorylever/vm_poller.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from . import defaults
+from .addresses import split_address
 from .decisions.members import VMListing
 from .events import Event, log
 from .exceptions import ConnectionLost
-from .settings import split_address
 
 PATH = "/v1/vms"
 STATES = {"live": VMListing.LIVE, "leaving": VMListing.LEAVING}
