Decode lists of caches without their texts, and leave out engines that shut down

Cause: a list's texts would be decoded into memory although only ids and sizes are used; engines that take no new requests kept a starting router waiting for them for 5 s.

--- a/src/hickorylever/direct/cache_listing.py
+++ b/src/hickorylever/direct/cache_listing.py
@@ -124,12 +124,13 @@
         return not self.plan.complete
 
     def engine_keys(self) -> list[int]:
-        """Return the hashes of the names of all engines."""
+        """Return the hashes of the names of all engines that take new requests."""
         return [
             name_hash(endpoint.name)
             for service, pool in self.node.directory.pools.items()
             if self.engine_of(service) is not None
             for endpoint in pool
+            if endpoint.accepting
         ]
 
     def engine_of(self, service: str):
@@ -146,10 +147,9 @@
     async def list_engine(self, key: int) -> None:
         """List the cache of one engine and report the result to the other routers."""
         endpoint = self.node.directory.by_hash.get(key)
-        stage = Stage.UNREACHED
+        stage = Stage.FAILED
         try:
-            if endpoint is not None:
-                stage = await self.call(endpoint)
+            stage = Stage.UNREACHED if endpoint is None else await self.call(endpoint)
         finally:
             self.calls -= 1
             self.node.metrics.cache_listings.inc({"result": stage.name.lower()})
--- a/src/hickorylever/direct/cache_plan.py
+++ b/src/hickorylever/direct/cache_plan.py
@@ -169,7 +169,8 @@
         for key, engine in self.pending.items():
             if len(calls) >= limit:
                 break
-            if engine.source or now < engine.claimed_until:
+            earliest = self.begun_at + SILENT_STEP_SECONDS * len(engine.earlier)
+            if engine.source or now < max(earliest, engine.claimed_until):
                 continue
             if now >= self.turn(engine, heard) and may_call(key):
                 engine.claimed_until = now + CLAIM_SECONDS
--- a/src/hickorylever/platform/caches.py
+++ b/src/hickorylever/platform/caches.py
@@ -1,20 +1,34 @@
 """Decodes the list of the prompt parts that an engine has cached."""
 
-import re
+from collections.abc import Iterator
+from typing import Annotated
 
 import msgspec
 
 from ..direct.records import PromptPart
 from ..exceptions import ContentError
 
-PART_ID = re.compile(r"[0-9a-fA-F]{1,32}")
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 MAX_PART_TOKENS = 999_999_999  # As many digits as in the header with a prompt's parts.
+PartId = Annotated[str, msgspec.Meta(pattern=r"\A[0-9a-fA-F]{1,32}\Z")]
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_PART_TOKENS)]
 
 
 class WireCacheList(msgspec.Struct):
-    """An engine's cached prompt parts, each as ``[text, id, tokens, model]``."""
+    """An engine's cached prompt parts as encoded :class:`WirePart` documents."""
 
-    held: list[object]
+    held: list[msgspec.Raw]
+
+
+class WirePart(msgspec.Struct, array_like=True):
+    """A cached prompt part. Its text and its model are not used, so they are not decoded."""
+
+    text: msgspec.Raw
+    id: PartId
+    tokens: Tokens
+
+
+part_decoder = msgspec.json.Decoder(WirePart)
 
 
 def read_cached_parts(content: bytes) -> list[PromptPart]:
@@ -24,18 +38,16 @@
     """
     try:
         wire = msgspec.json.decode(content, type=WireCacheList)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         raise ContentError(f"invalid list of cached parts: {error}") from None
-    return [PromptPart(entry[1].lower(), entry[2]) for entry in wire.held if is_part(entry)]
-
-
-def is_part(entry: object) -> bool:
-    """Return whether an entry of the list is well formed."""
-    return (
-        isinstance(entry, list)
-        and len(entry) >= 3
-        and isinstance(entry[1], str)
-        and PART_ID.fullmatch(entry[1]) is not None
-        and type(entry[2]) is int
-        and 0 <= entry[2] <= MAX_PART_TOKENS
-    )
+    return list(read_parts(wire.held))
+
+
+def read_parts(entries: list[msgspec.Raw]) -> Iterator[PromptPart]:
+    """Yield the well-formed entries of a list."""
+    for entry in entries:
+        try:
+            part = part_decoder.decode(entry)
+        except DECODE_ERRORS:
+            continue
+        yield PromptPart(part.id.lower(), part.tokens)
