--- a/src/hickorylever/direct/cache_listing.py
+++ b/src/hickorylever/direct/cache_listing.py
@@ -103,6 +103,11 @@
         if keys:
             await self.node.peer_sync.broadcast(alive, cache_listings=self.take())
 
+    async def greet(self, peer: Peer) -> None:
+        """Tell a router that was just heard which engines this one has listed."""
+        if reports := self.plan.reports():
+            await self.node.peer_sync.broadcast([peer], cache_listings=reports)
+
     async def announce(self, alive: list[Peer]) -> None:
         """Tell the other routers once that this one knows the caches."""
         if not self.announced:
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -157,11 +157,10 @@
             addresses = [other.address for other in self.peers.alive(now)][
                 :MAX_ADDRESSES_PER_DATAGRAM
             ]
-            listings = self.caches.plan.reports()
-            answer = self.datagram(routers=addresses, cache_listings=listings)
-            await self.send(encode(answer), address)
+            await self.send(encode(self.datagram(routers=addresses)), address)
         if new:
             log(Event.PEER_HEARD, address, incarnation=datagram.incarnation)
+            await self.caches.greet(peer)
         self.apply_updates(address, datagram, now)
         await self.streams.apply(datagram, now)
         if answers := self.streams.answers(datagram, now):
