Keep requests from evacuated failure domains

Cause: an operator could not take a whole failure domain out of service. Change: where the settings hold evacuate-ms, routers watch the kind evacuations, announce the position of its latest change, pull it from each other, and send nothing new to endpoints of these domains.

--- a/src/hickorylever/direct/availability.py
+++ b/src/hickorylever/direct/availability.py
@@ -5,7 +5,7 @@
 that comes back if it can still be on time; others are refused at once and told when to come back.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from .endpoints import Endpoint
 
@@ -13,14 +13,19 @@
 MIN_RETRY_AFTER_SECONDS = 0.25
 MAX_RETRY_AFTER_SECONDS = 5.0
 CALLER_WAIT_PARTS = 3  # Callers wait at most for this part of their remaining time.
+EVACUATED_RETRY_AFTER_SECONDS = 2.0  # An evacuation lasts until an operator ends it.
 
 
 def resumes_at(pool: Iterable[Endpoint]) -> float | None:
     """Return when the first endpoint of a pool is usable again, in monotonic seconds.
 
-    None means that no endpoint of the pool takes new requests.
+    None means that no endpoint of the pool takes new requests. The end of an evacuation is not
+    known.
     """
-    return min((endpoint.usable_at for endpoint in pool if endpoint.accepting), default=None)
+    return min(
+        (endpoint.usable_at for endpoint in pool if endpoint.accepting and not endpoint.evacuated),
+        default=None,
+    )
 
 
 def wait_until(
@@ -42,13 +47,16 @@
     return until
 
 
-def retry_after(pool: Iterable[Endpoint], now: float, time_left: float) -> float:
+def retry_after(pool: Sequence[Endpoint], now: float, time_left: float) -> float:
     """Return the seconds after which a caller that is refused now should retry.
 
     :param time_left: seconds until the caller's deadline.
     """
     until = resumes_at(pool)
-    return bounded_retry_after(0.0 if until is None else until - now, time_left)
+    if until is not None:
+        return bounded_retry_after(until - now, time_left)
+    evacuated = any(endpoint.accepting and endpoint.evacuated for endpoint in pool)
+    return bounded_retry_after(EVACUATED_RETRY_AFTER_SECONDS if evacuated else 0.0, time_left)
 
 
 def bounded_retry_after(seconds: float, time_left: float) -> float:
--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -36,6 +36,7 @@
     :ivar change_log_start: position after which `change_log` is complete.
     :ivar departures: endpoints that have left or are about to.
     :ivar versions: versions of the endpoints' software.
+    :ivar evacuated_domains: failure domains whose endpoints get nothing new.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.change_log_start = UNKNOWN
         self.departures = Departures()
         self.versions = VersionHistory()
+        self.evacuated_domains: frozenset[str] = frozenset()
 
     def pool(self, service: str) -> Pool:
         """Return the endpoints of a service, sorted by name."""
@@ -127,6 +129,7 @@
         if endpoint is None or endpoint.entry.incarnation != entry.incarnation:
             endpoint = self.endpoints[entry.name] = self.create(entry, stored.position.era, now)
         endpoint.entry = entry
+        endpoint.evacuated = entry.failure_domain in self.evacuated_domains
         endpoint.missing_since = None
         endpoint.warm_at = now + entry.warmup_left
         if entry.draining and entry.started_ms:
@@ -157,6 +160,12 @@
         """Return the endpoints that said that they shut down, for other routers."""
         return [LeavingUpdate(*departure) for departure in self.departures.leaving()]
 
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Set the failure domains whose endpoints get nothing new."""
+        self.evacuated_domains = domains
+        for endpoint in self.endpoints.values():
+            endpoint.evacuated = endpoint.entry.failure_domain in domains
+
     def mark_missing(self, name: str, now: float, keep_missing: bool) -> None:
         """Remove an endpoint that a list lacks, or mark it as missing when `keep_missing`.
 
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -56,6 +56,7 @@
     :param peer_requests: total requests in `peers`.
     :param peer_prefill: total prompt tokens in `peers`.
     :param prompt_cache: prompt parts that the endpoint has probably cached.
+    :param evacuated: whether an operator evacuates its failure domain.
     """
 
     entry: EndpointEntry
@@ -76,6 +77,7 @@
     peer_requests: int = 0
     peer_prefill: int = 0
     prompt_cache: PromptCacheIndex = field(default_factory=PromptCacheIndex)
+    evacuated: bool = False
 
     @property
     def name(self) -> str:
@@ -92,8 +94,8 @@
         return not (self.entry.draining or self.leaving)
 
     def wants_requests(self, now: float) -> bool:
-        """Return whether it takes new requests now, as far as it said so itself."""
-        return self.accepting and now >= self.deferred_until
+        """Return whether it takes new requests now, as far as it and the operator said."""
+        return self.accepting and not self.evacuated and now >= self.deferred_until
 
     def limit_rate(self, rate: float | None, router_count: int, now: float) -> bool:
         """Set the limit that the endpoint names, and return whether it has changed.
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -59,6 +59,9 @@
             "hickorylever_rate_limits",
             "Endpoints that limit the rate of requests, by service",
         )
+        self.evacuated = self.make(
+            Gauge, "hickorylever_evacuated", "1 while a failure domain is evacuated, by domain"
+        )
         self.in_flight = self.make(Gauge, "hickorylever_in_flight", "Requests under way")
         self.descriptors = self.make(Gauge, "hickorylever_descriptors", "Open descriptors")
 
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -14,6 +14,7 @@
 from ..http import Client
 from .budget import SharedRetryBudget
 from .directory import Directory
+from .evacuation_control import EvacuationControl
 from .metrics import DirectMetrics
 from .peer_sync import PeerSync
 from .position import NO_CONFIGURATION, ConfigurationState, Decision, KnownState, Position, decide
@@ -56,6 +57,7 @@
     :ivar configuration_state: version and positions of the configuration in force.
     :ivar settings_modified_ns: modification time of the settings file when it was last read.
     :ivar endpoints_listed: whether the endpoints have been listed since the start.
+    :ivar evacuations: evacuated failure domains, if the settings enable evacuations.
     """
 
     def __init__(self, settings: DirectSettings, codec, store_class):
@@ -84,6 +86,7 @@
         self.stored_configuration: StoredObject | None = None
         self.configuration_state = NO_CONFIGURATION
         self.endpoints_listed = False
+        self.evacuations = EvacuationControl(self)
         self.draining = False
         self.peer_sync = PeerSync(self)
         self.store_watchers: list[StoreWatcher] = []
@@ -101,12 +104,23 @@
 
         They should if a configuration and endpoints are known and the router is not draining.
         """
-        return self.routes is not None and self.endpoints_listed and not self.draining
+        return self.store_known() and not self.draining
+
+    def store_known(self) -> bool:
+        """Return whether all is known of the store that forwarding needs."""
+        return self.routes is not None and self.endpoints_listed and self.evacuations.known()
 
     def known_state(self) -> KnownState:
         """Return how much of the store's state this router knows."""
         state = self.configuration_state
-        return KnownState(state.seen, state.version, self.directory.latest)
+        return KnownState(
+            state.seen, state.version, self.directory.latest, self.evacuations.latest
+        )
+
+    def lacks(self, other: KnownState) -> bool:
+        """Return whether another router knows what this one lacks and uses."""
+        behind = self.evacuations.is_behind(other.evacuations)
+        return behind or self.known_state().is_behind(other)
 
     def apply_stored_configuration(
         self, stored: StoredObject, seen: Position | None = None
@@ -241,6 +255,7 @@
         while True:
             await curio.sleep(EXPIRY_INTERVAL_SECONDS)
             self.directory.expire(time.monotonic())
+            self.evacuations.expire()
             self.quarantine.tracker.expire(time.monotonic())
             self.peer_sync.streams.expire(time.monotonic())
             self.resumption.check_contact(time.monotonic())
@@ -248,7 +263,7 @@
 
 
 def create_store_watchers(node: Node) -> list[StoreWatcher]:
-    """Create the watchers of the configuration and of the endpoints."""
+    """Create the watchers of the configuration, the endpoints and, if enabled, the evacuations."""
     kinds = (
         (
             node.codec.CONFIGURATION[0],
@@ -261,4 +276,5 @@
         StoreWatcher(node.store, kind, listing, changes, node.rng, node.peer_sync.should_watch)
         for kind, listing, changes in kinds
     ]
+    node.store_watchers += node.evacuations.create_watchers()
     return node.store_watchers
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -9,6 +9,7 @@
 from ..events import Event, log, logger
 from ..http import listen
 from .endpoints import PeerLoad
+from .evacuations import OwnWatch
 from .hashes import name_hash
 from .limit_reports import LimitReports
 from .outbox import Outbox
@@ -43,6 +44,7 @@
         self.registration = Registration(node, self.peers, self.rank)
         self.limits = LimitReports(node, self.peers)
         self.streams = StreamReports(node, self.peers)
+        self.own_watch = OwnWatch(node.rng.random())
         self.sock = None
 
     async def run(self) -> None:
@@ -186,9 +188,17 @@
     def should_watch(self) -> bool:
         """Return whether this router should watch the store itself."""
         node = self.node
-        empty = node.routes is None or not node.endpoints_listed
+        empty = not node.store_known()
         return self.peers.should_watch(self.rank, time.monotonic(), empty)
 
+    def should_watch_evacuations(self) -> bool:
+        """Return whether this router should watch the evacuations in the store itself."""
+        now = time.monotonic()
+        watchers = [peer for peer in self.peers.alive(now) if peer.is_watching(now)]
+        positions = [peer.known.evacuations for peer in watchers]
+        own = self.own_watch.needed(positions, len(self.peers.by_address), now)
+        return self.should_watch() or own
+
     async def leave(self) -> None:
         """Announce to the other routers that this one is shutting down."""
         await self.broadcast(self.peers.alive(time.monotonic()), leaving=True)
--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -249,7 +249,7 @@
     """
     sources: dict[str, CopySources] = {}
     for endpoint, tokens in zip(order, cached_tokens, strict=True):
-        if not tokens or now < endpoint.paused_until:
+        if not tokens or endpoint.evacuated or now < endpoint.paused_until:
             continue
         version = endpoint.entry.version
         sources[version] = sources.get(version, NO_SOURCES).with_endpoint(endpoint, tokens)
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -114,7 +114,7 @@
         node = self.node
         exchange = record.exchange
         info = record.info = node.codec.read_request(exchange.headers)
-        if node.routes is None or not node.endpoints_listed:
+        if not node.store_known():
             raise RequestError(Kind.NOT_READY, "", Ran.NO, NOT_READY_RETRY_AFTER_SECONDS)
         routes = record.routes = node.routes
         host = header(exchange.headers, b"host").decode("latin-1")
@@ -153,6 +153,8 @@
         }
         if call is not None:
             fields |= call_fields(call)
+        if record.kind and self.node.directory.evacuated_domains:
+            fields["evacuated"] = sorted(self.node.directory.evacuated_domains)
         log(
             Event.REQUEST_REFUSED if record.kind else Event.REQUEST_DONE,
             record.kind or "answered",
--- a/src/hickorylever/direct/settings.py
+++ b/src/hickorylever/direct/settings.py
@@ -29,6 +29,8 @@
         routers.
     :param load_multiple: limit on the requests at an endpoint, as a multiple of the mean of its
         service.
+    :param evacuation_time: time after which an evacuated failure domain gets nothing new, or None
+        where failure domains are not evacuated.
     """
 
     path: str
@@ -50,3 +52,4 @@
     retry_window: float = 10.0
     retry_allowance: float = 0.0
     load_multiple: float = 2.0
+    evacuation_time: float | None = None
--- a/src/hickorylever/direct/state_pulls.py
+++ b/src/hickorylever/direct/state_pulls.py
@@ -16,6 +16,7 @@
     RequestError,
 )
 from ..http import Client, Exchange, Server
+from .evacuations import EvacuationState
 from .peer_protocol import LeavingUpdate, SuspectUpdate
 from .peer_table import Peer
 from .position import NOTHING_KNOWN, UNKNOWN, KnownState, Position, parse_position
@@ -31,7 +32,7 @@
 def state_target(known: KnownState) -> str:
     """Return the request target that asks for what a router lacks."""
     query = f"configuration={known.configuration}&version={known.version}"
-    return f"{STATE_PATH}?{query}&endpoints={known.endpoints}"
+    return f"{STATE_PATH}?{query}&endpoints={known.endpoints}&evacuations={known.evacuations}"
 
 
 def parse_known_state(query: str) -> KnownState:
@@ -47,6 +48,7 @@
         parse_position(values.get("configuration", "")),
         int(version),
         parse_position(values.get("endpoints", "")),
+        parse_position(values.get("evacuations", str(UNKNOWN))),
     )
 
 
@@ -64,6 +66,7 @@
     :param suspects: causes in quarantine.
     :param versions: software versions that services have had lately.
     :param versions_complete: whether the sender knows all of them.
+    :param evacuations: what the sender knows of evacuations; None for nothing.
     """
 
     configuration: StoredObject | None
@@ -76,6 +79,7 @@
     suspects: list[SuspectUpdate] = []
     versions: list[VersionUpdate] = []
     versions_complete: bool = False
+    evacuations: EvacuationState | None = None
 
 
 class StatePulls:
@@ -110,7 +114,7 @@
             await self.start_pull(alive, NOTHING_KNOWN)
             return
         known = node.known_state()
-        ahead = [peer for peer in alive if known.is_behind(peer.known)]
+        ahead = [peer for peer in alive if node.lacks(peer.known)]
         if not ahead:
             self.behind_since = None
             return
@@ -145,6 +149,7 @@
     def apply_state(self, address: str, state: State) -> None:
         """Apply the parts of another router's state that are later than this router's."""
         node = self.node
+        node.evacuations.apply_state(state.evacuations)
         if state.configuration is not None:
             node.apply_stored_configuration(state.configuration, state.configuration_seen)
         node.apply_peer_endpoints(state.endpoints, state.latest, state.complete)
@@ -209,6 +214,7 @@
             suspects=node.quarantine.suspect_updates(time.monotonic()),
             versions=directory.versions.updates(time.monotonic()),
             versions_complete=directory.versions.complete,
+            evacuations=node.evacuations.state(),
         )
 
     def compress_state(self, content: bytes) -> bytes:
--- a/src/hickorylever/platform/__init__.py
+++ b/src/hickorylever/platform/__init__.py
@@ -6,12 +6,13 @@
 """
 
 from ..lazy import lazy_names
-from .names import CONFIGURATION, ENDPOINTS, READY_PATH, ROUTERS
+from .names import CONFIGURATION, ENDPOINTS, EVACUATIONS, READY_PATH, ROUTERS
 
 MODULES = {
     "Store": "store",
     "decode_configuration": "documents",
     "decode_endpoint": "documents",
+    "decode_evacuation": "documents",
     "forwarded": "headers",
     "frontend": "early",
     "load": "settings",
@@ -20,7 +21,7 @@
     "refusal": "headers",
 }
 
-__all__ = ["CONFIGURATION", "ENDPOINTS", "READY_PATH", "ROUTERS", *MODULES]
+__all__ = ["CONFIGURATION", "ENDPOINTS", "EVACUATIONS", "READY_PATH", "ROUTERS", *MODULES]
 
 
 __getattr__ = lazy_names(__name__, MODULES)
--- a/src/hickorylever/platform/documents.py
+++ b/src/hickorylever/platform/documents.py
@@ -24,6 +24,7 @@
 SECONDS_PER_MILLISECOND = 0.001
 MAX_CACHED_ROUTES = 8192
 MAX_PORT = 65535
+MAX_DOMAIN_LENGTH = 253
 
 ROUTE_KINDS = {
     "safe": RouteKind.IDEMPOTENT,
@@ -228,3 +229,15 @@
         started_ms=wire.born or 0,
         version=wire.version,
     )
+
+
+def decode_evacuation(name: str) -> str:
+    """Return the failure domain that the object of an evacuation names.
+
+    Domains without endpoints are valid, since endpoints may appear there.
+
+    :raises ContentError: if the name can't be that of a failure domain.
+    """
+    if not 0 < len(name) <= MAX_DOMAIN_LENGTH or not name.isprintable() or " " in name:
+        raise ContentError(f"evacuation of the invalid failure domain {name!r}")
+    return name
--- a/src/hickorylever/platform/names.py
+++ b/src/hickorylever/platform/names.py
@@ -43,6 +43,7 @@
 CONFIGURATION = ("config", "main")
 ENDPOINTS = "servers"
 ROUTERS = "hickorylever-routers"
+EVACUATIONS = "evacuations"
 SETTINGS_VARIABLE = "HICKORYLEVER_SETTINGS"
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
--- a/src/hickorylever/platform/settings.py
+++ b/src/hickorylever/platform/settings.py
@@ -46,6 +46,7 @@
     retry_window_s: float = 10.0
     retry_allowance: float = 0.0
     cap_factor: float = 2.0
+    evacuate_ms: float | None = None
 
 
 class WireStore(Wire):
@@ -87,6 +88,7 @@
 def convert_settings(path: str, wire: WireSettings) -> DirectSettings:
     """Return the settings in the form that routers use."""
     bounds = wire.bounds
+    evacuate_ms = bounds.evacuate_ms
     seeds = tuple(split_address(seed)[0] for seed in wire.seeds)
     return DirectSettings(
         path=path,
@@ -110,4 +112,5 @@
         retry_window=bounds.retry_window_s,
         retry_allowance=bounds.retry_allowance,
         load_multiple=bounds.cap_factor,
+        evacuation_time=None if evacuate_ms is None else evacuate_ms * SECONDS_PER_MILLISECOND,
     )
--- a/src/hickorylever/platform/standins/documents.py
+++ b/src/hickorylever/platform/standins/documents.py
@@ -116,4 +116,7 @@
     """Return the content of a router's settings file."""
     address, port = settings.store
     seeds = [f"{seed}:1" for seed in settings.seeds]
-    return SETTINGS_TEMPLATE.format(settings=settings, seeds=seeds, store=f"{address}:{port}")
+    content = SETTINGS_TEMPLATE.format(settings=settings, seeds=seeds, store=f"{address}:{port}")
+    if settings.evacuation_time is not None:
+        content += f"evacuate-ms = {milliseconds(settings.evacuation_time)}\n"
+    return content
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -55,7 +55,8 @@
         outbox.queue_load(f"i-{number}", 60, 123456.0)
         outbox.queue_cached_part(f"i-{number}", "0123456789ab", 10000, 0.0)
         outbox.queue_leaving(LeavingUpdate(name_hash(f"i-{number}"), 2**41))
-    known = KnownState(Position(100, 2**31), 0, Position(100, 2**31))
+    latest = Position(100, 2**31)
+    known = KnownState(latest, 0, latest, latest)
     assert len(encode(Datagram(2**41, known, **outbox.take(0.0)))) < 1400
     assert outbox.due(1.0, 0.04)
 
