--- a/src/hickorylever/direct/evacuation_control.py
+++ b/src/hickorylever/direct/evacuation_control.py
@@ -9,6 +9,10 @@
 from .records import Changes, Listing
 from .store_watcher import StoreWatcher
 
+# Share of the time limit after which a watch without changes returns. A watch that the store never
+# answers, such as one sent during an outage, must be noticed within the limit.
+WATCH_RATIO = 0.5
+
 
 class EvacuationControl:
     """Applies what the store and other routers say of evacuations to the known endpoints.
@@ -28,11 +32,15 @@
         if self.evacuations is None:
             return []
         node = self.node
-        should_watch = node.peer_sync.should_watch_evacuations
-        kind = node.codec.EVACUATIONS
         return [
             StoreWatcher(
-                node.store, kind, self.apply_listing, self.apply_changes, node.rng, should_watch
+                node.store,
+                node.codec.EVACUATIONS,
+                self.apply_listing,
+                self.apply_changes,
+                node.rng,
+                node.peer_sync.should_watch_evacuations,
+                WATCH_RATIO * node.settings.evacuation_time,
             )
         ]
 
--- a/src/hickorylever/direct/store_watcher.py
+++ b/src/hickorylever/direct/store_watcher.py
@@ -27,6 +27,8 @@
     :param on_changes: called with :class:`Changes`.
     :param rng: generator for the jitter of retry delays.
     :param should_watch: returns whether this router should watch the store itself.
+    :param watch_seconds: time after which a watch without changes returns. A watch that the store
+        never answers is noticed after it.
     :ivar position: position to watch from, or None when a list is needed first.
     :ivar reached: whether the last call of the store succeeded.
     :ivar settling: whether large changes arrived and the next call lists what followed them.
@@ -34,12 +36,22 @@
     :ivar retry_delay: seconds before the next retry, without jitter.
     """
 
-    def __init__(self, store, kind: str, on_listing, on_changes, rng: random.Random, should_watch):
+    def __init__(
+        self,
+        store,
+        kind: str,
+        on_listing,
+        on_changes,
+        rng: random.Random,
+        should_watch,
+        watch_seconds: float = STORE_WATCH_SECONDS,
+    ):
         self.store = store
         self.kind = kind
         self.on_listing = on_listing
         self.on_changes = on_changes
         self.should_watch = should_watch
+        self.watch_seconds = watch_seconds
         self.rng = rng
         self.position: Position | None = None
         self.reached = False
@@ -90,7 +102,7 @@
             self.position = listing.position
             self.settling = False
         else:
-            changes = await self.store.watch(self.kind, self.position, STORE_WATCH_SECONDS)
+            changes = await self.store.watch(self.kind, self.position, self.watch_seconds)
             self.on_changes(changes)
             self.position = changes.position
         self.record_success()
--- a/src/hickorylever/soak/checks.py
+++ b/src/hickorylever/soak/checks.py
@@ -11,7 +11,14 @@
 from ..registry import Registry
 from .callers import DEADLINE_SECONDS, SentRequest, TrafficLog
 from .faults import PLANNED_OPERATIONS, faults
-from .world import EVENTS_PER_STREAM, MAX_ATTEMPTS, ROUTE_KINDS, SoakHarness
+from .world import (
+    EVACUATION_SECONDS,
+    EVENTS_PER_STREAM,
+    MAX_ATTEMPTS,
+    ROUTE_KINDS,
+    SoakHarness,
+    failure_domain,
+)
 
 Check = Callable[[SoakHarness, TrafficLog], Iterator[str]]
 checks: Registry[Check] = Registry("check")
@@ -33,6 +40,7 @@
 LOST_RATIO = 0.5
 # Without those that may keep all routers that are asked from knowing a stream.
 OTHER_THAN_KNOWLEDGE_FAULTS = frozenset(faults) - {
+    "evacuate",
     "kill_all",
     "pause",
     "partition",
@@ -40,6 +48,8 @@
     "slow_store",
     "store",
 }
+# Faults under which no router may hear the store, or a router that runs again hears nothing yet.
+HIDING_FAULTS = frozenset(("partition", "pause", "slow_store", "store"))
 DEADLINE_TOLERANCE_SECONDS = 0.5  # Time after its deadline by which a request must have ended.
 
 
@@ -191,6 +201,34 @@
                 yield f"{run.request_id} reached {name} {run.time - first:.2f} s after its word"
 
 
+@checks.register("evacuated")
+def evacuated_domain_gets_no_new_request(
+    harness: SoakHarness, traffic: TrafficLog
+) -> Iterator[str]:
+    """An endpoint of an evacuated domain gets no request after `EVACUATION_SECONDS`."""
+    for domain, start, end in harness.evacuation_periods:
+        obeyed_at = seen_at(harness, start) + EVACUATION_SECONDS
+        for number, origin in enumerate(harness.origins):
+            if failure_domain(number) != domain:
+                continue
+            for run in origin.runs:
+                if obeyed_at < run.time < end:
+                    late = run.time - start
+                    yield f"{run.request_id} reached {origin.name} {late:.2f} s into evacuation"
+
+
+def seen_at(harness: SoakHarness, start: float) -> float:
+    """Return the time since which all routers could see a change of the store, or each other.
+
+    :param start: time of the change.
+    """
+    periods = [fault for fault in harness.fault_periods if fault.name in HIDING_FAULTS]
+    for fault in sorted(periods, key=lambda fault: fault.started_at):
+        if fault.started_at < start + EVACUATION_SECONDS:
+            start = max(start, fault.ended_at)
+    return start
+
+
 @checks.register("crashing part")
 def crashing_part_reaches_few_endpoints(
     harness: SoakHarness, traffic: TrafficLog
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -8,13 +8,21 @@
 
 from ..registry import Registry
 from .proxy import Proxy
-from .world import DRAIN_GRACE_SECONDS, LimitPeriod, RouterProcess, SoakHarness, now
+from .world import (
+    DOMAINS,
+    DRAIN_GRACE_SECONDS,
+    EVACUATION_SECONDS,
+    LimitPeriod,
+    RouterProcess,
+    SoakHarness,
+    now,
+)
 
 Fault = Callable[[SoakHarness, random.Random, float], Awaitable[None]]
 faults: Registry[Fault] = Registry("fault")
 
 # Operations that are planned in normal use. They must not interrupt a running request.
-PLANNED_OPERATIONS = frozenset(("stop", "reload", "configure", "leave"))
+PLANNED_OPERATIONS = frozenset(("stop", "reload", "configure", "leave", "evacuate"))
 
 MISBEHAVIOURS = (
     "shed",
@@ -41,6 +49,7 @@
 DRAINING_SECONDS = 3.5
 CRASHING_PART_SECONDS = 8.0
 LIMIT_SECONDS = 9.0
+EVACUATED_SECONDS = 4.0  # In which an evacuated domain must get nothing.
 VERSION_COUNT = 3
 LIMITS_PER_SECOND = (0.5, 2.0, 8.0)
 
@@ -255,6 +264,7 @@
     await curio.sleep(seconds)
     await harness.store.restore(copy)
     writes = [(harness.write_configuration, ())]
+    writes.append((harness.write_evacuations, ()))
     writes += [(harness.put_endpoint, (number,)) for number in range(len(harness.origins))]
     rng.shuffle(writes)
     for write, arguments in writes:
@@ -263,6 +273,21 @@
     await harness.remove_former_endpoints()
 
 
+@faults.register("evacuate")
+async def evacuate(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
+    """Evacuate a failure domain for longer than routers may take to obey."""
+    domain = rng.choice(DOMAINS)
+    if domain in harness.evacuated:
+        return
+    harness.evacuated.add(domain)
+    await harness.write_evacuations()
+    started_at = now()
+    await curio.sleep(EVACUATION_SECONDS + EVACUATED_SECONDS)
+    harness.evacuation_periods.append((domain, started_at, now()))
+    harness.evacuated.discard(domain)
+    await harness.write_evacuations()
+
+
 @faults.register("configure")
 async def configure(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
     """Write several new versions of the configuration."""
--- a/src/hickorylever/soak/world.py
+++ b/src/hickorylever/soak/world.py
@@ -28,7 +28,7 @@
 from ..direct.settings import DirectSettings
 from ..exceptions import ConnectionLost
 from ..http import Client, listen
-from ..platform import CONFIGURATION, ENDPOINTS
+from ..platform import CONFIGURATION, ENDPOINTS, EVACUATIONS
 from ..platform.names import METRICS_PORT, READY_PATH
 from ..platform.standins import documents
 from ..platform.standins.origin import Origin
@@ -47,6 +47,8 @@
 START_POLL_SECONDS = 0.05
 RESTART_SECONDS = 2.0  # After a crash of an endpoint.
 DRAIN_GRACE_SECONDS = 8.0  # Drain time of routers, and time from SIGTERM to SIGKILL.
+EVACUATION_SECONDS = 5.0  # Time after which an evacuated domain must get nothing new.
+DOMAINS = ("a", "b")
 ROUTE_KINDS = {
     "unsafe": RouteKind.AT_MOST_ONCE,
     "safe": RouteKind.IDEMPOTENT,
@@ -144,6 +146,9 @@
         period in which its entry was draining.
     :param shutdown_periods: the same for periods in which an endpoint said that it shuts down.
     :param limit_periods: periods in which an endpoint named a limit on its requests.
+    :param evacuation_periods: failure domain, and start and end, in monotonic seconds, of an
+        evacuation.
+    :param evacuated: failure domains that the operator evacuates now.
     :param draining: indexes of endpoints whose entry is draining.
     :param start_counts: how often each endpoint has started, by index.
     :param version_periods: when an endpoint got each version of its software, by index.
@@ -163,6 +168,8 @@
     drain_periods: list[tuple[int, float, float]] = field(default_factory=list)
     shutdown_periods: list[tuple[int, float, float]] = field(default_factory=list)
     limit_periods: list[LimitPeriod] = field(default_factory=list)
+    evacuation_periods: list[tuple[str, float, float]] = field(default_factory=list)
+    evacuated: set[str] = field(default_factory=set)
     draining: set[int] = field(default_factory=set)
     start_counts: dict[int, int] = field(default_factory=dict)
     version_periods: dict[int, list[tuple[float, str]]] = field(default_factory=dict)
@@ -233,6 +240,7 @@
             seeds=(f"{self.network_prefix}.1", f"{self.network_prefix}.2"),
             drain_grace=DRAIN_GRACE_SECONDS,
             retry_allowance=100.0,
+            evacuation_time=EVACUATION_SECONDS,
         )
         Path(settings.path).write_text(documents.encode_settings(settings), encoding="utf-8")
         return RouterProcess(settings, directory / f"{ip}.log")
@@ -263,6 +271,15 @@
             if kind == ENDPOINTS and name not in present:
                 await self.store.remove(kind, name)
 
+    async def write_evacuations(self) -> None:
+        """Bring the objects of evacuations in line with what the operator evacuates now."""
+        for domain in DOMAINS:
+            present = (EVACUATIONS, domain) in self.store.objects
+            if domain in self.evacuated and not present:
+                await self.store.put(EVACUATIONS, domain, {})
+            elif domain not in self.evacuated and present:
+                await self.store.remove(EVACUATIONS, domain)
+
     def serving(self, version: str, since: float, until: float) -> int:
         """Return how many endpoints had a version throughout a period."""
         return sum(
@@ -299,7 +316,7 @@
             SERVICE,
             HOST,
             self.proxies[number].listen_port,
-            "a",
+            failure_domain(number),
             64,
             number in self.draining,
             started_ms=self.start_counts[number],
@@ -343,6 +360,11 @@
         )
 
 
+def failure_domain(number: int) -> str:
+    """Return the failure domain of an endpoint."""
+    return DOMAINS[number % len(DOMAINS)]
+
+
 def version_at(periods: list[tuple[float, str]], at: float) -> str:
     """Return the version that an endpoint had at a time.
 
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -2,6 +2,7 @@
 
 from hickorylever import platform
 from hickorylever.exceptions import SettingsError
+from hickorylever.platform.standins import documents
 
 GOOD = """
 node-name = "edge-1"
@@ -39,6 +40,15 @@
     assert settings.memory_bytes == 300 * 1024 * 1024
     assert (settings.link_mbps, settings.drain_grace) == (5.0, 8)
     assert settings.store == ("10.200.1.7", 8223)
+    assert settings.evacuation_time is None
+
+
+def test_evacuations_are_enabled_by_their_time_limit(tmp_path):
+    content = GOOD.replace("[bounds]", "[bounds]\nevacuate-ms = 5000")
+    settings = platform.load(write(tmp_path, content))
+    assert settings.evacuation_time == 5.0
+    again = platform.load(write(tmp_path, documents.encode_settings(settings)))
+    assert again.evacuation_time == 5.0
 
 
 @pytest.mark.parametrize(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -57,6 +57,7 @@
     return list(checks[name](harness, traffic))
 
 
+EVACUATED = {"evacuation_periods": [("a", 50.0, 59.0)]}
 LIMITED = {"limit_periods": [LimitPeriod(0, 1.0, 49.5, 60.0)]}
 
 
@@ -157,6 +158,23 @@
         {"shutdown_periods": [(0, 50.0, 53.5)]},
         False,
     ),
+    ("evacuated", [], [make_run(55.1)], EVACUATED, True),
+    ("evacuated", [], [make_run(54.9), make_run(59.1)], EVACUATED, False),
+    ("evacuated", [], [make_run(55.1)], {"evacuation_periods": [("b", 50.0, 59.0)]}, False),
+    (
+        "evacuated",
+        [],
+        [make_run(56.9)],
+        {**EVACUATED, "fault_periods": [FaultPeriod("store", 50.5, 52.0)]},
+        False,
+    ),
+    (
+        "evacuated",
+        [],
+        [make_run(57.1)],
+        {**EVACUATED, "fault_periods": [FaultPeriod("store", 50.5, 52.0)]},
+        True,
+    ),
     ("crashing part", [], make_crashes(5, late=4), CRASHING, True),
     ("crashing part", [], make_crashes(5, late=3), CRASHING, False),
     ("crashing part", [], make_crashes(4), CRASHING, False),
