Don't take answers about evacuations for news of endpoints

Cause: the frequent watch of evacuations would count as contact with the store while a watch of endpoints stays out, so that a router that misses versions could join streams wrongly. Change: contact needs an answer about the configuration or endpoints.

--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -101,10 +101,15 @@
         return node.directory.latest >= latest and self.in_contact(now)
 
     def in_contact(self, now: float) -> bool:
-        """Return whether the store or enough other routers were heard lately."""
+        """Return whether the store or enough other routers were heard lately.
+
+        Answers about evacuations come often, also while those about endpoints stay out.
+        """
         node = self.node
         heard_store = any(
-            watcher.heard_within(CONTACT_SECONDS, now) for watcher in node.store_watchers
+            watcher.heard_within(CONTACT_SECONDS, now)
+            for watcher in node.store_watchers
+            if watcher.kind != node.codec.EVACUATIONS
         )
         return heard_store or node.peer_sync.peers.in_contact(now)
 
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -390,6 +390,19 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize(("kind", "heard"), [("servers", True), ("evacuations", False)])
+def test_answers_about_evacuations_do_not_tell_that_endpoints_are_current(kind, heard):
+    """Otherwise a router that misses versions of endpoints would join streams wrongly."""
+
+    async def scenario(harness):
+        harness.node.peer_sync.peers.add_addresses(["10.0.0.9"], NOW)
+        for watcher in harness.node.store_watchers:
+            watcher.last_success_at = NOW if watcher.kind == kind else 0.0
+        assert harness.node.resumption.in_contact(NOW) is heard
+
+    run_evacuating(scenario, WELL)
+
+
 def play_evacuating(scenario, count):
     play(scenario, count, EvacuatingFleet)
 
