Keep the load bound of the whole service while a domain is evacuated

Cause: with a third of the endpoints evacuated, the bound on the rest allowed more than twice the mean of all endpoints above 10 requests each. Change: the multiple is reduced by the share of endpoints that are left, not below 1. Result: tests of evacuations, placement and load bound pass.

--- a/src/hickorylever/direct/evacuations.py
+++ b/src/hickorylever/direct/evacuations.py
@@ -180,6 +180,21 @@
         return EvacuationState(sorted(self.present()), self.latest, self.as_of, missing)
 
 
+def remaining_load_multiple(load_multiple: float, evacuated: int, total: int) -> float:
+    """Return the limit on an endpoint's load as a multiple of the mean of those that are left.
+
+    The limit is stated for the mean of a service, which may count evacuated endpoints. It is met
+    for that mean too unless so many are evacuated that even equal loads exceed it.
+
+    :param load_multiple: limit as a multiple of the mean of all endpoints of the service.
+    :param evacuated: number of evacuated endpoints.
+    :param total: number of all endpoints.
+    """
+    if not evacuated:
+        return load_multiple
+    return max(1.0, load_multiple * (total - evacuated) / total)
+
+
 @dataclass(slots=True)
 class OwnWatch:
     """Decides whether a router watches the evacuations although others watch the store.
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -7,6 +7,7 @@
 from ..exceptions import Kind, Ran, RequestError
 from .availability import wait_until
 from .call import Call
+from .evacuations import remaining_load_multiple
 from .placement import Choice, PlacementRequest, place
 from .timeouts import caller_idle_timeout
 from .wait_queue import QueueParameters, WaitQueue
@@ -116,6 +117,16 @@
             return self.choose_endpoint_except(call, call.tried)
         return choice
 
+    def load_multiple(self, service: str) -> float:
+        """Return the limit on an endpoint's load as a multiple of the mean of the candidates."""
+        directory = self.node.directory
+        load_multiple = self.node.settings.load_multiple
+        if not directory.evacuated_domains:
+            return load_multiple
+        pool = directory.pool(service)
+        evacuated = sum(endpoint.evacuated for endpoint in pool)
+        return remaining_load_multiple(load_multiple, evacuated, len(pool))
+
     def choose_endpoint_except(self, call: Call, avoid: set[str]) -> Choice | None:
         """Return the best endpoint for the call at this moment.
 
@@ -125,7 +136,7 @@
         placement_request = PlacementRequest(
             now=time.monotonic(),
             failure_domain=node.settings.failure_domain,
-            load_multiple=node.settings.load_multiple,
+            load_multiple=self.load_multiple(call.service.name),
             engine=call.service.engine,
             parts=call.info.parts,
             prompt_tokens=call.info.prompt_tokens,
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -17,6 +17,7 @@
     EvacuationState,
     MissingEvacuation,
     OwnWatch,
+    remaining_load_multiple,
 )
 from hickorylever.direct.placement import place
 from hickorylever.direct.position import UNKNOWN, Position
@@ -175,6 +176,24 @@
     return endpoints
 
 
+@pytest.mark.parametrize(
+    ("evacuated", "total", "multiple"),
+    [(0, 6, 2.0), (0, 0, 2.0), (2, 6, 4 / 3), (3, 6, 1.0), (5, 6, 1.0), (6, 6, 1.0)],
+)
+def test_load_multiple_of_the_endpoints_that_are_left(evacuated, total, multiple):
+    """The bound holds for the mean of all endpoints of the service, evacuated ones included."""
+    assert remaining_load_multiple(2.0, evacuated, total) == pytest.approx(multiple)
+
+
+@pytest.mark.parametrize("count", [60, 600])
+def test_load_bound_of_the_whole_service_while_a_domain_is_evacuated(count):
+    endpoints = evacuate(pool(12), "a")
+    multiple = remaining_load_multiple(2.0, 4, 12)
+    for _ in range(count):
+        place(endpoints, engine_request(load_multiple=multiple)).endpoint.add_request(0.0, NOW)
+    assert max(endpoint.running for endpoint in endpoints) <= 2 * count / 12 + 3
+
+
 @pytest.mark.parametrize("request_", [engine_request(), plain_request()])
 @pytest.mark.parametrize(("domains", "left"), [("a", "bc"), ("ab", "c"), ("abc", "")])
 def test_placement_avoids_evacuated_domains_and_spreads_over_the_others(request_, domains, left):
