--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -69,6 +69,9 @@
             "hickorylever_cache_parts_learned_total",
             "Cached prompt parts learned after the start, by where from",
         )
+        self.evacuated = self.make(
+            Gauge, "hickorylever_evacuated", "1 while a failure domain is evacuated, by domain"
+        )
         self.in_flight = self.make(Gauge, "hickorylever_in_flight", "Requests under way")
         self.descriptors = self.make(Gauge, "hickorylever_descriptors", "Open descriptors")
 
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -7,6 +7,7 @@
 from ..exceptions import Kind, Ran, RequestError
 from .availability import wait_until
 from .call import Call
+from .evacuations import remaining_load_multiple
 from .placement import Choice, PlacementRequest, place
 from .pool import Pool
 from .timeouts import caller_idle_timeout
@@ -124,6 +125,16 @@
             return place(pool, self.placement_request(call, call.tried))
         return choice
 
+    def load_multiple(self, service: str) -> float:
+        """Return the limit on an endpoint's load as a multiple of the mean of the candidates."""
+        directory = self.node.directory
+        load_multiple = self.node.settings.load_multiple
+        if not directory.evacuated_domains:
+            return load_multiple
+        pool = directory.pool(service)
+        evacuated = sum(endpoint.evacuated for endpoint in pool)
+        return remaining_load_multiple(load_multiple, evacuated, len(pool))
+
     def placement_request(self, call: Call, avoid: set[str]) -> PlacementRequest:
         """Return the description of the call for its placement.
 
@@ -133,7 +144,7 @@
         return PlacementRequest(
             now=time.monotonic(),
             failure_domain=node.settings.failure_domain,
-            load_multiple=node.settings.load_multiple,
+            load_multiple=self.load_multiple(call.service.name),
             engine=call.service.engine,
             parts=call.info.parts,
             prompt_tokens=call.info.prompt_tokens,
