Limit the requests to cold endpoints over all routers

Cause: an endpoint that starts during traffic crashes when the routers together send it more than warmup-per-s x warmup-overage + warmup-allowance requests in a second. A router takes no share until it has listed the others and is known to them, and counts silent routers too. Calls that only cold endpoints can take wait while they can be on time and are refused otherwise.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -43,6 +43,7 @@
     :param status: HTTP status of the endpoint's own response; 0 if there was none.
     :param body: body of a response that was not streamed.
     :param lost_early: the connection failed before the endpoint had written much of its answer.
+    :param connection_lost: the connection failed, other than by silence.
     """
 
     result: Result
@@ -52,6 +53,7 @@
     body: bytes = b""
     info: AnswerInfo | None = None
     lost_early: bool = False
+    connection_lost: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +123,7 @@
         except (ConnectionLost, h11.ProtocolError, InconsistentResponse) as error:
             outcome = Outcome(self.failure_result(), str(error) or repr(error))
             lost = isinstance(error, ConnectionLost) and not isinstance(error, PeerTimeout)
+            outcome.connection_lost = lost
             outcome.lost_early = lost and not self.begun
         except BaseException:
             await self.close()
--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -4,9 +4,11 @@
 from collections.abc import Iterable
 
 from ..exceptions import ContentError
+from .cold_start import ColdStarts
 from .departures import Departures
 from .endpoints import Endpoint
 from .hashes import name_hash
+from .membership import Membership
 from .peer_protocol import LeavingUpdate
 from .pool import Pool
 from .position import UNKNOWN, Position
@@ -27,6 +29,7 @@
     :param entry_lifetime: seconds after which the store removes an entry that is not renewed.
     :param on_new_version: called with the hash of the name of an endpoint that has started again
         with another software version.
+    :param cold_starts: limits of cold endpoints; none by default.
     :ivar endpoints: endpoints by name.
     :ivar pools: endpoints by service, sorted by name.
     :ivar by_hash: endpoints by the hash of their name.
@@ -44,11 +47,13 @@
         reject=lambda error: None,
         entry_lifetime: float = 0.0,
         on_new_version=lambda key: None,
+        cold_starts: ColdStarts | None = None,
     ):
         self.decode = decode
         self.reject = reject
         self.entry_lifetime = entry_lifetime
         self.on_new_version = on_new_version
+        self.cold_starts = cold_starts or ColdStarts(Membership(""))
         self.endpoints: dict[str, Endpoint] = {}
         self.pools: dict[str, Pool] = {}
         self.by_hash: dict[int, Endpoint] = {}
@@ -120,19 +125,30 @@
             self.reject(error)
             self.remove(stored.name, now)
             return
+        known = self.objects.get(stored.name)
         self.objects[stored.name] = stored
         endpoint = self.endpoints.get(entry.name)
         if endpoint is not None and endpoint.entry.version != entry.version:
             self.on_new_version(name_hash(entry.name))
         if endpoint is None or endpoint.entry.incarnation != entry.incarnation:
+            former = endpoint
             endpoint = self.endpoints[entry.name] = self.create(entry, stored.position.era, now)
+            endpoint.warm_at = now + entry.warmup_left
+            self.cold_starts.replace(former, endpoint, now)
+            known = stored
         endpoint.entry = entry
         endpoint.missing_since = None
-        endpoint.warm_at = now + entry.warmup_left
+        if is_newer(stored, known):
+            self.cold_starts.record_entry(endpoint, now)
         if entry.draining and entry.started_ms:
             self.mark_leaving(LeavingUpdate(name_hash(entry.name), entry.started_ms), now)
             endpoint.leaving = True
 
+    def update_cold_starts(self, now: float) -> None:
+        """Give all endpoints the limits of their services."""
+        for endpoint in self.endpoints.values():
+            self.cold_starts.update(endpoint, now)
+
     def create(self, entry: EndpointEntry, era: int, now: float) -> Endpoint:
         """Return a new endpoint, with what is known of the departure of its incarnation.
 
@@ -253,3 +269,11 @@
             for service, pool in self.pools.items()
         }
         self.versions.observe(present, now)
+
+
+def is_newer(stored: StoredObject, known: StoredObject | None) -> bool:
+    """Return whether an object says something that is later than what is known of it.
+
+    The same entry may be read again, in a list or from another router.
+    """
+    return known is None or (stored.position > known.position and stored.spec != known.spec)
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from .capacity import PREFILL_TOKENS_PER_SECOND
+from .cold_start import ColdStart
 from .prompt_cache import PromptCacheIndex
 from .rate_limit import RateLimit
 from .records import EndpointEntry
@@ -56,6 +57,7 @@
     :param peer_requests: total requests in `peers`.
     :param peer_prefill: total prompt tokens in `peers`.
     :param prompt_cache: prompt parts that the endpoint has probably cached.
+    :param cold: limit on the requests of this router while the endpoint is cold, or None.
     """
 
     entry: EndpointEntry
@@ -76,6 +78,7 @@
     peer_requests: int = 0
     peer_prefill: int = 0
     prompt_cache: PromptCacheIndex = field(default_factory=PromptCacheIndex)
+    cold: ColdStart | None = None
 
     @property
     def name(self) -> str:
@@ -95,6 +98,14 @@
         """Return whether it takes new requests now, as far as it said so itself."""
         return self.accepting and now >= self.deferred_until
 
+    def is_cold(self, now: float) -> bool:
+        """Return whether its requests are limited because it is or may be cold."""
+        return self.cold is not None and self.cold.is_cold(now)
+
+    def held(self, now: float) -> bool:
+        """Return whether this router may send it no request now because it is cold."""
+        return self.cold is not None and not self.cold.permits(now)
+
     def limit_rate(self, rate: float | None, router_count: int, now: float) -> bool:
         """Set the limit that the endpoint names, and return whether it has changed.
 
@@ -182,6 +193,8 @@
             self.busy_since = now
         if self.rate_limit is not None:
             self.rate_limit.record_send(now)
+        if self.cold is not None:
+            self.cold.record_send(now)
         self.running += 1
         self.prefill += tokens
 
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -165,7 +165,7 @@
             and self.node.budget.remaining(service, now) >= 1.0
             and self.node.resumption.may_continue(call)
             and any(
-                endpoint.usable(now) and not endpoint.silent(now)
+                endpoint.usable(now) and not endpoint.silent(now) and not endpoint.held(now)
                 for endpoint in self.node.directory.endpoints_of_version(service, call.version)
                 if endpoint.name not in call.tried
             )
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -59,6 +59,14 @@
             "hickorylever_rate_limits",
             "Endpoints that limit the rate of requests, by service",
         )
+        self.cold = self.make(
+            Gauge, "hickorylever_cold_endpoints", "Endpoints that are or may be cold, by service"
+        )
+        self.held = self.make(
+            Counter,
+            "hickorylever_cold_held_total",
+            "Requests held back as only cold endpoints could take them, by service",
+        )
         self.in_flight = self.make(Gauge, "hickorylever_in_flight", "Requests under way")
         self.descriptors = self.make(Gauge, "hickorylever_descriptors", "Open descriptors")
 
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -13,7 +13,9 @@
 from ..exceptions import ContentError, SettingsError
 from ..http import Client
 from .budget import SharedRetryBudget
+from .cold_start import ColdStarts
 from .directory import Directory
+from .membership import Membership
 from .metrics import DirectMetrics
 from .peer_sync import PeerSync
 from .position import NO_CONFIGURATION, ConfigurationState, Decision, KnownState, Position, decide
@@ -34,6 +36,8 @@
     "retry_window",
     "retry_allowance",
     "load_multiple",
+    "warmup_overage",
+    "warmup_allowance",
 )
 
 
@@ -45,6 +49,11 @@
         return 0
 
 
+def log_cold(name: str, seconds: float, reason: str) -> None:
+    """Log that an endpoint has become cold."""
+    log(Event.ENDPOINT_COLD, name, seconds=round(seconds, 3), reason=reason)
+
+
 class Node:
     """The components and the state of one router process.
 
@@ -68,11 +77,13 @@
         self.store = store_class(
             settings.store, Client(max_idle=ENDPOINT_IDLE_TIMEOUT_SECONDS), self.count_store_call
         )
+        self.membership = Membership(settings.address)
         self.directory = Directory(
             codec.decode_endpoint,
             self.reject,
             settings.endpoint_entry_lifetime,
             lambda key: self.peer_sync.streams.table.forget_endpoint(key),
+            ColdStarts(self.membership, log_cold),
         )
         self.budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
@@ -139,6 +150,7 @@
         """
         self.routes = RouteTable(configuration)
         self.stored_configuration = stored
+        self.limit_cold_endpoints()
         for callback in self.configuration_callbacks:
             callback(self.routes)
         self.metrics.revision.set({}, stored.position.revision)
@@ -151,6 +163,16 @@
             routes=len(configuration.routes),
         )
 
+    def limit_cold_endpoints(self) -> None:
+        """Apply the limits of cold endpoints that the configuration and the settings give."""
+        if self.routes is not None:
+            services = self.routes.configuration.services
+            settings = self.settings
+            self.directory.cold_starts.configure(
+                services, settings.warmup_overage, settings.warmup_allowance
+            )
+            self.directory.update_cold_starts(time.monotonic())
+
     def hold_configuration(self, offered: ConfigurationState) -> None:
         """Keep the configuration in force, as a restored store holds an older one."""
         state = self.configuration_state
@@ -221,6 +243,7 @@
         self.settings = dataclasses.replace(
             self.settings, **{name: getattr(settings, name) for name in changed}
         )
+        self.limit_cold_endpoints()
         self.budget.ratio = settings.retry_ratio
         self.budget.allowance = settings.retry_allowance
         self.budget.window = settings.retry_window
@@ -241,6 +264,7 @@
         while True:
             await curio.sleep(EXPIRY_INTERVAL_SECONDS)
             self.directory.expire(time.monotonic())
+            self.membership.expire(time.monotonic())
             self.quarantine.tracker.expire(time.monotonic())
             self.peer_sync.streams.expire(time.monotonic())
             self.resumption.check_contact(time.monotonic())
--- a/src/hickorylever/direct/observations.py
+++ b/src/hickorylever/direct/observations.py
@@ -35,6 +35,7 @@
             log(Event.ENDPOINT_DEFERS, endpoint.name, seconds=info.retry_after)
         if info.stamped:
             self.record_rate_limit(endpoint, info.rate_limit, now)
+            node.directory.cold_starts.record_answer(endpoint, info.warmup_left, sent_at, now)
         if info.leaving and not endpoint.leaving:
             endpoint.leaving = True
             started_ms = endpoint.entry.started_ms
@@ -65,6 +66,8 @@
             f"{endpoint.name}@{endpoint.entry.failure_domain}:{result.value}"
         )
         self.node.metrics.attempts.inc({"result": result.value})
+        if result is Result.NOT_SENT or outcome.connection_lost:
+            self.node.directory.cold_starts.record_failed_connection(endpoint, now)
         if result is Result.NOT_SENT:
             endpoint.pause(now)
         elif result is Result.NOT_RUN:
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -145,7 +145,9 @@
             self.node.directory.remove_router_loads(address)
         peer = self.peers.record(address, datagram, now)
         if peer is None:
+            self.node.membership.record_left(address, now)
             return
+        self.node.membership.record_heard(address, now)
         self.peers.add_addresses(datagram.routers, now)
         if datagram.answer_wanted:
             addresses = [other.address for other in self.peers.alive(now)][
--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -64,6 +64,7 @@
     :param rank: position of the endpoint in the rendezvous order.
     :param cost: cost of the choice in prefill tokens.
     :param available: whether the endpoint can start the request soon.
+    :param held: whether it is cold and takes no request of this router now, nor do others.
     """
 
     endpoint: Endpoint
@@ -72,6 +73,7 @@
     rank: int = 0
     cost: float = 0.0
     available: bool = True
+    held: bool = False
 
 
 class Candidate(msgspec.Struct, frozen=True, gc=False):
@@ -141,28 +143,52 @@
 
     The bound is a multiple of the candidates' mean, of whose excess over 1 only the share
     `BOUND_EXCESS_RATIO` is used, plus `BOUND_SLACK_REQUESTS`. Candidates whose rate limit permits
-    no request now are left out first, and those of other versions than the request's count only in
-    the mean. Of the returned candidates, only those with capacity are kept if there are any; the
-    second value says whether that is so.
+    no request now are left out first. Those of other versions than the request's and cold ones
+    that take no request now count only in the mean. Of the returned candidates, only those with
+    capacity are kept if there are any; the second value says whether that is so.
     """
     permitted = within_rate_limit(candidates, request)
     eligible = of_version(permitted, request)
     if not eligible:
         return of_version(candidates, request), False
-    mean = sum([candidate.requests for candidate in permitted]) / len(permitted)
+    counted = permitted
+    if len(permitted) < len(candidates):
+        counted = within_rate_limit(candidates, request, cold=False)
+    mean = sum([candidate.requests for candidate in counted]) / len(counted)
     multiple = 1.0 + BOUND_EXCESS_RATIO * (request.load_multiple - 1.0)
     limit = multiple * mean + BOUND_SLACK_REQUESTS
-    allowed = [entry for entry in eligible if entry.requests + 1 <= limit] or eligible
+    allowed = [entry for entry in eligible if entry.requests + 1 <= limit]
+    if not allowed:
+        if len(counted) > len(permitted) and not within_multiple(eligible, mean, request):
+            return eligible, False
+        allowed = eligible
     available = [entry for entry in allowed if entry.available(request.engine)]
     return (available, True) if available else (allowed, False)
 
 
-def within_rate_limit(candidates: list[Candidate], request: PlacementRequest) -> list[Candidate]:
-    """Return the candidates without a rate limit and those whose limit permits a request now."""
+def within_multiple(candidates: list[Candidate], mean: float, request: PlacementRequest) -> bool:
+    """Return whether one of the candidates can take a request within the whole bound.
+
+    While others are held back as they are cold, the few that are warm must not take all requests.
+
+    :param mean: requests of an endpoint.
+    """
+    limit = request.load_multiple * mean + BOUND_SLACK_REQUESTS
+    return any(candidate.requests + 1 <= limit for candidate in candidates)
+
+
+def within_rate_limit(
+    candidates: list[Candidate], request: PlacementRequest, cold: bool = True
+) -> list[Candidate]:
+    """Return the candidates without a rate limit and those whose limit permits a request now.
+
+    :param cold: whether the limits of cold endpoints count as well.
+    """
     return [
         candidate
         for candidate in candidates
-        if (limit := candidate.endpoint.rate_limit) is None or limit.permits(request.now)
+        if ((limit := candidate.endpoint.rate_limit) is None or limit.permits(request.now))
+        and not (cold and candidate.endpoint.held(request.now))
     ]
 
 
@@ -205,7 +231,8 @@
         return total, endpoint.name
 
     allowed, available = within_load_bound(candidates, request)
-    return Choice(min(allowed, key=cost).endpoint, available=available)
+    best = min(allowed, key=cost).endpoint
+    return Choice(best, available=available, held=best.held(request.now))
 
 
 def place_prompt(pool: Pool, request: PlacementRequest) -> Choice | None:
@@ -235,6 +262,7 @@
         best.rank,
         cost,
         available,
+        best.endpoint.held(request.now),
     )
 
 
@@ -249,7 +277,7 @@
     """
     sources: dict[str, CopySources] = {}
     for endpoint, tokens in zip(order, cached_tokens, strict=True):
-        if not tokens or now < endpoint.paused_until:
+        if not tokens or now < endpoint.paused_until or endpoint.is_cold(now):
             continue
         version = endpoint.entry.version
         sources[version] = sources.get(version, NO_SOURCES).with_endpoint(endpoint, tokens)
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -7,9 +7,10 @@
 from ..exceptions import Kind, Ran, RequestError
 from .availability import wait_until
 from .call import Call
+from .cold_start import due_after
 from .placement import Choice, PlacementRequest, place
 from .timeouts import caller_idle_timeout
-from .wait_queue import QueueParameters, WaitQueue
+from .wait_queue import QueueEntry, QueueParameters, WaitQueue
 
 CAPACITY_POLL_SECONDS = 0.01
 QUARANTINE_POLL_SECONDS = 0.1  # Between two checks whether queued calls are in quarantine now.
@@ -41,14 +42,27 @@
     async def place(self, call: Call) -> Choice | None:
         """Return the next endpoint to try once it has capacity, or None if there is none.
 
-        A stream that has started is not queued.
+        A stream that has started is queued only while the endpoints are cold.
 
         :raises RequestError: if a call that has not run waited too long for capacity.
         """
+        choice = await self.next_choice(call)
+        while choice is not None and choice.endpoint.held(time.monotonic()):
+            # Another call has used the share of this router since the choice.
+            choice = await self.next_choice(call)
+        return choice
+
+    async def next_choice(self, call: Call) -> Choice | None:
+        """Return the next endpoint to try as :meth:`place` does.
+
+        Another call may be sent there first if the endpoint is cold.
+        """
         choice = self.choose_endpoint(call) or await self.await_endpoint(call)
         queue = self.queues.setdefault((call.service.name, call.version), WaitQueue())
         started = call.stream is not None and call.stream.started
-        if choice is None or started or (choice.available and not queue.entries):
+        if choice is not None and choice.held:
+            self.node.metrics.held.inc({"service": call.service.name})
+        elif choice is None or started or (choice.available and not queue.entries):
             return choice
         return await self.wait_for_capacity(call, queue)
 
@@ -83,9 +97,13 @@
         )
         queued = queue.enqueue(parameters, joined)
         choice = None
+        due_at = 0.0
         try:
             while not queue.should_refuse(queued, now := time.monotonic()):
                 self.node.quarantine.check(call)
+                due_at = self.cold_due_at(call, queue, queued, now)
+                if due_at > queued.last_useful_at and call.ran is Ran.NO:
+                    break
                 if queue.next_entry(now) is not queued:
                     await queue.wake_next(now)
                     await queued.wait(now)
@@ -104,10 +122,24 @@
             await queue.wake_next(now)
         if call.ran is not Ran.NO:
             return None
-        retry_after = queue.retry_after(now, call.deadline - now)
+        retry_after = queue.retry_after(now, call.deadline - now, due_at)
         detail = f"no endpoint had capacity within {now - joined:.3f} s"
         raise RequestError(Kind.OVERLOADED, detail, Ran.NO, retry_after)
 
+    def cold_due_at(self, call: Call, queue: WaitQueue, queued: QueueEntry, now: float) -> float:
+        """Return when a queued call can be sent if only cold endpoints can take it, else 0."""
+        usable = [
+            endpoint
+            for endpoint in self.node.directory.endpoints_of_version(
+                call.service.name, call.version
+            )
+            if endpoint.usable(now) and endpoint.name not in call.tried
+        ]
+        if not usable or not all(endpoint.is_cold(now) for endpoint in usable):
+            return 0.0
+        cold_starts = [endpoint.cold for endpoint in usable]
+        return due_after(cold_starts, queue.count_ahead(queued, now), now)
+
     def choose_endpoint(self, call: Call) -> Choice | None:
         """Return the best endpoint for the call at this moment."""
         unsettled = self.node.resumption.unsettled_endpoints(call)
--- a/src/hickorylever/direct/records.py
+++ b/src/hickorylever/direct/records.py
@@ -77,6 +77,18 @@
     tokens_per_event: int
 
 
+@dataclass(frozen=True, slots=True)
+class Warmup:
+    """How endpoints of a service take requests while they are cold.
+
+    :param seconds: for which an endpoint is cold after a start during traffic.
+    :param rate: requests per second of all routers that a cold endpoint takes.
+    """
+
+    seconds: float
+    rate: float
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """A pool of endpoints.
@@ -85,12 +97,14 @@
     :param max_connections: limit on connections to one endpoint as configured. The direct router
         does not enforce it.
     :param engine: capacity of the engines; None for a plain service.
+    :param warmup: limit on the requests to cold endpoints, or None.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None = None
+    warmup: Warmup | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,6 +161,7 @@
     :param warmup_left: remaining time for which the endpoint is slow after its start.
     :param started_ms: start of the endpoint as Unix time in milliseconds; 0 when unknown.
     :param version: version of the endpoint's software.
+    :param reports_warmup: whether the entry states `warmup_left`.
     """
 
     name: str
@@ -159,6 +174,7 @@
     warmup_left: float = 0.0
     started_ms: int = 0
     version: str = ""
+    reports_warmup: bool = True
 
     @property
     def incarnation(self) -> tuple[int, str]:
@@ -238,6 +254,7 @@
         None when not stated.
     :param rate_limit: requests per second that the endpoint takes from all routers together, or
         None for any number.
+    :param warmup_left: time for which the endpoint is still cold, or None when not stated.
     """
 
     status: int
@@ -250,6 +267,7 @@
     leaving: bool = False
     retry_after: float | None = None
     rate_limit: float | None = None
+    warmup_left: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorylever/direct/registration.py
+++ b/src/hickorylever/direct/registration.py
@@ -65,8 +65,10 @@
                 # Listing after the write ensures that of two routers which start together at
                 # least one sees the other.
                 listing = await node.store.list_kind(node.codec.ROUTERS)
-                addresses = map(parse_router_address, listing.objects)
+                addresses = list(map(parse_router_address, listing.objects))
                 self.peers.add_addresses(addresses, time.monotonic())
+                node.membership.record_listed(addresses, time.monotonic())
+                log(Event.COLD_SHARES, "routers listed", count=node.membership.count)
                 self.apply_facts(listing.objects)
                 return
             except HickoryleverError as error:
--- a/src/hickorylever/direct/settings.py
+++ b/src/hickorylever/direct/settings.py
@@ -29,6 +29,9 @@
         routers.
     :param load_multiple: limit on the requests at an endpoint, as a multiple of the mean of its
         service.
+    :param warmup_overage: factor on a service's rate of requests to a cold endpoint, above which
+        it may crash; None for no limit.
+    :param warmup_allowance: requests a second to a cold endpoint in addition; None for no limit.
     """
 
     path: str
@@ -50,3 +53,5 @@
     retry_window: float = 10.0
     retry_allowance: float = 0.0
     load_multiple: float = 2.0
+    warmup_overage: float | None = None
+    warmup_allowance: float | None = None
--- a/src/hickorylever/direct/status_servers.py
+++ b/src/hickorylever/direct/status_servers.py
@@ -37,6 +37,8 @@
             metrics.endpoints.set({"service": service}, len(pool))
             limited = sum(endpoint.rate_limit is not None for endpoint in pool)
             metrics.rate_limits.set({"service": service}, limited)
+            cold = sum(endpoint.is_cold(now) for endpoint in pool)
+            metrics.cold.set({"service": service}, cold)
             metrics.budget_left.set({"service": service}, node.budget.remaining(service, now))
         waiting = Counter()
         for (service, _), queue in self.router.forwarder.placer.queues.items():
--- a/src/hickorylever/direct/wait_queue.py
+++ b/src/hickorylever/direct/wait_queue.py
@@ -58,6 +58,11 @@
     wait_until: float
     wake_event: curio.Event = field(default_factory=curio.Event)
 
+    @property
+    def last_useful_at(self) -> float:
+        """Return the latest time for which it is worth to wait for a known place."""
+        return min(self.on_time_until, self.wait_until)
+
     def sort_key(self, now: float) -> tuple[bool, int, float]:
         """Return the sort key; the lowest goes first."""
         return now > self.on_time_until, self.priority, self.arrived_at
@@ -162,16 +167,20 @@
         placement_rate = self.placement_rate(now)
         if not placement_rate:
             return False
+        return now + self.count_ahead(entry, now) / placement_rate > entry.wait_until
+
+    def count_ahead(self, entry: QueueEntry, now: float) -> int:
+        """Return the number of requests that go before one."""
         sort_key = entry.sort_key(now)
-        ahead = sum(other.sort_key(now) < sort_key for other in self.entries)
-        return now + ahead / placement_rate > entry.wait_until
+        return sum(other.sort_key(now) < sort_key for other in self.entries)
 
-    def retry_after(self, now: float, time_left: float) -> float:
+    def retry_after(self, now: float, time_left: float, earliest: float = 0.0) -> float:
         """Return the seconds after which a caller that is refused now should retry.
 
         :param time_left: seconds until the caller's deadline.
+        :param earliest: time before which no endpoint takes the request.
         """
         step = 1.0 / max(1.0, self.placement_rate(now))
         pause = min(MAX_RETRY_AFTER_SECONDS, len(self.entries) * step)
-        self.next_retry_at = max(now + pause, self.next_retry_at) + step
+        self.next_retry_at = max(now + pause, earliest, self.next_retry_at) + step
         return bounded_retry_after(self.next_retry_at - now, time_left)
--- a/src/hickorylever/platform/documents.py
+++ b/src/hickorylever/platform/documents.py
@@ -15,6 +15,7 @@
     Route,
     RouteKind,
     Service,
+    Warmup,
     WeightedService,
 )
 from ..exceptions import ContentError
@@ -77,12 +78,17 @@
 
 
 class WireService(Wire):
-    """A service."""
+    """A service. Its endpoints take `warmup_per_s` requests a second for `warmup_s` from a start.
+
+    Both are 0 for a service without a limit.
+    """
 
     name: str
     health_path: str = ""
     max_connections: Count = 0
     engine: WireEngine | None = None
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 class WireLimits(Wire):
@@ -128,7 +134,7 @@
     version: str
     max_batch_size: Count
     state: str
-    warmup_left_ms: Milliseconds = 0.0
+    warmup_left_ms: Milliseconds | None = None
     born: int | None = None
 
 
@@ -199,7 +205,10 @@
     capacity = None
     if engine is not None:
         capacity = Engine(engine.max_batch_size, engine.kv_capacity_tokens, max(1, engine.stride))
-    return Service(wire.name, wire.health_path, wire.max_connections, capacity)
+    warmup = None
+    if wire.warmup_per_s > 0.0:
+        warmup = Warmup(max(0.0, wire.warmup_s), wire.warmup_per_s)
+    return Service(wire.name, wire.health_path, wire.max_connections, capacity, warmup)
 
 
 def decode_endpoint(name: str, spec: msgspec.Raw) -> EndpointEntry:
@@ -224,7 +233,8 @@
         failure_domain=wire.zone,
         slots=wire.max_batch_size,
         draining=wire.state != names.STATE_READY,
-        warmup_left=wire.warmup_left_ms * SECONDS_PER_MILLISECOND,
+        warmup_left=(wire.warmup_left_ms or 0.0) * SECONDS_PER_MILLISECOND,
         started_ms=wire.born or 0,
         version=wire.version,
+        reports_warmup=wire.warmup_left_ms is not None,
     )
--- a/src/hickorylever/platform/headers.py
+++ b/src/hickorylever/platform/headers.py
@@ -87,9 +87,16 @@
         leaving=status != 421 and header(fields, names.LEAVING).strip() == names.LEAVING_VALUE,
         retry_after=read_decimal(header(fields, b"retry-after")) if status == 503 else None,
         rate_limit=read_decimal(header(fields, names.LIMIT)),
+        warmup_left=read_milliseconds(header(fields, names.WARMUP)),
     )
 
 
+def read_milliseconds(value: bytes) -> float | None:
+    """Return a number of milliseconds in seconds, or None if it is missing or malformed."""
+    value = value.strip()
+    return float(value) * SECONDS_PER_MILLISECOND if MILLISECONDS.fullmatch(value) else None
+
+
 def read_decimal(value: bytes) -> float | None:
     """Return a decimal number, or None if it is missing or malformed."""
     return float(value) if DECIMAL.fullmatch(value.strip()) else None
--- a/src/hickorylever/platform/names.py
+++ b/src/hickorylever/platform/names.py
@@ -18,6 +18,7 @@
 LEAVING = b"server-leaving"
 LEAVING_VALUE = b"1"
 LIMIT = b"server-limit"
+WARMUP = b"hickorylever-warmup-ms"
 STORE_ERA = b"store-era"
 
 # Headers that only routers may set, or that end at the router. They are removed from callers'
--- a/src/hickorylever/platform/settings.py
+++ b/src/hickorylever/platform/settings.py
@@ -46,6 +46,8 @@
     retry_window_s: float = 10.0
     retry_allowance: float = 0.0
     cap_factor: float = 2.0
+    warmup_overage: float | None = None
+    warmup_allowance: float | None = None
 
 
 class WireStore(Wire):
@@ -110,4 +112,6 @@
         retry_window=bounds.retry_window_s,
         retry_allowance=bounds.retry_allowance,
         load_multiple=bounds.cap_factor,
+        warmup_overage=bounds.warmup_overage,
+        warmup_allowance=bounds.warmup_allowance,
     )
--- a/src/hickorylever/platform/standins/documents.py
+++ b/src/hickorylever/platform/standins/documents.py
@@ -39,6 +39,10 @@
 retry-allowance = {settings.retry_allowance}
 cap-factor = {settings.load_multiple}
 """
+WARMUP_TEMPLATE = """\
+warmup-overage = {settings.warmup_overage}
+warmup-allowance = {settings.warmup_allowance}
+"""
 
 
 def milliseconds(seconds: float) -> float:
@@ -94,7 +98,15 @@
     capacity = (
         WireEngine(engine.slots, engine.memory_tokens, engine.tokens_per_event) if engine else None
     )
-    return WireService(service.name, service.health_path, service.max_connections, capacity)
+    warmup = service.warmup
+    return WireService(
+        service.name,
+        service.health_path,
+        service.max_connections,
+        capacity,
+        warmup.seconds if warmup else 0.0,
+        warmup.rate if warmup else 0.0,
+    )
 
 
 def encode_endpoint(entry: EndpointEntry) -> dict[str, Any]:
@@ -106,7 +118,7 @@
         version=entry.version,
         max_batch_size=entry.slots,
         state=names.STATE_DRAINING if entry.draining else names.STATE_READY,
-        warmup_left_ms=milliseconds(entry.warmup_left),
+        warmup_left_ms=milliseconds(entry.warmup_left) if entry.reports_warmup else None,
         born=entry.started_ms or None,
     )
     return msgspec.to_builtins(wire)
@@ -116,4 +128,7 @@
     """Return the content of a router's settings file."""
     address, port = settings.store
     seeds = [f"{seed}:1" for seed in settings.seeds]
-    return SETTINGS_TEMPLATE.format(settings=settings, seeds=seeds, store=f"{address}:{port}")
+    template = SETTINGS_TEMPLATE
+    if settings.warmup_overage is not None:
+        template += WARMUP_TEMPLATE
+    return template.format(settings=settings, seeds=seeds, store=f"{address}:{port}")
