Test cold endpoints through a router, and shares under lost registrations

Cause: a router whose list of others was incomplete took the whole limit for itself. Change: a router that knows of others, by the settings or the list, and heard none takes no share. The stand-in endpoint can be cold and records when requests reach it.

--- a/src/hickorylever/direct/membership.py
+++ b/src/hickorylever/direct/membership.py
@@ -52,14 +52,17 @@
     """The routers that share limits. Times are monotonic seconds.
 
     :param own_address: IP address of this router.
+    :param seeded: whether the settings name other routers. A router that heard none of them may
+        have a list that lacks many, such as one from a store that lost its latest objects.
     :ivar complete: whether this router is registered in the store and has listed the others since.
         Of two routers that did both, at least one knows the other.
     :ivar settled_at: since when this router is complete and known to the others, or None.
     :ivar ranks: rank of this router by the key of what is shared, for the current members.
     """
 
-    def __init__(self, own_address: str):
+    def __init__(self, own_address: str, seeded: bool = False):
         self.own_address = own_address
+        self.seeded = seeded
         self.complete = False
         self.settled_at: float | None = None
         self.members: dict[str, Member] = {}
@@ -75,6 +78,13 @@
         """Return the number of routers that may not know this one."""
         return sum(member.last_heard is None for member in self.members.values())
 
+    @property
+    def alone(self) -> bool:
+        """Return whether there should be other routers and none of them was heard."""
+        members = self.members.values()
+        others = self.seeded or bool(members)
+        return others and all(member.last_heard is None for member in members)
+
     @property
     def shares_from(self) -> float:
         """Return when this router may begin to use its shares, infinity for not yet."""
@@ -82,7 +92,8 @@
 
     def settle(self, now: float) -> None:
         """Update whether this router is complete and known to the others."""
-        if not self.complete or self.unaware_count > UNAWARE_ROUTERS_ALLOWED:
+        unknown = self.unaware_count > UNAWARE_ROUTERS_ALLOWED
+        if not self.complete or unknown or self.alone:
             self.settled_at = None
         elif self.settled_at is None:
             self.settled_at = now
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -77,7 +77,7 @@
         self.store = store_class(
             settings.store, Client(max_idle=ENDPOINT_IDLE_TIMEOUT_SECONDS), self.count_store_call
         )
-        self.membership = Membership(settings.address)
+        self.membership = Membership(settings.address, bool(settings.seeds))
         self.directory = Directory(
             codec.decode_endpoint,
             self.reject,
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -72,6 +72,10 @@
     :param crashing_parts: ids of prompt parts on which the endpoint crashes when it begins to
         write its answer.
     :param version: version of its software, which each event of a stream names.
+    :param cold_until: monotonic seconds until which the endpoint is cold, which each response
+        says; None for an endpoint that says nothing of it.
+    :ivar cold_arrivals: monotonic seconds of the requests that it got while it was cold, without
+        those that it answered with status 421.
     :param on_crash: called when the endpoint crashes; by default it ends for good.
     :ivar crashed: set when the endpoint has ended.
     """
@@ -89,6 +93,8 @@
     duplicate_response: bytes = b""
     crashing_parts: frozenset[str] = frozenset()
     version: str = ""
+    cold_until: float | None = None
+    cold_arrivals: list[float] = field(default_factory=list)
     on_crash: Callable[[], Awaitable[object]] | None = None
     crashed: curio.Event = field(default_factory=curio.Event)
 
@@ -126,6 +132,8 @@
         if expected not in ("", self.name):
             await exchange.respond(421, [(names.ENDPOINT, self.name.encode())])
             return
+        if self.warmup_left() > 0.0:
+            self.cold_arrivals.append(time.monotonic())
         if self.crashing_parts.intersection(prompt_parts(exchange.headers)):
             await self.crash(exchange, body)
             return
@@ -153,8 +161,14 @@
             headers.append((names.LEAVING, names.LEAVING_VALUE))
         if self.limit is not None:
             headers.append((names.LIMIT, b"%.3f" % self.limit))
+        if self.cold_until is not None:
+            headers.append((names.WARMUP, b"%d" % (1000 * self.warmup_left())))
         return headers
 
+    def warmup_left(self) -> float:
+        """Return the seconds for which the endpoint is still cold."""
+        return max(0.0, (self.cold_until or 0.0) - time.monotonic())
+
     def own_body(self, exchange: Exchange) -> bytes:
         """Return the body of the complete response to a request that is not streamed."""
         request_id = header(exchange.headers, names.ATTEMPT_ID)
@@ -180,6 +194,17 @@
             await curio.sleep(self.pause)
 
 
+def most_in_a_second(times: Iterable[float]) -> int:
+    """Return the largest number of times within any one second."""
+    times = sorted(times)
+    most = first = 0
+    for last, time_ in enumerate(times):
+        while time_ - times[first] >= 1.0:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
 def prompt_parts(headers: Iterable[tuple[bytes, bytes]]) -> list[str]:
     """Return the ids of the parts of a request's prompt."""
     return re.findall(r"(\w+):", header(headers, names.PREFIX).decode())
