--- a/src/hickorylever/direct/settings.py
+++ b/src/hickorylever/direct/settings.py
@@ -31,6 +31,9 @@
         service.
     :param evacuation_time: time after which an evacuated failure domain gets nothing new, or None
         where failure domains are not evacuated.
+    :param warmup_overage: factor on a service's rate of requests to a cold endpoint, above which
+        it may crash; None for no limit.
+    :param warmup_allowance: requests a second to a cold endpoint in addition; None for no limit.
     """
 
     path: str
@@ -53,3 +56,5 @@
     retry_allowance: float = 0.0
     load_multiple: float = 2.0
     evacuation_time: float | None = None
+    warmup_overage: float | None = None
+    warmup_allowance: float | None = None
--- a/src/hickorylever/platform/settings.py
+++ b/src/hickorylever/platform/settings.py
@@ -47,6 +47,8 @@
     retry_allowance: float = 0.0
     cap_factor: float = 2.0
     evacuate_ms: float | None = None
+    warmup_overage: float | None = None
+    warmup_allowance: float | None = None
 
 
 class WireStore(Wire):
@@ -113,4 +115,6 @@
         retry_allowance=bounds.retry_allowance,
         load_multiple=bounds.cap_factor,
         evacuation_time=None if evacuate_ms is None else evacuate_ms * SECONDS_PER_MILLISECOND,
+        warmup_overage=bounds.warmup_overage,
+        warmup_allowance=bounds.warmup_allowance,
     )
