Call an engine that takes no connection once for each router, and give slow links time

Cause: a router that had not reached an engine tried again whenever another one reported the same; a late report could end another router's claim; a list or pull over a link of 5 Mbit/s that is shared with others could take longer than its 1 s, and is not repeated. Change: each router tries an engine once, claims name the router, calls at a time follow the link's speed, lists have 2 s and pulls 3 s.

--- a/src/hickorylever/direct/cache_listing.py
+++ b/src/hickorylever/direct/cache_listing.py
@@ -25,10 +25,11 @@
 CACHES_PATH = "/caches"
 SOME_HEARD_WAIT_SECONDS = 0.1  # In which other routers say whether they know the caches.
 NONE_HEARD_WAIT_SECONDS = 0.25  # The same while none answers, as datagrams may be lost.
-MAX_CALLS = 8  # At the same time, so that a slow link is shared by few.
-LISTING_TIMEOUT_SECONDS = 1.0
+MAX_CALLS = 8  # At the same time.
+LINK_MBPS_PER_CALL = 2.5  # So that calls which share a slow link end in time.
+LISTING_TIMEOUT_SECONDS = 2.0
 MAX_LISTING_BYTES = 4 * 1024 * 1024
-PULL_TIMEOUT_SECONDS = 1.0
+PULL_TIMEOUT_SECONDS = 3.0  # A slow link may have to serve all other routers.
 MAX_PULLED_PARTS = 1024  # Of each engine, so that all engines' parts pass a slow link quickly.
 MAX_HASH_DIGITS = 10  # Of a 32-bit number.
 DECODE_ERRORS = (msgspec.DecodeError, zlib.error)
@@ -54,6 +55,7 @@
     :param peers: the other routers.
     :ivar first_tick: monotonic time in seconds at which the other routers were first probed.
     :ivar calls: number of engines that are being listed.
+    :ivar max_calls: limit on `calls`.
     :ivar pulling: addresses of the routers that parts are being pulled from.
     :ivar announced: whether the other routers were told that this one knows the caches.
     """
@@ -65,6 +67,8 @@
         self.client = Client()
         self.first_tick: float | None = None
         self.calls = 0
+        link_calls = int(node.settings.link_mbps / LINK_MBPS_PER_CALL)
+        self.max_calls = max(1, min(MAX_CALLS, link_calls))
         self.pulling: set[str] = set()
         self.announced = False
 
@@ -95,7 +99,7 @@
     async def start_calls(self, now: float, alive: list[Peer]) -> None:
         """Start the calls that are due, and tell the other routers at once."""
         heard = {peer.address for peer in alive}
-        keys = self.plan.take_calls(heard, self.may_call, MAX_CALLS - self.calls, now)
+        keys = self.plan.take_calls(heard, self.may_call, self.max_calls - self.calls, now)
         for key in keys:
             self.calls += 1
             self.plan.report(key, Stage.CALLED)
@@ -159,9 +163,7 @@
             self.calls -= 1
             self.node.metrics.cache_listings.inc({"result": stage.name.lower()})
             self.plan.report(key, stage)
-            if stage is Stage.UNREACHED:
-                self.plan.skip(key)
-            else:
+            if stage is not Stage.UNREACHED:
                 self.plan.resolve(key)
 
     async def call(self, endpoint: Endpoint) -> Stage:
--- a/src/hickorylever/direct/cache_plan.py
+++ b/src/hickorylever/direct/cache_plan.py
@@ -18,9 +18,9 @@
 
 HEARD_STEP_SECONDS = 0.3  # Wait for each earlier router that runs; it takes up to one call.
 SILENT_STEP_SECONDS = 0.04  # Wait for each earlier router that was not heard; it may just start.
-CLAIM_SECONDS = 2.0  # For which another router's call is waited for; longer than its timeout.
-GIVE_UP_SECONDS = 5.0  # After which engines that were not listed are taken to have nothing cached.
-PULL_RETRY_SECONDS = 0.1  # Between two pulls of the same engine's parts.
+CLAIM_SECONDS = 2.5  # For which another router's call is waited for; longer than its timeout.
+GIVE_UP_SECONDS = 8.0  # After which engines that were not listed are taken to have nothing cached.
+PULL_RETRY_SECONDS = 0.3  # Between two pulls of the same engine's parts.
 MAX_PULLED_ENGINES = 64  # In one pull, to limit the size of its response.
 MAX_EARLY_UPDATES = 4096
 UPDATE_REPEATS = 3  # Datagrams that carry each update, as some may be lost.
@@ -45,7 +45,9 @@
 
     :param own_score: position of this router in the engine's rendezvous order.
     :param earlier: addresses of the routers before it in that order.
-    :param claimed_until: time until which another router, or this one, is listing it.
+    :param claimant: address of the router that is listing it, or empty.
+    :param claimed_until: time until which that one is waited for.
+    :param tried: whether this router has tried.
     :param source: address of the router that has listed it, or empty.
     :param source_failed: whether a pull from it failed.
     :param next_pull: earliest time for the next pull.
@@ -53,7 +55,9 @@
 
     own_score: int
     earlier: list[str] = field(default_factory=list)
+    claimant: str = ""
     claimed_until: float = 0.0
+    tried: bool = False
     source: str = ""
     source_failed: bool = False
     next_pull: float = 0.0
@@ -113,13 +117,14 @@
         if engine is None:
             return
         if update.stage == Stage.CALLED:
+            engine.claimant = address
             engine.claimed_until = now + CLAIM_SECONDS
         elif update.stage == Stage.LISTED:
             engine.source = address
         elif update.stage == Stage.FAILED:
             self.resolve(update.endpoint)
-        elif update.stage == Stage.UNREACHED:
-            engine.claimed_until = min(engine.claimed_until, now)
+        elif update.stage == Stage.UNREACHED and engine.claimant == address:
+            engine.claimed_until = now
 
     def report(self, key: int, stage: Stage) -> None:
         """Queue an update for the other routers."""
@@ -137,11 +142,6 @@
         self.pending.pop(key, None)
         self.complete = not self.pending
 
-    def skip(self, key: int) -> None:
-        """Leave an engine to the other routers."""
-        if engine := self.pending.get(key):
-            engine.claimed_until = self.begun_at + GIVE_UP_SECONDS
-
     def finish(self) -> None:
         """Record that another router has told all that it knows."""
         self.complete = True
@@ -159,7 +159,7 @@
     def take_calls(
         self, heard: set[str], may_call: Callable[[int], bool], limit: int, now: float
     ) -> list[int]:
-        """Return the engines to list now, and claim them.
+        """Return the engines to list now; each is returned once.
 
         :param heard: addresses of the routers that are alive.
         :param may_call: returns whether an engine may get a call now.
@@ -170,10 +170,10 @@
             if len(calls) >= limit:
                 break
             earliest = self.begun_at + SILENT_STEP_SECONDS * len(engine.earlier)
-            if engine.source or now < max(earliest, engine.claimed_until):
+            if engine.source or engine.tried or now < max(earliest, engine.claimed_until):
                 continue
             if now >= self.turn(engine, heard) and may_call(key):
-                engine.claimed_until = now + CLAIM_SECONDS
+                engine.tried = True
                 calls.append(key)
         return calls
 
--- a/tests/test_cache_listing.py
+++ b/tests/test_cache_listing.py
@@ -243,6 +243,26 @@
     assert take(plan, 100.0 + cache_plan.CLAIM_SECONDS + 0.01) == [7]
 
 
+def test_an_engine_that_took_no_connection_is_tried_once_by_each_router():
+    """Reports that others did not reach it either must not make a router try without end."""
+    plan = CachePlan(ROUTERS[0])
+    plan.begin([7], ROUTERS[:1], 100.0)
+    assert take(plan, 100.0) == [7]
+    plan.record(ROUTERS[1], CacheListingUpdate(7, Stage.CALLED), 100.1)
+    plan.record(ROUTERS[1], CacheListingUpdate(7, Stage.UNREACHED), 100.2)
+    assert take(plan, 100.3) == []
+
+
+def test_a_late_report_of_one_router_does_not_end_the_claim_of_another():
+    plan = CachePlan(ROUTERS[0])
+    plan.begin([7], ROUTERS[:1], 100.0)
+    plan.record(ROUTERS[1], CacheListingUpdate(7, Stage.CALLED), 100.0)
+    plan.record(ROUTERS[2], CacheListingUpdate(7, Stage.UNREACHED), 100.1)
+    assert take(plan, 100.2) == []
+    plan.record(ROUTERS[1], CacheListingUpdate(7, Stage.UNREACHED), 100.3)
+    assert take(plan, 100.3) == [7]
+
+
 def test_routers_that_become_known_later_share_the_engines():
     early, late = CachePlan(ROUTERS[0]), CachePlan(ROUTERS[0])
     early.begin(range(20), ROUTERS, 100.0)
