--- a/tests/test_cache_listing.py
+++ b/tests/test_cache_listing.py
@@ -1,5 +1,7 @@
 """What routers learn of the engines' caches when all of them have started, and when one has."""
 
+import random
+
 import curio
 import msgspec
 import pytest
@@ -195,6 +197,31 @@
     play(scenario, 2, start_all=start_all)
 
 
+def test_routers_that_start_one_after_the_other_and_lose_datagrams_learn_all():
+    async def start_all(fleet):
+        rng = random.Random(7)
+        start = EngineFleet.start
+
+        async def start_lossy(number):
+            node = await start(fleet, number, [f"{NETWORK}.1", f"{NETWORK}.99"])
+            send = node.peer_sync.send
+
+            async def lose_some(data, address):
+                if rng.random() >= 0.1:
+                    await send(data, address)
+
+            node.peer_sync.send = lose_some
+            await curio.sleep(0.05)
+
+        fleet.start = start_lossy
+        await EngineFleet.start_all(fleet)
+
+    async def scenario(fleet):
+        assert all(fleet.known())
+
+    play(scenario, 4, start_all=start_all)
+
+
 ROUTERS = [f"10.0.0.{number}" for number in range(1, 6)]
 
 
