--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -136,6 +136,9 @@
             former = endpoint
             endpoint = self.endpoints[entry.name] = self.create(entry, stored.position.era, now)
             endpoint.warm_at = now + entry.warmup_left
+            # Holds until an answer of the new incarnation says otherwise. Without it, an endpoint
+            # that restarts gets a burst of requests where few others are left.
+            endpoint.rate_limit = former.rate_limit if former else None
             self.cold_starts.replace(former, endpoint, now)
             known = stored
         endpoint.entry = entry
