Tell the other routers of endpoints that have become cold

Cause: a warm endpoint may become cold at any moment, and only the router that reads it first knew. Change: datagrams name endpoints that an answer or a watched entry showed to be cold; a report prolongs what is known of that start only. Old routers ignore the new last field.

--- a/src/hickorylever/direct/cold_start.py
+++ b/src/hickorylever/direct/cold_start.py
@@ -228,6 +228,13 @@
             endpoint.cold.record_answer(left, sent_at, now)
             self.report(endpoint, before, "answer", now)
 
+    def record_report(self, endpoint, left: float, now: float) -> None:
+        """Record what another router has read of an endpoint."""
+        if endpoint.cold is not None:
+            before = endpoint.cold.cold_until
+            endpoint.cold.cold_until = max(before, now + min(left, MAX_REPORT_SECONDS))
+            self.report(endpoint, before, "router", now)
+
     def record_failed_connection(self, endpoint, now: float) -> None:
         """Record that a connection to an endpoint failed, or broke off."""
         if endpoint.cold is not None:
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -49,11 +49,6 @@
         return 0
 
 
-def log_cold(name: str, seconds: float, reason: str) -> None:
-    """Log that an endpoint has become cold."""
-    log(Event.ENDPOINT_COLD, name, seconds=round(seconds, 3), reason=reason)
-
-
 class Node:
     """The components and the state of one router process.
 
@@ -83,7 +78,7 @@
             self.reject,
             settings.endpoint_entry_lifetime,
             lambda key: self.peer_sync.streams.table.forget_endpoint(key),
-            ColdStarts(self.membership, log_cold),
+            ColdStarts(self.membership, self.report_cold),
         )
         self.budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
@@ -163,6 +158,14 @@
             routes=len(configuration.routes),
         )
 
+    def report_cold(self, name: str, seconds: float, reason: str) -> None:
+        """Log that an endpoint has become cold, and tell the other routers.
+
+        :param reason: how this router learned of it.
+        """
+        log(Event.ENDPOINT_COLD, name, seconds=round(seconds, 3), reason=reason)
+        self.peer_sync.cold.queue(name, reason)
+
     def limit_cold_endpoints(self) -> None:
         """Apply the limits of cold endpoints that the configuration and the settings give."""
         if self.routes is not None:
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -90,6 +90,19 @@
     count: int
 
 
+class ColdUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint has become cold.
+
+    :param endpoint: hash of the endpoint's name.
+    :param started_ms: start of its incarnation, as Unix time in milliseconds.
+    :param left_ms: milliseconds for which it is still cold.
+    """
+
+    endpoint: int
+    started_ms: int
+    left_ms: int
+
+
 class LeavingUpdate(msgspec.Struct, array_like=True, frozen=True):
     """An endpoint shuts down.
 
@@ -116,6 +129,7 @@
     :param suspects: causes in quarantine.
     :param streams: streams that have begun.
     :param stream_questions: keys of streams that the sender asks for.
+    :param cold_endpoints: endpoints that have become cold.
     """
 
     incarnation: int
@@ -135,6 +149,7 @@
     limits: list[LimitUpdate] = []
     streams: list[StreamUpdate] = []
     stream_questions: list[int] = []
+    cold_endpoints: list[ColdUpdate] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -8,6 +8,7 @@
 
 from ..events import Event, log, logger
 from ..http import listen
+from .cold_reports import ColdReports
 from .endpoints import PeerLoad
 from .hashes import name_hash
 from .limit_reports import LimitReports
@@ -42,6 +43,7 @@
         self.rank = watcher_rank(node.settings.address, node.settings.link_mbps)
         self.registration = Registration(node, self.peers, self.rank)
         self.limits = LimitReports(node, self.peers)
+        self.cold = ColdReports(node)
         self.streams = StreamReports(node, self.peers)
         self.sock = None
 
@@ -88,6 +90,8 @@
         updates = self.node.quarantine.take_updates(now)
         if limits := self.limits.take():
             updates["limits"] = limits
+        if cold := self.cold.take(now):
+            updates["cold_endpoints"] = cold
         return updates
 
     async def broadcast(self, peers: list[Peer], **updates) -> None:
@@ -176,6 +180,7 @@
             if endpoint is not None:
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
         self.limits.apply(address, datagram.limits, now)
+        self.cold.apply(datagram.cold_endpoints, now)
         self.node.quarantine.apply(datagram, now)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -4,12 +4,14 @@
 import time
 
 import curio
+import msgspec
 import pytest
 from direct_harness import configuration, entry, route, run_scenario, spec
 
 from hickorylever.direct.cold_start import ColdLimit, ColdStarts
 from hickorylever.direct.directory import Directory
 from hickorylever.direct.membership import Membership
+from hickorylever.direct.peer_protocol import Datagram
 from hickorylever.direct.position import Position
 from hickorylever.direct.records import StoredObject
 from hickorylever.platform import decode_endpoint
@@ -154,6 +156,31 @@
     run_scenario(scenario, ("reset", "well"), ("well",), autostart=False)
 
 
+def test_routers_tell_each_other_of_an_endpoint_that_became_cold():
+    """Guards against full load of the other routers on an endpoint that one knows to be cold."""
+
+    async def scenario(harness):
+        await start_with_limit(harness, cold=[])
+        node = harness.node
+        endpoint = node.directory.endpoints["i-0"]
+        harness.origins[0].cold_until = time.monotonic() + 3.0
+        assert (await harness.send_request("/safe/x")).status == 200
+        now = time.monotonic()
+        (update,) = node.peer_sync.cold.take(now)
+        assert 2000 < update.left_ms <= 3000
+        assert node.peer_sync.cold.take(now) == []
+        endpoint.cold.cold_until = 0.0
+        node.peer_sync.apply_updates("10.0.0.9", Datagram(1, cold_endpoints=[update]), now)
+        assert endpoint.is_cold(now + 2.0)
+        assert node.peer_sync.cold.take(now) == []
+        endpoint.cold.cold_until = 0.0
+        former = msgspec.structs.replace(update, started_ms=7)
+        node.peer_sync.apply_updates("10.0.0.9", Datagram(1, cold_endpoints=[former]), now)
+        assert not endpoint.is_cold(now)
+
+    run_scenario(scenario, ("well",), autostart=False)
+
+
 def cold_directory():
     membership = Membership("10.0.0.1")
     membership.record_listed([], 0.0)
