--- a/src/hickorylever/direct/cold_start.py
+++ b/src/hickorylever/direct/cold_start.py
@@ -82,12 +82,7 @@
 
     def permits(self, now: float) -> bool:
         """Return whether this router may send a request now."""
-        return now >= self.due_at
-
-    @property
-    def due_at(self) -> float:
-        """Return when this router may send its next request."""
-        return min(self.cold_until, self.next_sends()[0])
+        return not self.is_cold(now) or now >= self.next_sends()[0]
 
     def next_sends(self) -> tuple[float, float]:
         """Return when this router's share allows the next request, and the seconds between two."""
@@ -103,7 +98,10 @@
 
     def record_send(self, now: float) -> None:
         """Record a request of this router, which may be a little later than its share allowed."""
-        self.sent_at = max(now - MAX_LATENESS_SECONDS, min(now, self.next_sends()[0]))
+        if self.is_cold(now):
+            self.sent_at = max(now - MAX_LATENESS_SECONDS, min(now, self.next_sends()[0]))
+        else:
+            self.sent_at = now
 
     def record_entry(self, left: float, now: float) -> None:
         """Record what a new entry of the endpoint says.
--- a/src/hickorylever/soak/checks.py
+++ b/src/hickorylever/soak/checks.py
@@ -7,11 +7,19 @@
 from collections.abc import Callable, Iterator
 
 from ..direct.records import RouteKind
-from ..platform.standins.origin import encode_event, prompt_parts
+from ..platform.standins.origin import encode_event, most_in_a_second, prompt_parts
 from ..registry import Registry
 from .callers import DEADLINE_SECONDS, SentRequest, TrafficLog
 from .faults import PLANNED_OPERATIONS, faults
-from .world import EVENTS_PER_STREAM, MAX_ATTEMPTS, ROUTE_KINDS, SoakHarness
+from .world import (
+    EVENTS_PER_STREAM,
+    MAX_ATTEMPTS,
+    ROUTE_KINDS,
+    WARMUP,
+    WARMUP_ALLOWANCE,
+    WARMUP_OVERAGE,
+    SoakHarness,
+)
 
 Check = Callable[[SoakHarness, TrafficLog], Iterator[str]]
 checks: Registry[Check] = Registry("check")
@@ -267,6 +275,18 @@
                 break
 
 
+@checks.register("cold")
+def cold_endpoint_gets_no_more_than_its_limit(
+    harness: SoakHarness, traffic: TrafficLog
+) -> Iterator[str]:
+    """All routers together send a cold endpoint no more than its limit in any one second."""
+    allowed = WARMUP.rate * WARMUP_OVERAGE + WARMUP_ALLOWANCE
+    for origin in harness.origins:
+        count = most_in_a_second(origin.cold_arrivals)
+        if count > allowed:
+            yield f"{origin.name} got {count} requests in a second while it was cold"
+
+
 @checks.register("planned work")
 def planned_operations_abort_no_request(
     harness: SoakHarness, traffic: TrafficLog
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -8,7 +8,15 @@
 
 from ..registry import Registry
 from .proxy import Proxy
-from .world import DRAIN_GRACE_SECONDS, LimitPeriod, RouterProcess, SoakHarness, now
+from .world import (
+    DRAIN_GRACE_SECONDS,
+    RESTART_SECONDS,
+    WARMUP,
+    LimitPeriod,
+    RouterProcess,
+    SoakHarness,
+    now,
+)
 
 Fault = Callable[[SoakHarness, random.Random, float], Awaitable[None]]
 faults: Registry[Fault] = Registry("fault")
@@ -206,6 +214,13 @@
     origin.limit = None
 
 
+@faults.register("cold")
+async def restart_endpoint(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
+    """Crash an endpoint, which is cold when it has started again."""
+    await harness.crash_endpoint(rng.randrange(len(harness.origins)))
+    await curio.sleep(RESTART_SECONDS + WARMUP.seconds)
+
+
 @faults.register("leave")
 async def drain_and_restart(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
     """Drain an endpoint for `DRAINING_SECONDS`."""
--- a/src/hickorylever/soak/world.py
+++ b/src/hickorylever/soak/world.py
@@ -23,6 +23,7 @@
     Route,
     RouteKind,
     Service,
+    Warmup,
     WeightedService,
 )
 from ..direct.settings import DirectSettings
@@ -47,6 +48,9 @@
 START_POLL_SECONDS = 0.05
 RESTART_SECONDS = 2.0  # After a crash of an endpoint.
 DRAIN_GRACE_SECONDS = 8.0  # Drain time of routers, and time from SIGTERM to SIGKILL.
+WARMUP = Warmup(3.0, 11.0)
+WARMUP_OVERAGE = 1.5
+WARMUP_ALLOWANCE = 5.0
 ROUTE_KINDS = {
     "unsafe": RouteKind.AT_MOST_ONCE,
     "safe": RouteKind.IDEMPOTENT,
@@ -233,13 +237,17 @@
             seeds=(f"{self.network_prefix}.1", f"{self.network_prefix}.2"),
             drain_grace=DRAIN_GRACE_SECONDS,
             retry_allowance=100.0,
+            warmup_overage=WARMUP_OVERAGE,
+            warmup_allowance=WARMUP_ALLOWANCE,
         )
         Path(settings.path).write_text(documents.encode_settings(settings), encoding="utf-8")
         return RouterProcess(settings, directory / f"{ip}.log")
 
     async def start_endpoint(self, number: int) -> None:
-        """Start an endpoint again and write its entry to the store."""
+        """Start an endpoint and write its entry to the store; one that starts again is cold."""
         self.start_counts[number] = self.start_counts.get(number, 0) + 1
+        again = self.start_counts[number] > 1
+        self.origins[number].cold_until = now() + WARMUP.seconds if again else 0.0
         self.draining.discard(number)
         self.origins[number].leaving = False
         version = self.origins[number].version
@@ -304,6 +312,7 @@
             number in self.draining,
             started_ms=self.start_counts[number],
             version=self.origins[number].version,
+            warmup_left=self.origins[number].warmup_left(),
         )
         await self.store.put(ENDPOINTS, entry.name, documents.encode_endpoint(entry))
 
@@ -323,7 +332,7 @@
             position=UNKNOWN,
             version=self.version,
             routes=tuple(make_route(name, kind) for name, kind in kinds.items()),
-            services=(Service(SERVICE, "", 0),),
+            services=(Service(SERVICE, "", 0, warmup=WARMUP),),
             accounts=(Account("clerks", (API_KEY,)),),
             limits=CallerLimits(16384, 65536, 3.0, 15.0),
         )
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -22,6 +22,7 @@
 OVERAGE = 1.5
 ALLOWANCE = 5
 STEP_SECONDS = 0.01
+SEEDS = 3  # Routers that the settings of each one name; they may be gone.
 MAX_DELAY_SECONDS = 0.1  # By which the network delays one request more than another.
 RATES = [11.0, 17.0]
 
@@ -58,7 +59,7 @@
             ColdStart(self.limit, key, membership, cold_until=math.inf) for key in self.endpoints
         ]
         self.routers[name] = (membership, colds)
-        self.contacts[name] = set()
+        self.contacts[name] = {address(number) for number in range(SEEDS)} - {name}
         self.stored.add(name)
         membership.record_listed(self.stored, self.now)
 
@@ -213,19 +214,26 @@
 
 
 def test_cold_endpoints_of_a_pool_fill_at_once():
-    """Guards against cold endpoints that stay idle beside warm ones, and idle routers."""
+    """Guards against cold endpoints of a pool of 39 that stay idle beside warm ones."""
     fleet = Fleet(11.0, 68, names(13), random.Random(1))
     seconds = 4 * WINDOW_SECONDS
     fleet.run(2.0 + seconds)
     times = [time for arrivals in fleet.arrivals.values() for time in arrivals]
     per_second = sum(2.0 <= time < 2.0 + seconds for time in times) / seconds
-    assert per_second >= 0.9 * 13 * 11.0
+    assert 0.9 * 13 * 11.0 <= per_second <= 13 * 11.0
+
+
+@pytest.mark.parametrize("count", [5, 20, 36, 68])
+def test_every_router_has_a_share_in_some_of_13_cold_endpoints(count):
+    """Guards against routers that can send to none of the cold endpoints of a pool."""
+    fleet = Fleet(11.0, count, names(13), random.Random(1))
+    fleet.run(3.0)
     idle = [
-        colds
-        for _, colds in fleet.routers.values()
+        name
+        for name, (_, colds) in fleet.routers.items()
         if all(cold.sent_at == -math.inf for cold in colds)
     ]
-    assert len(idle) <= 0.15 * 68
+    assert idle == []
 
 
 @pytest.mark.parametrize(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -207,6 +207,12 @@
     assert bool(find_violations(name, *requests, runs=runs, **state)) is violated
 
 
+@pytest.mark.parametrize(("count", "violated"), [(21, False), (22, True)])
+def test_check_of_cold_endpoints(count, violated):
+    harness = SoakHarness(1, origins=[Origin("i-0", cold_arrivals=[50.0] * count + [51.0] * 9)])
+    assert bool(list(checks["cold"](harness, TrafficLog(set(), [])))) is violated
+
+
 @pytest.mark.parametrize(
     ("second", "violated"),
     [
