--- a/src/hickorylever/direct/cold_start.py
+++ b/src/hickorylever/direct/cold_start.py
@@ -82,12 +82,7 @@
 
     def permits(self, now: float) -> bool:
         """Return whether this router may send a request now."""
-        return not self.is_cold(now) or now >= self.due_at
-
-    @property
-    def due_at(self) -> float:
-        """Return when this router may send its next request."""
-        return min(self.cold_until, self.next_sends()[0])
+        return not self.is_cold(now) or now >= self.next_sends()[0]
 
     def next_sends(self) -> tuple[float, float]:
         """Return when this router's share allows the next request, and the seconds between two."""
@@ -103,7 +98,10 @@
 
     def record_send(self, now: float) -> None:
         """Record a request of this router, which may be a little later than its share allowed."""
-        self.sent_at = max(now - MAX_LATENESS_SECONDS, min(now, self.next_sends()[0]))
+        if self.is_cold(now):
+            self.sent_at = max(now - MAX_LATENESS_SECONDS, min(now, self.next_sends()[0]))
+        else:
+            self.sent_at = now
 
     def record_entry(self, left: float, now: float) -> None:
         """Record what a new entry of the endpoint says.
@@ -228,6 +226,13 @@
             endpoint.cold.record_answer(left, sent_at, now)
             self.report(endpoint, before, "answer", now)
 
+    def record_report(self, endpoint, left: float, now: float) -> None:
+        """Record what another router has read of an endpoint."""
+        if endpoint.cold is not None:
+            before = endpoint.cold.cold_until
+            endpoint.cold.cold_until = max(before, now + min(left, MAX_REPORT_SECONDS))
+            self.report(endpoint, before, "router", now)
+
     def record_failed_connection(self, endpoint, now: float) -> None:
         """Record that a connection to an endpoint failed, or broke off."""
         if endpoint.cold is not None:
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -90,6 +90,19 @@
     count: int
 
 
+class ColdUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint has become cold.
+
+    :param endpoint: hash of the endpoint's name.
+    :param started_ms: start of its incarnation, as Unix time in milliseconds.
+    :param left_ms: milliseconds for which it is still cold.
+    """
+
+    endpoint: int
+    started_ms: int
+    left_ms: int
+
+
 class LeavingUpdate(msgspec.Struct, array_like=True, frozen=True):
     """An endpoint shuts down.
 
@@ -129,6 +142,7 @@
     :param stream_questions: keys of streams that the sender asks for.
     :param cache_listings: engines whose caches the sender lists after a start of all routers.
     :param caches_known: whether the sender knows what engines had cached before it started.
+    :param cold_endpoints: endpoints that have become cold.
     """
 
     incarnation: int
@@ -150,6 +164,7 @@
     stream_questions: list[int] = []
     cache_listings: list[CacheListingUpdate] = []
     caches_known: bool = False
+    cold_endpoints: list[ColdUpdate] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -9,6 +9,7 @@
 from ..events import Event, log, logger
 from ..http import listen
 from .cache_listing import CacheListing
+from .cold_reports import ColdReports
 from .endpoints import PeerLoad
 from .evacuations import OwnWatch
 from .hashes import name_hash
@@ -44,6 +45,7 @@
         self.rank = watcher_rank(node.settings.address, node.settings.link_mbps)
         self.registration = Registration(node, self.peers, self.rank)
         self.limits = LimitReports(node, self.peers)
+        self.cold = ColdReports(node)
         self.streams = StreamReports(node, self.peers)
         self.caches = CacheListing(node, self.peers)
         self.own_watch = OwnWatch(node.rng.random())
@@ -95,6 +97,8 @@
             updates["limits"] = limits
         if listings := self.caches.take():
             updates["cache_listings"] = listings
+        if cold := self.cold.take(now):
+            updates["cold_endpoints"] = cold
         return updates
 
     async def broadcast(self, peers: list[Peer], **updates) -> None:
@@ -186,6 +190,7 @@
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
         self.caches.apply(address, datagram, now)
         self.limits.apply(address, datagram.limits, now)
+        self.cold.apply(datagram.cold_endpoints, now)
         self.node.quarantine.apply(datagram, now)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -12,6 +12,8 @@
     DOMAINS,
     DRAIN_GRACE_SECONDS,
     EVACUATION_SECONDS,
+    RESTART_SECONDS,
+    WARMUP,
     LimitPeriod,
     RouterProcess,
     SoakHarness,
@@ -215,6 +217,13 @@
     origin.limit = None
 
 
+@faults.register("cold")
+async def restart_endpoint(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
+    """Crash an endpoint, which is cold when it has started again."""
+    await harness.crash_endpoint(rng.randrange(len(harness.origins)))
+    await curio.sleep(RESTART_SECONDS + WARMUP.seconds)
+
+
 @faults.register("leave")
 async def drain_and_restart(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
     """Drain an endpoint for `DRAINING_SECONDS`."""
--- a/src/hickorylever/soak/world.py
+++ b/src/hickorylever/soak/world.py
@@ -23,6 +23,7 @@
     Route,
     RouteKind,
     Service,
+    Warmup,
     WeightedService,
 )
 from ..direct.settings import DirectSettings
@@ -49,6 +50,9 @@
 DRAIN_GRACE_SECONDS = 8.0  # Drain time of routers, and time from SIGTERM to SIGKILL.
 EVACUATION_SECONDS = 5.0  # Time after which an evacuated domain must get nothing new.
 DOMAINS = ("a", "b")
+WARMUP = Warmup(3.0, 11.0)
+WARMUP_OVERAGE = 1.5
+WARMUP_ALLOWANCE = 5.0
 ROUTE_KINDS = {
     "unsafe": RouteKind.AT_MOST_ONCE,
     "safe": RouteKind.IDEMPOTENT,
@@ -241,13 +245,17 @@
             drain_grace=DRAIN_GRACE_SECONDS,
             retry_allowance=100.0,
             evacuation_time=EVACUATION_SECONDS,
+            warmup_overage=WARMUP_OVERAGE,
+            warmup_allowance=WARMUP_ALLOWANCE,
         )
         Path(settings.path).write_text(documents.encode_settings(settings), encoding="utf-8")
         return RouterProcess(settings, directory / f"{ip}.log")
 
     async def start_endpoint(self, number: int) -> None:
-        """Start an endpoint again and write its entry to the store."""
+        """Start an endpoint and write its entry to the store; one that starts again is cold."""
         self.start_counts[number] = self.start_counts.get(number, 0) + 1
+        again = self.start_counts[number] > 1
+        self.origins[number].cold_until = now() + WARMUP.seconds if again else 0.0
         self.draining.discard(number)
         self.origins[number].leaving = False
         version = self.origins[number].version
@@ -321,6 +329,7 @@
             number in self.draining,
             started_ms=self.start_counts[number],
             version=self.origins[number].version,
+            warmup_left=self.origins[number].warmup_left(),
         )
         await self.store.put(ENDPOINTS, entry.name, documents.encode_endpoint(entry))
 
@@ -340,7 +349,7 @@
             position=UNKNOWN,
             version=self.version,
             routes=tuple(make_route(name, kind) for name, kind in kinds.items()),
-            services=(Service(SERVICE, "", 0),),
+            services=(Service(SERVICE, "", 0, warmup=WARMUP),),
             accounts=(Account("clerks", (API_KEY,)),),
             limits=CallerLimits(16384, 65536, 3.0, 15.0),
         )
