Keep records of streams in the store while a service has several versions

Change: the two live routers with the lowest rank write the records in segments of the kind that starting routers list anyway, at most every 0.2 s and only when there are new streams; a starting router loads them before it takes its history for complete. Records name when the connection was opened that brought the first event, so that streams which began before their endpoint started again with another version stay known. test_stored_versions: a stream whose version has left is now rejected as version_gone where its record was stored; the case without a record is kept beside it.

--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -26,7 +26,7 @@
     :param reject: called with the error of an entry that can't be decoded.
     :param entry_lifetime: seconds after which the store removes an entry that is not renewed.
     :param on_new_version: called with the hash of the name of an endpoint that has started again
-        with another software version.
+        with another software version, and its start as Unix time in milliseconds.
     :ivar endpoints: endpoints by name.
     :ivar pools: endpoints by service, sorted by name.
     :ivar by_hash: endpoints by the hash of their name.
@@ -43,7 +43,7 @@
         decode,
         reject=lambda error: None,
         entry_lifetime: float = 0.0,
-        on_new_version=lambda key: None,
+        on_new_version=lambda key, started_ms: None,
     ):
         self.decode = decode
         self.reject = reject
@@ -123,7 +123,7 @@
         self.objects[stored.name] = stored
         endpoint = self.endpoints.get(entry.name)
         if endpoint is not None and endpoint.entry.version != entry.version:
-            self.on_new_version(name_hash(entry.name))
+            self.on_new_version(name_hash(entry.name), entry.started_ms)
         if endpoint is None or endpoint.entry.incarnation != entry.incarnation:
             endpoint = self.endpoints[entry.name] = self.create(entry, stored.position.era, now)
         endpoint.entry = entry
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -89,7 +89,7 @@
         if call.stream is not None:
             call.stream.pending_prefill = pending_prefill
             call.stream.on_first_event = lambda: self.node.resumption.record_first_event(
-                call, endpoint
+                call, endpoint, attempt.channel.opened_at
             )
         attempt = Attempt(
             self.node.client,
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -38,6 +38,11 @@
             "hickorylever_streams_resumed_total",
             "Streams that callers took up, by where their version was known from",
         )
+        self.stream_segments = self.make(
+            Counter,
+            "hickorylever_stream_segments_total",
+            "Segments with records of streams that this router wrote to the store, by result",
+        )
         self.store_era = self.make(
             Gauge,
             "hickorylever_store_era",
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -72,7 +72,7 @@
             codec.decode_endpoint,
             self.reject,
             settings.endpoint_entry_lifetime,
-            lambda key: self.peer_sync.streams.table.forget_endpoint(key),
+            lambda *endpoint: self.peer_sync.streams.table.forget_endpoint(*endpoint),
         )
         self.budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -22,6 +22,7 @@
 TICK_SECONDS = 0.02
 DATAGRAM_BUFFER_BYTES = 65536
 MAX_ADDRESSES_PER_DATAGRAM = 64
+MILLISECONDS_PER_SECOND = 1000
 DECODE_ERRORS = (msgspec.DecodeError, TypeError, ValueError)
 
 
@@ -42,7 +43,7 @@
         self.rank = watcher_rank(node.settings.address, node.settings.link_mbps)
         self.registration = Registration(node, self.peers, self.rank)
         self.limits = LimitReports(node, self.peers)
-        self.streams = StreamReports(node, self.peers)
+        self.streams = StreamReports(node, self.peers, self.rank)
         self.sock = None
 
     async def run(self) -> None:
@@ -58,6 +59,7 @@
             await group.spawn(self.pulls.server.serve, listener)
             await group.spawn(self.receive)
             await group.spawn(self.registration.run)
+            await group.spawn(self.streams.records.run)
             while True:
                 await self.tick()
                 await curio.sleep(TICK_SECONDS)
@@ -193,6 +195,14 @@
         """Announce to the other routers that this one is shutting down."""
         await self.broadcast(self.peers.alive(time.monotonic()), leaving=True)
 
+    def unix_ms(self, at: float) -> int:
+        """Return monotonic seconds as Unix time in milliseconds.
+
+        The wall clock is read at the start only, as it may jump.
+        """
+        elapsed = at - self.peers.started_at
+        return self.incarnation + int(MILLISECONDS_PER_SECOND * elapsed)
+
     def announce_load(self, endpoint) -> None:
         """Queue this router's load at an endpoint for the next datagram."""
         self.outbox.queue_load(endpoint.name, endpoint.running, endpoint.prefill)
--- a/src/hickorylever/direct/registration.py
+++ b/src/hickorylever/direct/registration.py
@@ -67,6 +67,7 @@
                 listing = await node.store.list_kind(node.codec.ROUTERS)
                 addresses = map(parse_router_address, listing.objects)
                 self.peers.add_addresses(addresses, time.monotonic())
+                await node.peer_sync.streams.records.load(listing.objects, time.monotonic())
                 self.apply_facts(listing.objects)
                 return
             except HickoryleverError as error:
@@ -126,6 +127,7 @@
                     await self.create()
                 if self.missed_versions():
                     listing = await node.store.list_kind(node.codec.ROUTERS)
+                    await node.peer_sync.streams.records.load(listing.objects, time.monotonic())
                     self.apply_versions(listing.objects)
                 await self.update_facts()
             except HickoryleverError as error:
--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -3,6 +3,8 @@
 import enum
 import time
 
+import curio
+
 from ..events import Event, log
 from ..exceptions import Kind, Ran, RequestError
 from .call import Call
@@ -14,12 +16,15 @@
 UNLIMITED_STREAM_SECONDS = 600.0  # For which a stream without a time limit is remembered.
 EXPIRY_MARGIN_SECONDS = 1.0
 UNKNOWN_RETRY_AFTER_SECONDS = 0.25  # Another router may know the stream.
+RETRY_AFTER_SHARE = 1 / 3  # Callers honour a Retry-After up to this share of the time left.
+LOAD_WAIT_SECONDS = 1.0  # After the start, for the records in the store.
 
 
 class KnownFrom(enum.Enum):
     """From where the version of a stream that a caller takes up is known."""
 
     OWN_RECORD = "own_record"
+    STORED_RECORD = "stored_record"
     ONLY_VERSION = "only_version"
     OTHER_ROUTER = "other_router"
     NOBODY = "nobody"
@@ -51,20 +56,35 @@
         )
         if known_from is KnownFrom.NOBODY:
             detail = "which software version began the stream is not known"
-            raise RequestError(Kind.STREAM_UNKNOWN, detail, Ran.NO, UNKNOWN_RETRY_AFTER_SECONDS)
+            left = RETRY_AFTER_SHARE * max(0.0, call.deadline - time.monotonic())
+            retry_after = min(UNKNOWN_RETRY_AFTER_SECONDS, left)
+            raise RequestError(Kind.STREAM_UNKNOWN, detail, Ran.NO, retry_after)
 
     async def find_version(self, call: Call) -> KnownFrom:
         """Set the service and the version of a caller's stream, and return how they are known."""
-        if self.apply_record(call):
-            return KnownFrom.OWN_RECORD
+        streams = self.node.peer_sync.streams
+        await self.wait_for_records()
+        if record := self.apply_record(call):
+            return KnownFrom.STORED_RECORD if record.stored else KnownFrom.OWN_RECORD
         call.version = self.only_version(call.service.name)
         if call.version is not None:
             return KnownFrom.ONLY_VERSION
         if call.info.resumes:
-            peer_sync = self.node.peer_sync
-            await peer_sync.streams.ask(list(self.keys(call).values()), peer_sync.broadcast)
+            await streams.ask(list(self.keys(call).values()), self.node.peer_sync.broadcast)
         return KnownFrom.OTHER_ROUTER if self.apply_record(call) else KnownFrom.NOBODY
 
+    async def wait_for_records(self) -> None:
+        """Wait until the records in the store are loaded, for a short time after the start.
+
+        Callers may come within milliseconds of it.
+        """
+        node = self.node
+        loaded = node.peer_sync.streams.records.loaded
+        left = node.peer_sync.peers.started_at + LOAD_WAIT_SECONDS - time.monotonic()
+        if left > 0 and not loaded.is_set() and not node.directory.versions.complete:
+            async with curio.ignore_after(left):
+                await loaded.wait()
+
     def keys(self, call: Call) -> dict[str, int]:
         """Return the keys of the stream that a call resumes, by the services of its route."""
         return {
@@ -73,17 +93,20 @@
             if weighted.weight > 0
         }
 
-    def apply_record(self, call: Call) -> bool:
-        """Set a call's service and version if this router knows the stream that it resumes."""
-        table = self.node.peer_sync.streams.table
+    def apply_record(self, call: Call) -> StreamRecord | None:
+        """Set a call's service and version if this router knows the stream that it resumes.
+
+        Returns the record of the stream.
+        """
+        streams = self.node.peer_sync.streams
         now = time.monotonic()
         for name, key in self.keys(call).items():
-            version = table.version(key, now)
-            if version is not None:
+            record = streams.find(key, now)
+            if record is not None:
                 call.service = self.node.routes.service(name)
-                call.version = version
-                return True
-        return False
+                call.version = record.version
+                return record
+        return None
 
     def only_version(self, service: str) -> str | None:
         """Return the only version that can have begun a stream of a service, if there is one."""
@@ -138,11 +161,13 @@
             if endpoint.entry.version in unsettled
         }
 
-    def record_first_event(self, call: Call, endpoint: Endpoint) -> None:
+    def record_first_event(self, call: Call, endpoint: Endpoint, opened_at: float) -> None:
         """Record which version begins a stream, or goes on with it.
 
         Nothing is recorded if the endpoint has started again with another version, since its first
         event may be from either process.
+
+        :param opened_at: monotonic seconds at which the connection to the endpoint was opened.
         """
         version = endpoint.entry.version
         key = name_hash(endpoint.name)
@@ -157,7 +182,7 @@
             call.account_name, call.service.name, began_with or call.info.id
         )
         call.version = version
-        record = StreamRecord(key, version, expires_at)
+        record = StreamRecord(key, version, expires_at, self.node.peer_sync.unix_ms(opened_at))
         self.node.peer_sync.streams.record(call.stream_key, call.service.name, record)
 
     def may_continue(self, call: Call) -> bool:
@@ -167,6 +192,5 @@
         """
         if call.stream is None or not call.stream.event_count:
             return True
-        table = self.node.peer_sync.streams.table
-        known = table.version(call.stream_key, time.monotonic())
-        return known is not None and known == call.version
+        known = self.node.peer_sync.streams.find(call.stream_key, time.monotonic())
+        return known is not None and known.version == call.version
--- a/src/hickorylever/direct/stream_reports.py
+++ b/src/hickorylever/direct/stream_reports.py
@@ -12,12 +12,14 @@
 
 from .peer_protocol import Datagram
 from .peer_table import Peer, PeerTable
+from .stream_records import StreamRecords, other_writers
 from .streams import StreamRecord, StreamTable, StreamUpdate
 
 KEEPER_COUNT = 3  # Routers told of a stream, as some may end together with the one that tells.
 FIRST_ASKED_COUNT = 6  # The alive routers may have changed since the keepers were chosen.
 QUESTION_SECONDS = 0.05  # For the answers of one round.
 QUESTION_ROUNDS = 3
+EXTENSION_SECONDS = 2.0  # By which a time limit must grow for the stream to be stored again.
 MAX_STREAM_UPDATES = 24  # In one datagram, so that it fits a packet.
 
 
@@ -33,15 +35,19 @@
 
     :param node: the components of this router.
     :param peers: table of the other routers.
+    :param rank: rank of this router.
     :ivar table: the streams that this router knows.
+    :ivar records: the records of streams in the store.
     :ivar unreported: services of streams that only this router knows, by key.
     :ivar questions: set when another router tells of the stream, by key.
     """
 
-    def __init__(self, node, peers: PeerTable):
+    def __init__(self, node, peers: PeerTable, rank: int):
         self.node = node
         self.peers = peers
+        self.rank = rank
         self.table = StreamTable()
+        self.records = StreamRecords(node, peers, rank, self.table)
         self.unreported: dict[int, str] = {}
         self.questions: dict[int, curio.Event] = {}
 
@@ -59,15 +65,36 @@
         if not services or not self.unreported:
             return taken
         keys = [key for key, service in self.unreported.items() if service in services]
+        keys = keys[:MAX_STREAM_UPDATES]
         alive = self.peers.alive(now)
-        for key in keys[:MAX_STREAM_UPDATES]:
+        writers = {peer.address for peer in other_writers(self.rank, alive)}
+        self.records.add(keys)
+        for key in keys:
             del self.unreported[key]
             update = self.table.update(key, now)
             if update is not None:
-                for peer in rank_for_stream(key, alive)[:KEEPER_COUNT]:
-                    taken.setdefault(peer.address, []).append(update)
+                keepers = rank_for_stream(key, alive)[:KEEPER_COUNT]
+                for address in writers.union(peer.address for peer in keepers):
+                    taken.setdefault(address, []).append(update)
         return taken
 
+    def find(self, key: int, now: float) -> StreamRecord | None:
+        """Return a stream whose version is certain, or None."""
+        record = self.table.get(key, now)
+        return record if record is not None and self.is_certain(record) else None
+
+    def is_certain(self, record: StreamRecord) -> bool:
+        """Return whether the endpoint that began a stream had the recorded version then.
+
+        It may have started again with another one before its entry said so.
+        """
+        endpoint = self.node.directory.by_hash.get(record.endpoint)
+        return (
+            endpoint is None
+            or endpoint.entry.version == record.version
+            or record.began_before(endpoint.entry.started_ms)
+        )
+
     async def apply(self, datagram: Datagram, now: float) -> None:
         """Record the streams that another router tells of.
 
@@ -75,11 +102,14 @@
         :meth:`.StreamTable.forget_endpoint`.
         """
         for update in datagram.streams:
-            endpoint = self.node.directory.by_hash.get(update.endpoint)
-            if endpoint is not None and endpoint.entry.version != update.version:
-                continue
             expires_at = now + update.seconds_left
-            self.table.add(update.key, StreamRecord(update.endpoint, update.version, expires_at))
+            record = StreamRecord(update.endpoint, update.version, expires_at, update.opened_ms)
+            if not self.is_certain(record):
+                continue
+            known = self.table.get(update.key, now)
+            if known is None or known.expires_at + EXTENSION_SECONDS < expires_at:
+                self.records.add([update.key])
+            self.table.add(update.key, record)
             if update.key in self.questions:
                 await self.questions[update.key].set()
 
--- a/src/hickorylever/direct/streams.py
+++ b/src/hickorylever/direct/streams.py
@@ -7,6 +7,7 @@
 
 from .hashes import hash_strings
 
+CLOCK_MARGIN_MS = 1000  # By which the clocks of two VMs may differ.
 MAX_STREAMS = 65536  # The earliest ones are forgotten first, and can't go on then.
 
 
@@ -17,12 +18,14 @@
     :param endpoint: hash of the name of the endpoint that wrote its first event.
     :param version: of that endpoint's software.
     :param seconds_left: time for which its caller may still take it up.
+    :param opened_ms: see :class:`StreamRecord`.
     """
 
     key: int
     endpoint: int
     version: str
     seconds_left: int
+    opened_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,11 +35,26 @@
     :param endpoint: hash of the name of the endpoint that wrote its first event.
     :param version: of that endpoint's software.
     :param expires_at: monotonic seconds.
+    :param opened_ms: when the connection that brought its first event was opened, as Unix time in
+        milliseconds; 0 when unknown.
+    :param stored: whether the record comes from the store.
     """
 
     endpoint: int
     version: str
     expires_at: float
+    opened_ms: int = 0
+    stored: bool = False
+
+    def began_before(self, started_ms: int) -> bool:
+        """Return whether its first event is certainly from an earlier process of its endpoint.
+
+        The process at the other end of a connection is the one that accepted it. The clocks of
+        the router and of the endpoint may differ by up to `CLOCK_MARGIN_MS`.
+
+        :param started_ms: start of the later process as Unix time in milliseconds.
+        """
+        return 0 < self.opened_ms < started_ms - CLOCK_MARGIN_MS
 
 
 def stream_key(account: str, service: str, request_id: str) -> int:
@@ -76,17 +94,27 @@
         if record is None:
             return None
         seconds_left = int(record.expires_at - now) + 1
-        return StreamUpdate(key, record.endpoint, record.version, seconds_left)
+        return StreamUpdate(key, record.endpoint, record.version, seconds_left, record.opened_ms)
+
+    def load(self, update: StreamUpdate, now: float) -> None:
+        """Add a stream from the store unless it is known; others are forgotten later than it."""
+        if update.key not in self.records and len(self.records) < MAX_STREAMS:
+            self.records[update.key] = StreamRecord(
+                update.endpoint, update.version, now + update.seconds_left, update.opened_ms, True
+            )
+            self.records.move_to_end(update.key, last=False)
 
-    def forget_endpoint(self, endpoint: int) -> None:
+    def forget_endpoint(self, endpoint: int, started_ms: int = 0) -> None:
         """Forget the streams of an endpoint that has started again with another version.
 
-        Which of its two processes wrote their first events isn't known.
+        Which of its two processes wrote their first events isn't known, except for those that
+        certainly began before the later one started.
 
         :param endpoint: hash of its name.
+        :param started_ms: start of the later process as Unix time in milliseconds.
         """
         for key, record in list(self.records.items()):
-            if record.endpoint == endpoint:
+            if record.endpoint == endpoint and not record.began_before(started_ms):
                 del self.records[key]
 
     def expire(self, now: float) -> None:
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -110,3 +110,8 @@
 def stored_versions(fleet):
     """Return the names of the objects of versions in the store."""
     return [name for _, name in fleet.store.objects if name.startswith("version-")]
+
+
+def stored_segments(fleet):
+    """Return the names of the objects with records of streams in the store."""
+    return [name for _, name in fleet.store.objects if name.startswith("streams-")]
--- a/tests/test_stored_versions.py
+++ b/tests/test_stored_versions.py
@@ -3,20 +3,28 @@
 import time
 
 import curio
+import pytest
 from direct_harness import entry
-from stream_fleet import V1_WELL, assert_rejected, play, stored_versions
+from stream_fleet import V1_WELL, assert_rejected, play, stored_segments, stored_versions
 from test_peer_sync import NETWORK
 
 from hickorylever.direct import registration, versions
 
 
-def test_a_version_that_left_is_remembered_after_the_end_of_all_routers(monkeypatch):
-    """The endpoints that are left are no proof that no other version began the stream."""
+@pytest.mark.parametrize("recorded", [False, True])
+def test_a_version_that_left_is_remembered_after_the_end_of_all_routers(monkeypatch, recorded):
+    """The endpoints that are left are no proof that no other version began the stream.
+
+    With a record of the stream itself, the caller learns that its version is gone.
+    """
     monkeypatch.setattr(registration, "REGISTER_RETRY_SECONDS", 0.05)
 
     async def scenario(fleet):
+        if not recorded:
+            fleet.nodes[0].peer_sync.streams.records.add = lambda keys: None
         first = await fleet.begin(fleet.nodes[0])
         await fleet.until(lambda: len(stored_versions(fleet)) == 2)
+        await fleet.until(lambda: bool(stored_segments(fleet)) is recorded)
         for number in (0, V1_WELL):
             await fleet.store.remove("servers", f"i-{number}")
         (node,) = fleet.nodes
@@ -24,7 +32,8 @@
         await fleet.end(node)
         starting = await fleet.start(5)
         await fleet.until(lambda: starting.ready() and starting.directory.versions.complete)
-        assert_rejected(fleet, await fleet.resume(starting, first))
+        expected = "version_gone" if recorded else "stream_unknown"
+        assert_rejected(fleet, await fleet.resume(starting, first), expected)
 
     play(scenario, 1)
 
