Resume no stream at an endpoint that may have restarted with another version

Cause: an endpoint that crashes and starts again serves before its new entry reaches the routers. Until then they took the version of its former process for that of the new one: a retry within a response, or a caller's resumption, continued at it, and the response was complete with events of two versions. When the entry came, all streams of the endpoint were forgotten, as any might be from either process. Change: an endpoint that refuses a connection after it broke off a stream has ended. Its entry is doubted (told to the other routers) until one of its next process arrives, or it has been reachable for 2.5 s; no stream goes on there, and none that begins there is recorded. Streams whose first event came before the refusal keep their version.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -9,7 +9,7 @@
 import curio
 import h11
 
-from ..exceptions import ConnectionLost, InconsistentResponse, PeerTimeout
+from ..exceptions import ConnectionLost, InconsistentResponse, PeerRefused, PeerTimeout
 from ..http import Channel, Client, ClientResponse, header
 from .endpoints import Endpoint
 from .records import AnswerInfo
@@ -36,12 +36,16 @@
     EXPIRED = "expired"
 
 
+CONNECTION_FAILURES = frozenset((Result.NOT_SENT, Result.LOST, Result.BROKEN))
+
+
 @dataclass(slots=True)
 class Outcome:
     """Outcome of an attempt.
 
     :param status: HTTP status of the endpoint's own response; 0 if there was none.
     :param body: body of a response that was not streamed.
+    :param refused: the endpoint refused a connection, so that its process has ended.
     :param lost_early: the connection failed before the endpoint had written much of its answer.
     """
 
@@ -52,6 +56,7 @@
     body: bytes = b""
     info: AnswerInfo | None = None
     lost_early: bool = False
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +127,7 @@
             outcome = Outcome(self.failure_result(), str(error) or repr(error))
             lost = isinstance(error, ConnectionLost) and not isinstance(error, PeerTimeout)
             outcome.lost_early = lost and not self.begun
+            outcome.refused = isinstance(error, PeerRefused)
         except BaseException:
             await self.close()
             raise
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -116,6 +116,7 @@
             endpoint.running -= 1
             pending_prefill.complete()
         self.observations.record_outcome(call, endpoint, outcome, time.monotonic() - began)
+        await self.node.resumption.check_endpoint(call, endpoint, outcome)
         return outcome
 
     def log_choice(self, call: Call, choice: Choice) -> None:
@@ -160,6 +161,7 @@
         """Return whether the call could be retried on another endpoint now."""
         now = time.monotonic()
         service = call.service.name
+        avoid = call.tried | self.node.resumption.doubted_endpoints(call)
         return (
             call.deadline - now >= MIN_RETRY_SECONDS
             and self.node.budget.remaining(service, now) >= 1.0
@@ -167,7 +169,7 @@
             and any(
                 endpoint.usable(now) and not endpoint.silent(now)
                 for endpoint in self.node.directory.endpoints_of_version(service, call.version)
-                if endpoint.name not in call.tried
+                if endpoint.name not in avoid
             )
         )
 
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -19,6 +19,7 @@
 from .position import NO_CONFIGURATION, ConfigurationState, Decision, KnownState, Position, decide
 from .quarantine import Quarantine
 from .records import Changes, Configuration, Listing, StoredObject
+from .restarts import Restarts
 from .resumption import Resumption
 from .routes import RouteTable
 from .settings import DirectSettings
@@ -78,6 +79,7 @@
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
         )
         self.quarantine = Quarantine()
+        self.restarts = Restarts()
         self.resumption = Resumption(self)
         self.routes: RouteTable | None = None
         self.configuration_callbacks: list[Callable[[RouteTable], None]] = []
@@ -243,6 +245,7 @@
             self.directory.expire(time.monotonic())
             self.quarantine.tracker.expire(time.monotonic())
             self.peer_sync.streams.expire(time.monotonic())
+            self.restarts.expire(self.directory.by_hash, time.monotonic())
             self.resumption.check_contact(time.monotonic())
             await self.client.reap()
 
--- a/src/hickorylever/direct/observations.py
+++ b/src/hickorylever/direct/observations.py
@@ -30,6 +30,7 @@
         now = time.monotonic()
         if info.status != 421:  # Another endpoint may have the address now.
             node.quarantine.record_alive(endpoint, sent_at)
+            node.restarts.record_connection(endpoint, sent_at)
         if info.retry_after is not None:
             endpoint.defer(info.retry_after, now)
             log(Event.ENDPOINT_DEFERS, endpoint.name, seconds=info.retry_after)
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -116,6 +116,8 @@
     :param suspects: causes in quarantine.
     :param streams: streams that have begun.
     :param stream_questions: keys of streams that the sender asks for.
+    :param ended_endpoints: hashes of the names of endpoints that have ended, see
+        :mod:`.restarts`.
     """
 
     incarnation: int
@@ -135,6 +137,7 @@
     limits: list[LimitUpdate] = []
     streams: list[StreamUpdate] = []
     stream_questions: list[int] = []
+    ended_endpoints: list[int] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -90,6 +90,8 @@
         updates = self.node.quarantine.take_updates(now)
         if limits := self.limits.take():
             updates["limits"] = limits
+        if ended := self.node.restarts.take_reports():
+            updates["ended_endpoints"] = ended
         return updates
 
     async def broadcast(self, peers: list[Peer], **updates) -> None:
@@ -177,6 +179,9 @@
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
         self.limits.apply(address, datagram.limits, now)
         self.node.quarantine.apply(datagram, now)
+        for key in datagram.ended_endpoints:
+            if (endpoint := by_hash.get(key)) is not None:
+                self.node.restarts.record_refusal(endpoint, now, report=False)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
 
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -110,10 +110,12 @@
 
     def choose_endpoint(self, call: Call) -> Choice | None:
         """Return the best endpoint for the call at this moment."""
-        unsettled = self.node.resumption.unsettled_endpoints(call)
-        choice = self.choose_endpoint_except(call, call.tried | unsettled)
+        resumption = self.node.resumption
+        avoid = call.tried | resumption.doubted_endpoints(call)
+        unsettled = resumption.unsettled_endpoints(call)
+        choice = self.choose_endpoint_except(call, avoid | unsettled)
         if choice is None and unsettled:
-            return self.choose_endpoint_except(call, call.tried)
+            return self.choose_endpoint_except(call, avoid)
         return choice
 
     def choose_endpoint_except(self, call: Call, avoid: set[str]) -> Choice | None:
--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -6,12 +6,15 @@
 import curio
 
 from ..events import Event, log
-from ..exceptions import Kind, Ran, RequestError
+from ..exceptions import ConnectionLost, Kind, PeerRefused, Ran, RequestError
+from ..http.client import connect
+from .attempt import CONNECTION_FAILURES, Outcome, Result
 from .call import Call
 from .endpoints import Endpoint
 from .hashes import name_hash
 from .peer_table import CONTACT_SECONDS
-from .streams import StreamRecord, stream_key
+from .restarts import PROBE_SECONDS
+from .streams import KnownBy, StreamRecord, stream_key
 
 UNLIMITED_STREAM_SECONDS = 600.0  # For which a stream without a time limit is remembered.
 EXPIRY_MARGIN_SECONDS = 1.0
@@ -65,7 +68,8 @@
         streams = self.node.peer_sync.streams
         await self.wait_for_records()
         if record := self.apply_record(call):
-            return KnownFrom.STORED_RECORD if record.stored else KnownFrom.OWN_RECORD
+            stored = record.known_by is KnownBy.STORE
+            return KnownFrom.STORED_RECORD if stored else KnownFrom.OWN_RECORD
         call.version = self.only_version(call.service.name)
         if call.version is not None:
             return KnownFrom.ONLY_VERSION
@@ -147,7 +151,7 @@
         return {service for service, _ in versions.mixed(now)}
 
     def unsettled_endpoints(self, call: Call) -> set[str]:
-        """Return the names of the endpoints at which a stream should not begin yet."""
+        """Return the names of the endpoints at which a new stream should not begin yet."""
         if call.stream is None or not call.route.resumable or call.version is not None:
             return set()
         directory = self.node.directory
@@ -161,11 +165,54 @@
             if endpoint.entry.version in unsettled
         }
 
+    def doubted_endpoints(self, call: Call) -> set[str]:
+        """Return the names of the endpoints at which a stream that has begun must not go on now.
+
+        Their entries may be out of date, see :mod:`.restarts`.
+        """
+        restarts = self.node.restarts
+        if call.version is None or not restarts.doubts:
+            return set()
+        now = time.monotonic()
+        return {
+            endpoint.name
+            for endpoint in self.node.directory.pool(call.service.name)
+            if restarts.is_doubted(endpoint, now)
+        }
+
+    async def check_endpoint(self, call: Call, endpoint: Endpoint, outcome: Outcome) -> None:
+        """Find out whether an endpoint that broke off a stream has ended.
+
+        A crash closes the listening socket too, which one broken connection does not.
+        """
+        if outcome.result not in CONNECTION_FAILURES or not call.route.resumable:
+            return
+        refused = outcome.refused
+        if outcome.result is not Result.NOT_SENT:
+            entry = endpoint.entry
+            try:
+                sock = await connect(entry.address, entry.port, PROBE_SECONDS)
+                await sock.close()
+            except PeerRefused:
+                refused = True
+            except ConnectionLost:
+                pass
+        if refused and self.node.directory.by_hash.get(name_hash(endpoint.name)) is endpoint:
+            self.record_end(endpoint)
+
+    def record_end(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint has ended, and that its streams have its entry's version."""
+        now = time.monotonic()
+        if self.node.restarts.record_refusal(endpoint, now):
+            log(Event.ENDPOINT_ENDED, endpoint.name, version=endpoint.entry.version)
+            streams = self.node.peer_sync.streams
+            streams.settle_endpoint(name_hash(endpoint.name), endpoint.entry.service)
+
     def record_first_event(self, call: Call, endpoint: Endpoint, opened_at: float) -> None:
         """Record which version begins a stream, or goes on with it.
 
-        Nothing is recorded if the endpoint has started again with another version, since its first
-        event may be from either process.
+        Nothing is recorded if the endpoint has started again with another version, or may have,
+        since its first event may be from either process.
 
         :param opened_at: monotonic seconds at which the connection to the endpoint was opened.
         """
@@ -174,6 +221,8 @@
         current = self.node.directory.by_hash.get(key)
         if current is not None and current.entry.version != version:
             return
+        if call.route.resumable and not self.settle_connection(endpoint, opened_at):
+            return
         limit = call.info.time_limit
         lifetime = UNLIMITED_STREAM_SECONDS if limit is None else limit
         expires_at = call.started_at + lifetime + EXPIRY_MARGIN_SECONDS
@@ -182,9 +231,18 @@
             call.account_name, call.service.name, began_with or call.info.id
         )
         call.version = version
-        record = StreamRecord(key, version, expires_at, self.node.peer_sync.unix_ms(opened_at))
+        opened_ms = self.node.peer_sync.unix_ms(opened_at)
+        record = StreamRecord(key, version, expires_at, opened_ms, KnownBy.OWN_EVENT)
         self.node.peer_sync.streams.record(call.stream_key, call.service.name, record)
 
+    def settle_connection(self, endpoint: Endpoint, opened_at: float) -> bool:
+        """Return whether the process behind a connection is the one of the endpoint's entry."""
+        restarts = self.node.restarts
+        restarts.record_connection(endpoint, opened_at)
+        now = time.monotonic()
+        doubt = restarts.doubts.get(name_hash(endpoint.name))
+        return doubt is None or opened_at < doubt.since or not restarts.is_doubted(endpoint, now)
+
     def may_continue(self, call: Call) -> bool:
         """Return whether a call may be sent to another endpoint.
 
--- a/src/hickorylever/direct/stream_reports.py
+++ b/src/hickorylever/direct/stream_reports.py
@@ -5,6 +5,7 @@
 that it doesn't know asks these first, and then all.
 """
 
+import dataclasses
 from collections.abc import Iterable
 
 import curio
@@ -13,7 +14,7 @@
 from .peer_protocol import Datagram
 from .peer_table import Peer, PeerTable
 from .stream_records import StreamRecords, other_writers
-from .streams import StreamRecord, StreamTable, StreamUpdate
+from .streams import ANY_ENDPOINT, StreamRecord, StreamTable, StreamUpdate
 
 KEEPER_COUNT = 3  # Routers told of a stream, as some may end together with the one that tells.
 FIRST_ASKED_COUNT = 6  # The alive routers may have changed since the keepers were chosen.
@@ -78,6 +79,17 @@
                     taken.setdefault(address, []).append(update)
         return taken
 
+    def settle_endpoint(self, endpoint: int, service: str) -> None:
+        """Report again the streams that this router knows from an endpoint that has ended.
+
+        It refused a connection, so that the next process has not started yet, and none of the
+        connections before was to it.
+
+        :param endpoint: hash of its name.
+        """
+        for key in self.table.settle_endpoint(endpoint):
+            self.unreported[key] = service
+
     def find(self, key: int, now: float) -> StreamRecord | None:
         """Return a stream whose version is certain, or None."""
         record = self.table.get(key, now)
@@ -107,7 +119,13 @@
             if not self.is_certain(record):
                 continue
             known = self.table.get(update.key, now)
-            if known is None or known.expires_at + EXTENSION_SECONDS < expires_at:
+            if known is not None and known.endpoint == ANY_ENDPOINT:
+                record = dataclasses.replace(record, endpoint=ANY_ENDPOINT)
+            if (
+                known is None
+                or known.endpoint != record.endpoint
+                or known.expires_at + EXTENSION_SECONDS < expires_at
+            ):
                 self.records.add([update.key])
             self.table.add(update.key, record)
             if update.key in self.questions:
--- a/src/hickorylever/direct/streams.py
+++ b/src/hickorylever/direct/streams.py
@@ -1,5 +1,7 @@
 """Which software version wrote the first event of each stream."""
 
+import dataclasses
+import enum
 from collections import OrderedDict
 from dataclasses import dataclass
 
@@ -7,10 +9,19 @@
 
 from .hashes import hash_strings
 
+ANY_ENDPOINT = 0  # In place of the hash of an endpoint's name.
 CLOCK_MARGIN_MS = 1000  # By which the clocks of two VMs may differ.
 MAX_STREAMS = 65536  # The earliest ones are forgotten first, and can't go on then.
 
 
+class KnownBy(enum.Enum):
+    """From where a router knows a stream."""
+
+    OWN_EVENT = "own_event"
+    DATAGRAM = "datagram"
+    STORE = "store"
+
+
 class StreamUpdate(msgspec.Struct, array_like=True, frozen=True):
     """A stream that has begun.
 
@@ -32,19 +43,20 @@
 class StreamRecord:
     """A stream that has begun.
 
-    :param endpoint: hash of the name of the endpoint that wrote its first event.
+    :param endpoint: hash of the name of the endpoint that wrote its first event, or
+        `ANY_ENDPOINT` if the version is certain whatever becomes of the endpoint.
     :param version: of that endpoint's software.
     :param expires_at: monotonic seconds.
     :param opened_ms: when the connection that brought its first event was opened, as Unix time in
         milliseconds; 0 when unknown.
-    :param stored: whether the record comes from the store.
+    :param known_by: from where this router knows it.
     """
 
     endpoint: int
     version: str
     expires_at: float
     opened_ms: int = 0
-    stored: bool = False
+    known_by: KnownBy = KnownBy.DATAGRAM
 
     def began_before(self, started_ms: int) -> bool:
         """Return whether its first event is certainly from an earlier process of its endpoint.
@@ -100,7 +112,11 @@
         """Add a stream from the store unless it is known; others are forgotten later than it."""
         if update.key not in self.records and len(self.records) < MAX_STREAMS:
             self.records[update.key] = StreamRecord(
-                update.endpoint, update.version, now + update.seconds_left, update.opened_ms, True
+                update.endpoint,
+                update.version,
+                now + update.seconds_left,
+                update.opened_ms,
+                KnownBy.STORE,
             )
             self.records.move_to_end(update.key, last=False)
 
@@ -117,6 +133,22 @@
             if record.endpoint == endpoint and not record.began_before(started_ms):
                 del self.records[key]
 
+    def settle_endpoint(self, endpoint: int) -> list[int]:
+        """Record that the versions of an endpoint's streams are certain, and return their keys.
+
+        Only streams whose first event this router passed on itself are meant.
+
+        :param endpoint: hash of its name.
+        """
+        keys = [
+            key
+            for key, record in self.records.items()
+            if record.endpoint == endpoint and record.known_by is KnownBy.OWN_EVENT
+        ]
+        for key in keys:
+            self.records[key] = dataclasses.replace(self.records[key], endpoint=ANY_ENDPOINT)
+        return keys
+
     def expire(self, now: float) -> None:
         """Forget streams that their callers don't take up any more."""
         for key, record in list(self.records.items()):
--- a/src/hickorylever/exceptions.py
+++ b/src/hickorylever/exceptions.py
@@ -156,6 +156,10 @@
     """Raised when a connection was closed or reset, or the peer stopped responding."""
 
 
+class PeerRefused(ConnectionLost):
+    """Raised when a peer refuses a connection. Nothing listens at its address."""
+
+
 class PeerTimeout(ConnectionLost):
     """Raised when a peer sends nothing within its timeout. It may still be working."""
 
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -11,7 +11,7 @@
 from curio import socket
 
 from .. import defaults
-from ..exceptions import ConnectionLost
+from ..exceptions import ConnectionLost, PeerRefused
 from .channel import Channel, set_socket_options
 from .headers import Headers, header
 
@@ -146,11 +146,15 @@
 
     :param address: IPv4 address.
     :param timeout: seconds.
+    :raises PeerRefused: if the peer refuses the connection.
     :raises ConnectionLost: if the connection fails or times out.
     """
     sock = socket.socket(stdsocket.AF_INET, stdsocket.SOCK_STREAM)
     try:
         await curio.timeout_after(timeout, sock.connect, (address, port))
+    except ConnectionRefusedError as error:
+        await sock.close()
+        raise PeerRefused(f"{address}:{port}: {error!r}") from None
     except (OSError, curio.TaskTimeout) as error:
         await sock.close()
         raise ConnectionLost(f"{address}:{port}: {error!r}") from None
