Take an endpoint whose connections all broke for ended

Cause: the next process of an endpoint may listen before any connection is refused. Change: where all connections of a router to an endpoint broke at once, or all idle ones are closed, its entry is doubted as after a refusal. Pools of connections are looked at before a stream is resumed.

--- /dev/null
+++ b/src/hickorylever/direct/crash_checks.py
@@ -0,0 +1,73 @@
+"""Finds out whether an endpoint that broke off a stream has crashed."""
+
+import time
+
+from ..events import Event, log
+from ..exceptions import ConnectionLost, PeerRefused
+from ..http.client import connect
+from .attempt import CONNECTION_FAILURES, Outcome, Result
+from .call import Call
+from .endpoints import Endpoint
+from .hashes import name_hash
+
+PROBE_SECONDS = 0.15  # For a connection that shows whether an endpoint still listens.
+
+
+async def check_endpoint(
+    node, call: Call, endpoint: Endpoint, outcome: Outcome, began: float
+) -> None:
+    """Doubt the entry of an endpoint that has crashed, after an attempt for a resumable route.
+
+    A crash closes all its connections and its listening socket, which a broken connection alone
+    does not. The next process may listen before the first connection is refused.
+
+    :param node: the components of this router.
+    :param began: monotonic seconds at which the attempt began.
+    """
+    if outcome.result not in CONNECTION_FAILURES or not call.route.resumable:
+        return
+    ended = outcome.refused
+    if outcome.result is not Result.NOT_SENT:
+        now = time.monotonic()
+        entry = endpoint.entry
+        all_broke = node.restarts.record_break(endpoint, began, now)
+        ended = await refuses_connections(endpoint)
+        idle = node.client.idle_states(entry.address, entry.port, now)
+        ended = ended or ((all_broke or bool(idle)) and not any(idle))
+    if ended and node.directory.by_hash.get(name_hash(endpoint.name)) is endpoint:
+        record_end(node, endpoint)
+
+
+def check_idle(node, endpoint: Endpoint, now: float) -> None:
+    """Doubt the entry of an endpoint that has closed all idle connections.
+
+    Those that this router would not use any more are removed before endpoints close them.
+
+    :param node: the components of this router.
+    """
+    if not node.restarts.is_doubted(endpoint, now):
+        entry = endpoint.entry
+        idle = node.client.idle_states(entry.address, entry.port, now)
+        if idle and not any(idle):
+            record_end(node, endpoint)
+
+
+def record_end(node, endpoint: Endpoint) -> None:
+    """Record that an endpoint has ended, and that its streams have its entry's version."""
+    if node.restarts.record_refusal(endpoint, time.monotonic()):
+        log(Event.ENDPOINT_ENDED, endpoint.name, version=endpoint.entry.version)
+        streams = node.peer_sync.streams
+        streams.settle_endpoint(name_hash(endpoint.name), endpoint.entry.service)
+
+
+async def refuses_connections(endpoint: Endpoint) -> bool:
+    """Return whether an endpoint refuses a connection."""
+    entry = endpoint.entry
+    try:
+        sock = await connect(entry.address, entry.port, PROBE_SECONDS)
+        await sock.close()
+    except PeerRefused:
+        return True
+    except ConnectionLost:
+        pass
+    return False
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -8,6 +8,7 @@
 from .attempt import Attempt, Outcome, Result, UpstreamRequest
 from .availability import retry_after
 from .call import Call
+from .crash_checks import check_endpoint
 from .endpoints import Endpoint
 from .observations import Observations
 from .placement import Choice
@@ -77,6 +78,7 @@
         self.log_choice(call, choice)
         began = time.monotonic()
         endpoint.add_request(choice.uncached, began)
+        self.node.restarts.begin_attempt(endpoint, began)
         if endpoint.rate_limit is not None:
             self.node.peer_sync.limits.queue(endpoint)
         peer_sync = self.node.peer_sync
@@ -114,9 +116,10 @@
             raise
         finally:
             endpoint.running -= 1
+            self.node.restarts.end_attempt(endpoint, began)
             pending_prefill.complete()
         self.observations.record_outcome(call, endpoint, outcome, time.monotonic() - began)
-        await self.node.resumption.check_endpoint(call, endpoint, outcome)
+        await check_endpoint(self.node, call, endpoint, outcome, began)
         return outcome
 
     def log_choice(self, call: Call, choice: Choice) -> None:
--- a/src/hickorylever/direct/restarts.py
+++ b/src/hickorylever/direct/restarts.py
@@ -4,8 +4,8 @@
 entry reaches the routers later. Until then its entry may name another software version than the
 one that serves, and a stream must neither go on there nor be recorded with that version. The load
 that this handles: requests that arrive within moments of a crash. An endpoint whose connections
-are refused has ended. Its entry is doubted until one of its next process arrives, or until it has
-been reachable for so long that a new entry would have arrived.
+are refused, or break all at once, has ended. Its entry is doubted until one of its next process
+arrives, or until it has been reachable for so long that a new entry would have arrived.
 """
 
 from dataclasses import dataclass
@@ -15,7 +15,7 @@
 from .versions import SETTLE_SECONDS
 
 REPORT_COUNT = 2  # Datagrams that report a doubt, as one may be lost.
-PROBE_SECONDS = 0.15  # For a connection that shows whether an endpoint has ended.
+SAME_BREAK_SECONDS = 0.1  # Between connections that break at once.
 
 
 @dataclass(slots=True)
@@ -36,12 +36,41 @@
     """The endpoints whose entries are doubted, by the hash of their name.
 
     :ivar reports: how many datagrams still report a doubt, by the hash of the endpoint's name.
+    :ivar active: when each attempt in flight at an endpoint began, by the name of the endpoint.
+    :ivar breaks: when the latest attempt at an endpoint broke, by the name of the endpoint.
     """
 
     def __init__(self):
+        self.active: dict[str, list[float]] = {}
+        self.breaks: dict[str, float] = {}
         self.doubts: dict[int, Doubt] = {}
         self.reports: dict[int, int] = {}
 
+    def begin_attempt(self, endpoint: Endpoint, now: float) -> None:
+        """Record that an attempt begins."""
+        self.active.setdefault(endpoint.name, []).append(now)
+
+    def end_attempt(self, endpoint: Endpoint, began: float) -> None:
+        """Record that an attempt has ended in any way."""
+        active = self.active[endpoint.name]
+        active.remove(began)
+        if not active:
+            del self.active[endpoint.name]
+
+    def record_break(self, endpoint: Endpoint, began: float, now: float) -> bool:
+        """Record that a connection broke, and return whether all of this router's did at once.
+
+        A crash breaks all connections of an endpoint. Where the next process is there at once, no
+        connection is refused.
+
+        :param began: when the attempt began whose connection broke.
+        """
+        earlier = self.breaks.get(endpoint.name)
+        self.breaks[endpoint.name] = now
+        if earlier is None or began >= earlier or now - earlier > SAME_BREAK_SECONDS:
+            return False
+        return all(start >= earlier for start in self.active.get(endpoint.name, ()))
+
     def record_refusal(self, endpoint: Endpoint, now: float, report: bool = True) -> bool:
         """Doubt an endpoint's entry, and return whether it was not doubted before.
 
@@ -79,7 +108,10 @@
         return keys
 
     def expire(self, by_hash: dict[int, Endpoint], now: float) -> None:
-        """Forget doubts that are settled, and those of endpoints that are gone."""
+        """Forget doubts that are settled, those of endpoints that are gone, and earlier breaks."""
+        self.breaks = {
+            name: at for name, at in self.breaks.items() if now - at <= SAME_BREAK_SECONDS
+        }
         for key in list(self.doubts):
             endpoint = by_hash.get(key)
             if endpoint is None or not self.is_doubted(endpoint, now):
--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -6,14 +6,12 @@
 import curio
 
 from ..events import Event, log
-from ..exceptions import ConnectionLost, Kind, PeerRefused, Ran, RequestError
-from ..http.client import connect
-from .attempt import CONNECTION_FAILURES, Outcome, Result
+from ..exceptions import Kind, Ran, RequestError
 from .call import Call
+from .crash_checks import check_idle
 from .endpoints import Endpoint
 from .hashes import name_hash
 from .peer_table import CONTACT_SECONDS
-from .restarts import PROBE_SECONDS
 from .streams import KnownBy, StreamRecord, stream_key
 
 UNLIMITED_STREAM_SECONDS = 600.0  # For which a stream without a time limit is remembered.
@@ -170,43 +168,14 @@
 
         Their entries may be out of date, see :mod:`.restarts`.
         """
-        restarts = self.node.restarts
-        if call.version is None or not restarts.doubts:
+        if call.version is None or not call.route.resumable:
             return set()
+        node = self.node
         now = time.monotonic()
-        return {
-            endpoint.name
-            for endpoint in self.node.directory.pool(call.service.name)
-            if restarts.is_doubted(endpoint, now)
-        }
-
-    async def check_endpoint(self, call: Call, endpoint: Endpoint, outcome: Outcome) -> None:
-        """Find out whether an endpoint that broke off a stream has ended.
-
-        A crash closes the listening socket too, which one broken connection does not.
-        """
-        if outcome.result not in CONNECTION_FAILURES or not call.route.resumable:
-            return
-        refused = outcome.refused
-        if outcome.result is not Result.NOT_SENT:
-            entry = endpoint.entry
-            try:
-                sock = await connect(entry.address, entry.port, PROBE_SECONDS)
-                await sock.close()
-            except PeerRefused:
-                refused = True
-            except ConnectionLost:
-                pass
-        if refused and self.node.directory.by_hash.get(name_hash(endpoint.name)) is endpoint:
-            self.record_end(endpoint)
-
-    def record_end(self, endpoint: Endpoint) -> None:
-        """Record that an endpoint has ended, and that its streams have its entry's version."""
-        now = time.monotonic()
-        if self.node.restarts.record_refusal(endpoint, now):
-            log(Event.ENDPOINT_ENDED, endpoint.name, version=endpoint.entry.version)
-            streams = self.node.peer_sync.streams
-            streams.settle_endpoint(name_hash(endpoint.name), endpoint.entry.service)
+        pool = node.directory.endpoints_of_version(call.service.name, call.version)
+        for endpoint in pool:
+            check_idle(node, endpoint, now)
+        return {endpoint.name for endpoint in pool if node.restarts.is_doubted(endpoint, now)}
 
     def record_first_event(self, call: Call, endpoint: Endpoint, opened_at: float) -> None:
         """Record which version begins a stream, or goes on with it.
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -165,6 +165,17 @@
     return sock
 
 
+def is_open(channel: Channel) -> bool:
+    """Return whether the peer has kept an idle connection open and has sent nothing on it."""
+    try:
+        channel.raw.recv(1, stdsocket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 class Client:
     """Sends requests over pooled connections.
 
@@ -218,13 +229,17 @@
         max_idle = min(self.max_idle, channel.idle_timeout)
         if now - channel.opened_at > self.max_age / 2 or now - channel.last_used_at > max_idle / 2:
             return False
-        try:
-            channel.raw.recv(1, stdsocket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return is_open(channel)
+
+    def idle_states(self, address: str, port: int, before: float) -> list[bool]:
+        """Return for each idle connection to a peer whether the peer has kept it open.
+
+        Those that it closed are removed by :meth:`reap`.
+
+        :param before: only connections opened before are meant, in monotonic seconds.
+        """
+        channels = self.idle.get((address, port), ())
+        return [is_open(channel) for channel in channels if channel.opened_at < before]
 
     async def release(self, address: str, port: int, channel: Channel) -> None:
         """Return a connection to the pool after a complete exchange.
