Model and soak: the end of all routers, and endpoints that restart with another version

Cause: no model and no fault had routers end together with stored records, or endpoints that serve under their name with another version before their entry says so. Change: spec/streams.py lets routers end together; three broken variants (recorded at dispatch, the present version recorded, answered before the records are loaded) each fail. Soak: fault 'upgrade'; the check for lost streams counts under kill_all, too. A probe counts a connection that is closed at once as refused, as proxies close them.

--- a/spec/streams.py
+++ b/spec/streams.py
@@ -1,8 +1,9 @@
 """Model of a stream that its caller takes up while the versions of a service come and go.
 
-Two routers learn of the endpoints' versions, tell each other which version began the stream, and
-may be cut off from each other and from the store, end and start again. Steps are named after what
-:mod:`hickorylever.direct.resumption`, `stream_reports` and `registration` do.
+Two routers learn of the endpoints' versions, tell each other which version began the stream, write
+it to the store, and may be cut off from each other and from the store, end alone or together and
+start again. Steps are named after what :mod:`hickorylever.direct.resumption`, `stream_reports`,
+`stream_records` and `registration` do.
 
 Assumed: routers in contact hear at once that another one has learned of a change (their datagrams
 say so), and a version does not leave before the store holds that there were two. Routers wait
@@ -58,6 +59,9 @@
     :param kills_left: ends of routers that may still happen.
     :param cuts_left: cuts of routers that may still happen.
     :param needless: whether a stream was rejected at a router that could have known.
+    :param stored: version that began the stream as the store's record says, or 0.
+    :param together: whether routers end together rather than alone. Records are only needed then.
+    :param all_ended: whether all routers have ended together since the record was written.
     """
 
     present: frozenset = frozenset({1})
@@ -70,6 +74,9 @@
     kills_left: int = 1
     cuts_left: int = 1
     needless: bool = False
+    stored: int = 0
+    together: bool = False
+    all_ended: bool = False
 
 
 def possible(router: Router, variant: str = "") -> frozenset:
@@ -112,6 +119,13 @@
             yield f"leave {version}", changed._replace(present=state.present - {version})
 
 
+def end_all(state: State) -> State:
+    """Return the state after all routers have ended together; datagrams on their way are lost."""
+    for number in ROUTERS:
+        state = with_router(state, number, alive=False, known=0, told=False)
+    return state._replace(telling=None, all_ended=bool(state.stored))
+
+
 def router_transitions(state: State, number: int, variant: str):
     """Yield the steps of one router beside those of the stream."""
     router = state.routers[number]
@@ -121,7 +135,10 @@
         return
     if state.kills_left:
         killed = state._replace(kills_left=state.kills_left - 1)
-        yield f"kill {number}", with_router(killed, number, alive=False, known=0, told=False)
+        if not state.together:
+            yield f"kill {number}", with_router(killed, number, alive=False, known=0, told=False)
+        elif number == 0:
+            yield "kill all", end_all(killed)
     if not router.contact:
         yield f"heal {number}", with_router(state, number, contact=True, heard=state.revision)
         return
@@ -140,7 +157,9 @@
         yield f"learn {number}", learned
     if not router.complete and is_current(state, number):
         departed = router.departed | state.facts
-        yield f"list {number}", with_router(state, number, departed=departed, complete=True)
+        known = router.known if variant == "complete_before_load" else router.known or state.stored
+        listed = with_router(state, number, departed=departed, complete=True, known=known)
+        yield f"list {number}", listed
     mixed = possible(router)
     if len(mixed) > 1 and not state.facts >= mixed and variant != "no_facts":
         yield f"store {number}", state._replace(facts=state.facts | mixed)
@@ -172,12 +191,21 @@
                         telling=(1 - number, version), written=frozenset({later})
                     )
                     yield f"begin {version}, {later} at {number}", retried
+            if variant == "stored_at_dispatch" and state.together and router.contact:
+                for later in settled(state, number, variant):
+                    retried = with_router(state, number, known=later)
+                    retried = retried._replace(stored=version, written=frozenset({later}))
+                    yield f"begin {version}, {later} at {number}", retried
         return
     reaches = router.contact and other.alive and other.contact
     certain = only_version(state, number, variant)
     if router.known and not router.told and not certain and reaches and state.telling is None:
         told = with_router(state, number, told=True)
         yield f"tell {number}", told._replace(telling=(1 - number, router.known))
+    unstored = state.together and state.kills_left and not state.stored
+    if unstored and router.known and not certain and router.contact:
+        began = max(state.present) if variant == "stored_present" else router.known
+        yield f"record {number}", state._replace(stored=began)
     yield resume(state, number, variant)
 
 
@@ -189,7 +217,9 @@
     if variant == "any_version":
         version = max(router.present)
     if not version:
-        return f"reject {number}", state._replace(needless=state.needless or bool(asked))
+        loaded = state.all_ended and router.complete and router.contact
+        needless = state.needless or bool(asked) or loaded
+        return f"reject {number}", state._replace(needless=needless)
     if version not in router.present & state.present:
         return f"gone {number}", state
     resumed = with_router(state, number, known=version)
@@ -216,14 +246,16 @@
     ]
 
 
-def streams(variant: str = "") -> Protocol:
+def streams(variant: str = "", together: bool = False) -> Protocol:
     """Return the model of a stream that is taken up.
 
     :param variant: ``any_version``, ``only_present``, ``no_contact``, ``no_completeness``,
-        ``no_facts``, ``no_gap``, ``no_wait`` or ``told_at_dispatch`` selects a broken protocol,
-        which must violate an invariant.
+        ``no_facts``, ``no_gap``, ``no_wait``, ``told_at_dispatch``, ``stored_at_dispatch``,
+        ``stored_present`` or ``complete_before_load`` selects a broken protocol, which must
+        violate an invariant.
+    :param together: whether routers end together rather than alone.
     """
-    initial = State()
+    initial = State(together=together, cuts_left=0 if variant and together else 1)
     return Protocol(
         name=f"streams {variant}".strip(),
         candidate=False,
--- a/src/hickorylever/direct/crash_checks.py
+++ b/src/hickorylever/direct/crash_checks.py
@@ -2,6 +2,8 @@
 
 import time
 
+import curio
+
 from ..events import Event, log
 from ..exceptions import ConnectionLost, PeerRefused
 from ..http.client import connect
@@ -11,6 +13,7 @@
 from .hashes import name_hash
 
 PROBE_SECONDS = 0.15  # For a connection that shows whether an endpoint still listens.
+PROBE_READ_SECONDS = 0.02  # A proxy accepts a connection and closes it where nothing listens.
 
 
 async def check_endpoint(
@@ -61,13 +64,18 @@
 
 
 async def refuses_connections(endpoint: Endpoint) -> bool:
-    """Return whether an endpoint refuses a connection."""
+    """Return whether an endpoint refuses a connection, or closes it at once."""
     entry = endpoint.entry
     try:
         sock = await connect(entry.address, entry.port, PROBE_SECONDS)
-        await sock.close()
     except PeerRefused:
         return True
     except ConnectionLost:
-        pass
+        return False
+    async with sock:
+        try:
+            async with curio.ignore_after(PROBE_READ_SECONDS):
+                return not await sock.recv(1)
+        except OSError:
+            return True
     return False
--- a/src/hickorylever/soak/checks.py
+++ b/src/hickorylever/soak/checks.py
@@ -31,9 +31,8 @@
 OTHER_THAN_ROUTER_FAULTS = frozenset(faults) - {"kill", "kill_all", "pause", "stop"}
 MIN_RESUMED_STREAMS = 12
 LOST_RATIO = 0.5
-# Without those that may keep all routers that are asked from knowing a stream.
+# Without those that may keep all routers that are asked, and the store, from knowing a stream.
 OTHER_THAN_KNOWLEDGE_FAULTS = frozenset(faults) - {
-    "kill_all",
     "pause",
     "partition",
     "restore",
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -42,6 +42,7 @@
 CRASHING_PART_SECONDS = 8.0
 LIMIT_SECONDS = 9.0
 VERSION_COUNT = 3
+ENTRY_DELAY_SECONDS = 0.3  # Between the start of an endpoint and its entry.
 LIMITS_PER_SECOND = (0.5, 2.0, 8.0)
 
 
@@ -239,6 +240,25 @@
         await harness.replace_endpoint(index, version)
 
 
+@faults.register("upgrade")
+async def crash_and_upgrade(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
+    """Crash an endpoint, start it again under its name with another version, and write its entry.
+
+    It serves a little before its entry is in the store.
+    """
+    index = rng.randrange(len(harness.origins))
+    proxy = harness.proxies[index]
+    if proxy.refusing or index in harness.draining:
+        return
+    proxy.refusing = True
+    await proxy.reset_connections()
+    await curio.sleep(seconds / 3)
+    harness.origins[index].version = f"v{rng.randrange(1, VERSION_COUNT + 1)}"
+    proxy.refusing = False
+    await curio.sleep(rng.uniform(0.0, ENTRY_DELAY_SECONDS))
+    await harness.start_endpoint(index)
+
+
 @faults.register("shutdown")
 async def announce_shutdown(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
     """Make an endpoint say in its responses that it shuts down, while its entry stays ready."""
--- a/tests/test_spec_streams.py
+++ b/tests/test_spec_streams.py
@@ -10,8 +10,9 @@
 MAX_STATES = 2_000_000
 
 
-def test_invariants_hold():
-    assert_holds(streams(), max_states=MAX_STATES)
+@pytest.mark.parametrize("together", [False, True])
+def test_invariants_hold(together):
+    assert_holds(streams(together=together), max_states=MAX_STATES)
 
 
 @pytest.mark.parametrize(
@@ -31,6 +32,19 @@
     assert "one_version" in refuted(streams(variant), max_states=MAX_STATES)
 
 
+@pytest.mark.parametrize(
+    ("variant", "invariant"),
+    [
+        ("stored_at_dispatch", "one_version"),
+        ("stored_present", "one_version"),
+        ("complete_before_load", "none_needlessly_rejected"),
+    ],
+)
+def test_broken_record_has_a_counterexample_after_the_end_of_all_routers(variant, invariant):
+    broken = streams(variant, together=True)
+    assert invariant in refuted(broken, max_states=MAX_STATES)
+
+
 def named(versions):
     return frozenset(f"v{version}" for version in versions)
 
