--- a/src/hickorylever/direct/crash_checks.py
+++ b/src/hickorylever/direct/crash_checks.py
@@ -35,7 +35,7 @@
         entry = endpoint.entry
         all_broke = node.restarts.record_break(endpoint, began, now)
         ended = await refuses_connections(endpoint)
-        idle = node.client.idle_states(entry.address, entry.port, now)
+        idle = node.client.idle_states(entry.address, entry.port, endpoint.known_since, now)
         ended = ended or ((all_broke or bool(idle)) and not any(idle))
     if ended and node.directory.by_hash.get(name_hash(endpoint.name)) is endpoint:
         record_end(node, endpoint)
@@ -50,7 +50,7 @@
     """
     if not node.restarts.is_doubted(endpoint, now):
         entry = endpoint.entry
-        idle = node.client.idle_states(entry.address, entry.port, now)
+        idle = node.client.idle_states(entry.address, entry.port, endpoint.known_since, now)
         if idle and not any(idle):
             record_end(node, endpoint)
 
--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -140,7 +140,7 @@
         which is gone. It is used once the store would have removed it.
         """
         key = name_hash(entry.name)
-        endpoint = Endpoint(entry)
+        endpoint = Endpoint(entry, known_since=now)
         endpoint.leaving = self.departures.is_leaving(key, entry.started_ms)
         if self.departures.was_removed_before(key, entry.started_ms, era):
             endpoint.paused_until = now + self.entry_lifetime + REVIVAL_MARGIN_SECONDS
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -56,6 +56,7 @@
     :param peer_requests: total requests in `peers`.
     :param peer_prefill: total prompt tokens in `peers`.
     :param prompt_cache: prompt parts that the endpoint has probably cached.
+    :param known_since: when this incarnation's entry arrived first.
     """
 
     entry: EndpointEntry
@@ -76,6 +77,7 @@
     peer_requests: int = 0
     peer_prefill: int = 0
     prompt_cache: PromptCacheIndex = field(default_factory=PromptCacheIndex)
+    known_since: float = 0.0
 
     @property
     def name(self) -> str:
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -101,6 +101,19 @@
     started_ms: int
 
 
+class EndedUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint has ended, see :mod:`.restarts`.
+
+    :param endpoint: hash of the endpoint's name.
+    :param started_ms: start of the incarnation that has ended, as Unix time in milliseconds.
+    :param version: of its software.
+    """
+
+    endpoint: int
+    started_ms: int
+    version: str
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """A message from one router to another.
 
@@ -116,8 +129,7 @@
     :param suspects: causes in quarantine.
     :param streams: streams that have begun.
     :param stream_questions: keys of streams that the sender asks for.
-    :param ended_endpoints: hashes of the names of endpoints that have ended, see
-        :mod:`.restarts`.
+    :param ended_endpoints: endpoints that have ended.
     """
 
     incarnation: int
@@ -137,7 +149,7 @@
     limits: list[LimitUpdate] = []
     streams: list[StreamUpdate] = []
     stream_questions: list[int] = []
-    ended_endpoints: list[int] = []
+    ended_endpoints: list[EndedUpdate] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -179,9 +179,8 @@
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
         self.limits.apply(address, datagram.limits, now)
         self.node.quarantine.apply(datagram, now)
-        for key in datagram.ended_endpoints:
-            if (endpoint := by_hash.get(key)) is not None:
-                self.node.restarts.record_refusal(endpoint, now, report=False)
+        for update in datagram.ended_endpoints:
+            self.node.restarts.apply(by_hash.get(update.endpoint), update, now)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
 
--- a/src/hickorylever/direct/restarts.py
+++ b/src/hickorylever/direct/restarts.py
@@ -12,6 +12,7 @@
 
 from .endpoints import Endpoint
 from .hashes import name_hash
+from .peer_protocol import EndedUpdate
 from .versions import SETTLE_SECONDS
 
 REPORT_COUNT = 2  # Datagrams that report a doubt, as one may be lost.
@@ -35,7 +36,7 @@
 class Restarts:
     """The endpoints whose entries are doubted, by the hash of their name.
 
-    :ivar reports: how many datagrams still report a doubt, by the hash of the endpoint's name.
+    :ivar reports: how many datagrams still report a doubt.
     :ivar active: when each attempt in flight at an endpoint began, by the name of the endpoint.
     :ivar breaks: when the latest attempt at an endpoint broke, by the name of the endpoint.
     """
@@ -44,7 +45,7 @@
         self.active: dict[str, list[float]] = {}
         self.breaks: dict[str, float] = {}
         self.doubts: dict[int, Doubt] = {}
-        self.reports: dict[int, int] = {}
+        self.reports: dict[EndedUpdate, int] = {}
 
     def begin_attempt(self, endpoint: Endpoint, now: float) -> None:
         """Record that an attempt begins."""
@@ -81,9 +82,20 @@
         since = now if new else self.doubts[key].since
         self.doubts[key] = Doubt(endpoint.entry.incarnation, since)
         if report and new:
-            self.reports[key] = REPORT_COUNT
+            self.reports[EndedUpdate(key, *endpoint.entry.incarnation)] = REPORT_COUNT
         return new
 
+    def apply(self, endpoint: Endpoint | None, update: EndedUpdate, now: float) -> None:
+        """Doubt an endpoint's entry, as another router reports, unless a new one has arrived.
+
+        :param endpoint: None if it is not known.
+        """
+        if endpoint is not None and endpoint.entry.incarnation == (
+            update.started_ms,
+            update.version,
+        ):
+            self.record_refusal(endpoint, now, report=False)
+
     def record_connection(self, endpoint: Endpoint, opened_at: float) -> None:
         """Record that an endpoint answers again.
 
@@ -101,11 +113,11 @@
         reachable = doubt.reachable_at is not None and now - doubt.reachable_at > SETTLE_SECONDS
         return doubt.incarnation == endpoint.entry.incarnation and not reachable
 
-    def take_reports(self) -> list[int]:
-        """Return the hashes of the names of endpoints to report, for the next datagram."""
-        keys = list(self.reports)
+    def take_reports(self) -> list[EndedUpdate]:
+        """Return the endpoints to report in the next datagram."""
+        updates = list(self.reports)
         self.reports = {key: count - 1 for key, count in self.reports.items() if count > 1}
-        return keys
+        return updates
 
     def expire(self, by_hash: dict[int, Endpoint], now: float) -> None:
         """Forget doubts that are settled, those of endpoints that are gone, and earlier breaks."""
--- a/src/hickorylever/direct/stream_records.py
+++ b/src/hickorylever/direct/stream_records.py
@@ -143,7 +143,7 @@
 
         :raises HickoryleverError: if one of them fails.
         """
-        if now >= self.next_check:
+        if now >= self.next_check or self.pending:
             self.next_check = now + WRITE_INTERVAL_SECONDS
             self.check(now)
         if not (self.pending or self.unconfirmed or self.discarded):
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -231,15 +231,16 @@
             return False
         return is_open(channel)
 
-    def idle_states(self, address: str, port: int, before: float) -> list[bool]:
+    def idle_states(self, address: str, port: int, after: float, before: float) -> list[bool]:
         """Return for each idle connection to a peer whether the peer has kept it open.
 
         Those that it closed are removed by :meth:`reap`.
 
-        :param before: only connections opened before are meant, in monotonic seconds.
+        :param after: only connections opened later are meant, in monotonic seconds.
+        :param before: only connections opened earlier are meant, in monotonic seconds.
         """
         channels = self.idle.get((address, port), ())
-        return [is_open(channel) for channel in channels if channel.opened_at < before]
+        return [is_open(channel) for channel in channels if after < channel.opened_at < before]
 
     async def release(self, address: str, port: int, channel: Channel) -> None:
         """Return a connection to the pool after a complete exchange.
