Report streams again to a router that becomes a writer

Cause: streams that began after the writers had ended and before this was known (4 s) were not stored. Change: each router reports the streams whose first event it passed on to a new writer.

--- a/src/hickorylever/direct/stream_records.py
+++ b/src/hickorylever/direct/stream_records.py
@@ -97,21 +97,25 @@
     :param peers: table of the other routers.
     :param rank: rank of this router.
     :param table: the streams that this router knows.
+    :param on_new_writer: called when another router becomes a writer, or this one does.
     :ivar pending: keys of streams that no segment of this router holds yet, in order.
     :ivar segments: segments in the store, whoever wrote them, by name.
     :ivar discarded: names of segments to delete.
     :ivar writing: whether this router is a writer, as of the last check.
+    :ivar writers: IP addresses of the writers, as of the last check.
     :ivar next_check: monotonic seconds of the next check.
     :ivar unconfirmed: name and keys of a segment that may have been written.
     :ivar listed: whether the segments have been listed since this router became a writer.
     :ivar loaded: set once the records were loaded after the start.
     """
 
-    def __init__(self, node, peers: PeerTable, rank: int, table: StreamTable):
+    def __init__(self, node, peers: PeerTable, rank: int, table: StreamTable, on_new_writer):
         self.node = node
         self.peers = peers
         self.rank = rank
         self.table = table
+        self.on_new_writer = on_new_writer
+        self.writers: set[str] = set()
         self.pending: dict[int, None] = {}
         self.segments: dict[str, Segment] = {}
         self.discarded: list[str] = []
@@ -159,6 +163,12 @@
         """Find out whether this router is a writer, and which segments have expired."""
         alive = self.peers.alive(now)
         self.writing = is_writer(self.rank, alive)
+        writers = {peer.address for peer in other_writers(self.rank, alive)}
+        if self.writing:
+            writers.add(self.node.settings.address)
+        if writers - self.writers:
+            self.on_new_writer()
+        self.writers = writers
         if not self.writing:
             self.pending.clear()
             self.listed = False
--- a/src/hickorylever/direct/stream_reports.py
+++ b/src/hickorylever/direct/stream_reports.py
@@ -38,6 +38,7 @@
     :param peers: table of the other routers.
     :param rank: rank of this router.
     :ivar table: the streams that this router knows.
+    :ivar own: services of the streams whose first event this router passed on, by key.
     :ivar records: the records of streams in the store.
     :ivar unreported: services of streams that only this router knows, by key.
     :ivar questions: set when another router tells of the stream, by key.
@@ -48,14 +49,19 @@
         self.peers = peers
         self.rank = rank
         self.table = StreamTable()
-        self.records = StreamRecords(node, peers, rank, self.table)
+        self.records = StreamRecords(node, peers, rank, self.table, self.report_again)
+        self.own: dict[int, str] = {}
         self.unreported: dict[int, str] = {}
         self.questions: dict[int, curio.Event] = {}
 
     def record(self, key: int, service: str, record: StreamRecord) -> None:
         """Record a stream whose first event this router passes on."""
         self.table.add(key, record)
-        self.unreported[key] = service
+        self.unreported[key] = self.own[key] = service
+
+    def report_again(self) -> None:
+        """Report this router's own streams to a new writer, as the former one may have ended."""
+        self.unreported.update(self.own)
 
     def take(self, services: set[str], now: float) -> dict[str, list[StreamUpdate]]:
         """Remove and return the streams to tell others of, by the address of the router.
@@ -159,6 +165,6 @@
     def expire(self, now: float) -> None:
         """Forget streams that their callers don't take up any more."""
         self.table.expire(now)
-        self.unreported = {
-            key: name for key, name in self.unreported.items() if key in self.table.records
-        }
+        known = self.table.records
+        self.unreported = {key: name for key, name in self.unreported.items() if key in known}
+        self.own = {key: name for key, name in self.own.items() if key in known}
--- a/tests/test_stream_records.py
+++ b/tests/test_stream_records.py
@@ -132,11 +132,12 @@
 
 
 def test_the_next_router_writes_after_the_end_of_the_writers():
+    """Also streams that began before it was known that the writers had ended."""
+
     async def scenario(fleet):
         nodes = sorted(fleet.nodes, key=lambda node: node.peer_sync.rank)
         for node in nodes[:WRITER_COUNT]:
             await fleet.end(node)
-        await fleet.until(lambda: nodes[-1].peer_sync.streams.records.writing)
         first = await begin_stored(fleet, nodes[-1])
         assert_whole(first, await fleet.resume(await start_again(fleet), first))
 
