Notice the end of an endpoint also without a stream there

Cause: a router without a stream at an endpoint that crashed did not notice, and took streams up there. Change: failed attempts of all routes count while a service may have several versions, and so do idle connections that are all closed where a new one is refused. Measured: test_restarts, test_stream_records, test_stream_fleet, test_direct pass.

--- a/src/hickorylever/direct/crash_checks.py
+++ b/src/hickorylever/direct/crash_checks.py
@@ -19,7 +19,9 @@
 async def check_endpoint(
     node, call: Call, endpoint: Endpoint, outcome: Outcome, began: float
 ) -> None:
-    """Doubt the entry of an endpoint that has crashed, after an attempt for a resumable route.
+    """Doubt the entry of an endpoint that has crashed, after an attempt whose connection failed.
+
+    Only attempts for resumable routes, and for services that may have several versions, count.
 
     A crash closes all its connections and its listening socket, which a broken connection alone
     does not. The next process may listen before the first connection is refused.
@@ -27,20 +29,50 @@
     :param node: the components of this router.
     :param began: monotonic seconds at which the attempt began.
     """
-    if outcome.result not in CONNECTION_FAILURES or not call.route.resumable:
+    if outcome.result not in CONNECTION_FAILURES:
+        return
+    now = time.monotonic()
+    if not (call.route.resumable or call.service.name in node.resumption.uncertain_services(now)):
         return
     ended = outcome.refused
     if outcome.result is not Result.NOT_SENT:
-        now = time.monotonic()
         entry = endpoint.entry
         all_broke = node.restarts.record_break(endpoint, began, now)
         ended = await refuses_connections(endpoint)
         idle = node.client.idle_states(entry.address, entry.port, endpoint.known_since, now)
         ended = ended or ((all_broke or bool(idle)) and not any(idle))
-    if ended and node.directory.by_hash.get(name_hash(endpoint.name)) is endpoint:
+    if ended:
+        record_end(node, endpoint)
+
+
+async def check_closed(node, now: float) -> None:
+    """Doubt the entries of endpoints that closed all idle connections and refuse new ones.
+
+    A router may have no request at an endpoint when that crashes.
+
+    :param node: the components of this router.
+    """
+    for service in node.resumption.uncertain_services(now):
+        for endpoint in node.directory.pool(service):
+            if has_closed_idle(node, endpoint, now):
+                await curio.spawn(check_refusal, node, endpoint, daemon=True)
+
+
+async def check_refusal(node, endpoint: Endpoint) -> None:
+    """Doubt the entry of an endpoint if it refuses a connection."""
+    if await refuses_connections(endpoint):
         record_end(node, endpoint)
 
 
+def has_closed_idle(node, endpoint: Endpoint, now: float) -> bool:
+    """Return whether an endpoint has closed all of this router's idle connections."""
+    if node.restarts.is_doubted(endpoint, now):
+        return False
+    entry = endpoint.entry
+    idle = node.client.idle_states(entry.address, entry.port, endpoint.known_since, now)
+    return bool(idle) and not any(idle)
+
+
 def check_idle(node, endpoint: Endpoint, now: float) -> None:
     """Doubt the entry of an endpoint that has closed all idle connections.
 
@@ -48,15 +80,17 @@
 
     :param node: the components of this router.
     """
-    if not node.restarts.is_doubted(endpoint, now):
-        entry = endpoint.entry
-        idle = node.client.idle_states(entry.address, entry.port, endpoint.known_since, now)
-        if idle and not any(idle):
-            record_end(node, endpoint)
+    if has_closed_idle(node, endpoint, now):
+        record_end(node, endpoint)
 
 
 def record_end(node, endpoint: Endpoint) -> None:
-    """Record that an endpoint has ended, and that its streams have its entry's version."""
+    """Record that an endpoint has ended, and that its streams have its entry's version.
+
+    Nothing is recorded if the entry of another incarnation has arrived meanwhile.
+    """
+    if node.directory.by_hash.get(name_hash(endpoint.name)) is not endpoint:
+        return
     if node.restarts.record_refusal(endpoint, time.monotonic()):
         log(Event.ENDPOINT_ENDED, endpoint.name, version=endpoint.entry.version)
         streams = node.peer_sync.streams
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -13,6 +13,7 @@
 from ..exceptions import ContentError, SettingsError
 from ..http import Client
 from .budget import SharedRetryBudget
+from .crash_checks import check_closed
 from .directory import Directory
 from .metrics import DirectMetrics
 from .peer_sync import PeerSync
@@ -247,6 +248,7 @@
             self.peer_sync.streams.expire(time.monotonic())
             self.restarts.expire(self.directory.by_hash, time.monotonic())
             self.resumption.check_contact(time.monotonic())
+            await check_closed(self, time.monotonic())
             await self.client.reap()
 
 
