--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -28,7 +28,7 @@
     :param reject: called with the error of an entry that can't be decoded.
     :param entry_lifetime: seconds after which the store removes an entry that is not renewed.
     :param on_new_version: called with the hash of the name of an endpoint that has started again
-        with another software version.
+        with another software version, and its start as Unix time in milliseconds.
     :param cold_starts: limits of cold endpoints; none by default.
     :ivar endpoints: endpoints by name.
     :ivar pools: endpoints by service, sorted by name.
@@ -47,7 +47,7 @@
         decode,
         reject=lambda error: None,
         entry_lifetime: float = 0.0,
-        on_new_version=lambda key: None,
+        on_new_version=lambda key, started_ms: None,
         cold_starts: ColdStarts | None = None,
     ):
         self.decode = decode
@@ -131,7 +131,7 @@
         self.objects[stored.name] = stored
         endpoint = self.endpoints.get(entry.name)
         if endpoint is not None and endpoint.entry.version != entry.version:
-            self.on_new_version(name_hash(entry.name))
+            self.on_new_version(name_hash(entry.name), entry.started_ms)
         if endpoint is None or endpoint.entry.incarnation != entry.incarnation:
             former = endpoint
             endpoint = self.endpoints[entry.name] = self.create(entry, stored.position.era, now)
@@ -162,7 +162,7 @@
         which is gone. It is used once the store would have removed it.
         """
         key = name_hash(entry.name)
-        endpoint = Endpoint(entry)
+        endpoint = Endpoint(entry, known_since=now)
         endpoint.leaving = self.departures.is_leaving(key, entry.started_ms)
         if self.departures.was_removed_before(key, entry.started_ms, era):
             endpoint.paused_until = now + self.entry_lifetime + REVIVAL_MARGIN_SECONDS
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -59,6 +59,7 @@
     :param prompt_cache: prompt parts that the endpoint has probably cached.
     :param evacuated: whether an operator evacuates its failure domain.
     :param cold: limit on the requests of this router while the endpoint is cold, or None.
+    :param known_since: when this incarnation's entry arrived first.
     """
 
     entry: EndpointEntry
@@ -81,6 +82,7 @@
     prompt_cache: PromptCacheIndex = field(default_factory=PromptCacheIndex)
     evacuated: bool = False
     cold: ColdStart | None = None
+    known_since: float = 0.0
 
     @property
     def name(self) -> str:
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -8,6 +8,7 @@
 from .attempt import Attempt, Outcome, Result, UpstreamRequest
 from .availability import retry_after
 from .call import Call
+from .crash_checks import check_endpoint
 from .endpoints import Endpoint
 from .observations import Observations
 from .placement import Choice
@@ -77,6 +78,7 @@
         self.log_choice(call, choice)
         began = time.monotonic()
         endpoint.add_request(choice.uncached, began)
+        self.node.restarts.begin_attempt(endpoint, began)
         if endpoint.rate_limit is not None:
             self.node.peer_sync.limits.queue(endpoint)
         peer_sync = self.node.peer_sync
@@ -89,7 +91,7 @@
         if call.stream is not None:
             call.stream.pending_prefill = pending_prefill
             call.stream.on_first_event = lambda: self.node.resumption.record_first_event(
-                call, endpoint
+                call, endpoint, attempt.channel.opened_at
             )
         attempt = Attempt(
             self.node.client,
@@ -114,8 +116,10 @@
             raise
         finally:
             endpoint.running -= 1
+            self.node.restarts.end_attempt(endpoint, began)
             pending_prefill.complete()
         self.observations.record_outcome(call, endpoint, outcome, time.monotonic() - began)
+        await check_endpoint(self.node, call, endpoint, outcome, began)
         return outcome
 
     def log_choice(self, call: Call, choice: Choice) -> None:
@@ -160,6 +164,7 @@
         """Return whether the call could be retried on another endpoint now."""
         now = time.monotonic()
         service = call.service.name
+        avoid = call.tried | self.node.resumption.doubted_endpoints(call)
         return (
             call.deadline - now >= MIN_RETRY_SECONDS
             and self.node.budget.remaining(service, now) >= 1.0
@@ -167,7 +172,7 @@
             and any(
                 endpoint.usable(now) and not endpoint.silent(now) and not endpoint.held(now)
                 for endpoint in self.node.directory.endpoints_of_version(service, call.version)
-                if endpoint.name not in call.tried
+                if endpoint.name not in avoid
             )
         )
 
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -14,6 +14,7 @@
 from ..http import Client
 from .budget import SharedRetryBudget
 from .cold_start import ColdStarts
+from .crash_checks import check_closed
 from .directory import Directory
 from .evacuation_control import EvacuationControl
 from .membership import Membership
@@ -22,6 +23,7 @@
 from .position import NO_CONFIGURATION, ConfigurationState, Decision, KnownState, Position, decide
 from .quarantine import Quarantine
 from .records import Changes, Configuration, Listing, StoredObject
+from .restarts import Restarts
 from .resumption import Resumption
 from .routes import RouteTable
 from .settings import DirectSettings
@@ -79,13 +81,14 @@
             codec.decode_endpoint,
             self.reject,
             settings.endpoint_entry_lifetime,
-            lambda key: self.peer_sync.streams.table.forget_endpoint(key),
+            lambda *endpoint: self.peer_sync.streams.table.forget_endpoint(*endpoint),
             ColdStarts(self.membership, self.report_cold),
         )
         self.budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
         )
         self.quarantine = Quarantine()
+        self.restarts = Restarts()
         self.resumption = Resumption(self)
         self.routes: RouteTable | None = None
         self.configuration_callbacks: list[Callable[[RouteTable], None]] = []
@@ -285,7 +288,9 @@
             self.membership.expire(time.monotonic())
             self.quarantine.tracker.expire(time.monotonic())
             self.peer_sync.streams.expire(time.monotonic())
+            self.restarts.expire(self.directory.by_hash, time.monotonic())
             self.resumption.check_contact(time.monotonic())
+            await check_closed(self, time.monotonic())
             await self.client.reap()
 
 
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -125,6 +125,19 @@
     stage: int
 
 
+class EndedUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint has ended, see :mod:`.restarts`.
+
+    :param endpoint: hash of the endpoint's name.
+    :param started_ms: start of the incarnation that has ended, as Unix time in milliseconds.
+    :param version: of its software.
+    """
+
+    endpoint: int
+    started_ms: int
+    version: str
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """A message from one router to another.
 
@@ -143,6 +156,7 @@
     :param cache_listings: engines whose caches the sender lists after a start of all routers.
     :param caches_known: whether the sender knows what engines had cached before it started.
     :param cold_endpoints: endpoints that have become cold.
+    :param ended_endpoints: endpoints that have ended.
     """
 
     incarnation: int
@@ -165,6 +179,7 @@
     cache_listings: list[CacheListingUpdate] = []
     caches_known: bool = False
     cold_endpoints: list[ColdUpdate] = []
+    ended_endpoints: list[EndedUpdate] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -25,6 +25,7 @@
 TICK_SECONDS = 0.02
 DATAGRAM_BUFFER_BYTES = 65536
 MAX_ADDRESSES_PER_DATAGRAM = 64
+MILLISECONDS_PER_SECOND = 1000
 DECODE_ERRORS = (msgspec.DecodeError, TypeError, ValueError)
 
 
@@ -46,7 +47,7 @@
         self.registration = Registration(node, self.peers, self.rank)
         self.limits = LimitReports(node, self.peers)
         self.cold = ColdReports(node)
-        self.streams = StreamReports(node, self.peers)
+        self.streams = StreamReports(node, self.peers, self.rank)
         self.caches = CacheListing(node, self.peers)
         self.own_watch = OwnWatch(node.rng.random())
         self.sock = None
@@ -64,6 +65,7 @@
             await group.spawn(self.pulls.server.serve, listener)
             await group.spawn(self.receive)
             await group.spawn(self.registration.run)
+            await group.spawn(self.streams.records.run)
             while True:
                 await self.tick()
                 await curio.sleep(TICK_SECONDS)
@@ -99,6 +101,8 @@
             updates["cache_listings"] = listings
         if cold := self.cold.take(now):
             updates["cold_endpoints"] = cold
+        if ended := self.node.restarts.take_reports():
+            updates["ended_endpoints"] = ended
         return updates
 
     async def broadcast(self, peers: list[Peer], **updates) -> None:
@@ -192,6 +196,8 @@
         self.limits.apply(address, datagram.limits, now)
         self.cold.apply(datagram.cold_endpoints, now)
         self.node.quarantine.apply(datagram, now)
+        for update in datagram.ended_endpoints:
+            self.node.restarts.apply(by_hash.get(update.endpoint), update, now)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
 
@@ -218,6 +224,14 @@
         """Announce to the other routers that this one is shutting down."""
         await self.broadcast(self.peers.alive(time.monotonic()), leaving=True)
 
+    def unix_ms(self, at: float) -> int:
+        """Return monotonic seconds as Unix time in milliseconds.
+
+        The wall clock is read at the start only, as it may jump.
+        """
+        elapsed = at - self.peers.started_at
+        return self.incarnation + int(MILLISECONDS_PER_SECOND * elapsed)
+
     def announce_load(self, endpoint) -> None:
         """Queue this router's load at an endpoint for the next datagram."""
         self.outbox.queue_load(endpoint.name, endpoint.running, endpoint.prefill)
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -151,10 +151,12 @@
 
     def choose_from(self, pool: Pool, call: Call) -> Choice | None:
         """Return the best endpoint of a pool for the call at this moment."""
-        unsettled = self.node.resumption.unsettled_endpoints(call)
-        choice = place(pool, self.placement_request(call, call.tried | unsettled))
+        resumption = self.node.resumption
+        avoid = call.tried | resumption.doubted_endpoints(call)
+        unsettled = resumption.unsettled_endpoints(call)
+        choice = place(pool, self.placement_request(call, avoid | unsettled))
         if choice is None and unsettled:
-            return place(pool, self.placement_request(call, call.tried))
+            return place(pool, self.placement_request(call, avoid))
         return choice
 
     def load_multiple(self, service: str) -> float:
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -11,7 +11,7 @@
 from curio import socket
 
 from .. import defaults
-from ..exceptions import ConnectionLost
+from ..exceptions import ConnectionLost, PeerRefused
 from .channel import Channel, set_socket_options
 from .headers import Headers, header
 
@@ -146,11 +146,15 @@
 
     :param address: IPv4 address.
     :param timeout: seconds.
+    :raises PeerRefused: if the peer refuses the connection.
     :raises ConnectionLost: if the connection fails or times out.
     """
     sock = socket.socket(stdsocket.AF_INET, stdsocket.SOCK_STREAM)
     try:
         await curio.timeout_after(timeout, sock.connect, (address, port))
+    except ConnectionRefusedError as error:
+        await sock.close()
+        raise PeerRefused(f"{address}:{port}: {error!r}") from None
     except (OSError, curio.TaskTimeout) as error:
         await sock.close()
         raise ConnectionLost(f"{address}:{port}: {error!r}") from None
@@ -161,6 +165,17 @@
     return sock
 
 
+def is_open(channel: Channel) -> bool:
+    """Return whether the peer has kept an idle connection open and has sent nothing on it."""
+    try:
+        channel.raw.recv(1, stdsocket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 class Client:
     """Sends requests over pooled connections.
 
@@ -214,13 +229,18 @@
         max_idle = min(self.max_idle, channel.idle_timeout)
         if now - channel.opened_at > self.max_age / 2 or now - channel.last_used_at > max_idle / 2:
             return False
-        try:
-            channel.raw.recv(1, stdsocket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return is_open(channel)
+
+    def idle_states(self, address: str, port: int, after: float, before: float) -> list[bool]:
+        """Return for each idle connection to a peer whether the peer has kept it open.
+
+        Those that it closed are removed by :meth:`reap`.
+
+        :param after: only connections opened later are meant, in monotonic seconds.
+        :param before: only connections opened earlier are meant, in monotonic seconds.
+        """
+        channels = self.idle.get((address, port), ())
+        return [is_open(channel) for channel in channels if after < channel.opened_at < before]
 
     async def release(self, address: str, port: int, channel: Channel) -> None:
         """Return a connection to the pool after a complete exchange.
