Keep datagrams within a packet with the field for cold endpoints

Cause: the new last field of datagrams made a full one 1,400 bytes long, one more than a packet takes.

--- a/src/hickorylever/direct/cold_reports.py
+++ b/src/hickorylever/direct/cold_reports.py
@@ -7,7 +7,7 @@
 from .hashes import name_hash
 from .peer_protocol import ColdUpdate
 
-MAX_COLD_UPDATES = 64  # In one datagram, so that it fits a packet.
+MAX_COLD_UPDATES = 24  # In one datagram, so that it fits a packet.
 REPORTED_REASONS = frozenset(("answer", "entry"))
 MILLISECONDS_PER_SECOND = 1000
 
