Forget listed routers that were never heard after a minute

Cause: after a start of all routers, two that didn't come back kept all others from their shares in cold endpoints for 15 minutes. Change: a router that was listed and never heard is forgotten after 60 s, as the store's list does, by routers that hear at least half of the others. Result: tests/test_cold_start.py passes.

--- a/src/hickorylever/direct/membership.py
+++ b/src/hickorylever/direct/membership.py
@@ -16,6 +16,7 @@
 
 UNAWARE_ROUTERS_ALLOWED = 1  # Routers that may not know this one, such as one that is gone.
 MEMBER_LIFETIME_SECONDS = 900.0  # Since the last datagram, for routers that are gone for good.
+UNHEARD_LIFETIME_SECONDS = 60.0  # For listed routers; the store's list drops them then as well.
 # From a change of the members until shares that grow by it are used, as those that the others used
 # until then count for about a second.
 HANDOVER_SECONDS = 1.2
@@ -44,8 +45,10 @@
         return self.left_at is not None and now - self.left_at >= HANDOVER_SECONDS
 
     def is_lost(self, now: float) -> bool:
-        """Return whether it has been silent for `MEMBER_LIFETIME_SECONDS`."""
-        return now - (self.last_heard or self.known_since) > MEMBER_LIFETIME_SECONDS
+        """Return whether it is gone, as it has been silent for too long."""
+        if self.last_heard is None:
+            return now - self.known_since > UNHEARD_LIFETIME_SECONDS
+        return now - self.last_heard > MEMBER_LIFETIME_SECONDS
 
 
 class Membership:
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -307,6 +307,20 @@
     assert membership.count == 2
 
 
+@pytest.mark.parametrize(("others", "heard", "left"), [(6, 3, 3), (6, 2, 6)])
+def test_listed_routers_that_stay_silent_are_forgotten(others, heard, left):
+    """Guards against no shares for long after a start at which routers were missing."""
+    membership = settled_router(others, heard)
+    assert membership.settled_at is None
+    membership.expire(59.0)
+    assert len(membership.members) == others
+    for number in range(heard):
+        membership.record_heard(address(5 + number), 60.0)
+    membership.expire(61.0)
+    assert len(membership.members) == left
+    assert (membership.settled_at is not None) is (left == heard)
+
+
 def test_reports_set_until_when_an_endpoint_is_cold():
     """Guards against old entries that hide a restart, and against faults that last."""
     cold = cold_start()
