--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -173,8 +173,9 @@
         node = self.node
         now = time.monotonic()
         pool = node.directory.endpoints_of_version(call.service.name, call.version)
-        for endpoint in pool:
-            check_idle(node, endpoint, now)
+        if call.service.name in self.uncertain_services(now):
+            for endpoint in pool:
+                check_idle(node, endpoint, now)
         return {endpoint.name for endpoint in pool if node.restarts.is_doubted(endpoint, now)}
 
     def record_first_event(self, call: Call, endpoint: Endpoint, opened_at: float) -> None:
