Decode the slots and the pace in the load header of four figures

The adapter took exactly three figures and dropped the whole header where an engine states a fourth, how long work takes on its machine (100 = as usual). Headers of three figures are decoded as before, and malformed ones are ignored as before.

--- a/src/hickorylever/direct/records.py
+++ b/src/hickorylever/direct/records.py
@@ -238,6 +238,9 @@
         None when not stated.
     :param rate_limit: requests per second that the endpoint takes from all routers together, or
         None for any number.
+    :param slots: requests that the endpoint can run concurrently, or None when not stated.
+    :param pace: how long work takes at the endpoint at this moment, as a multiple of the usual
+        time, or None when not stated.
     """
 
     status: int
@@ -250,6 +253,8 @@
     leaving: bool = False
     retry_after: float | None = None
     rate_limit: float | None = None
+    slots: int | None = None
+    pace: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorylever/platform/headers.py
+++ b/src/hickorylever/platform/headers.py
@@ -10,7 +10,9 @@
 
 PART = re.compile(rb"([0-9a-fA-F]{1,32}):([0-9]{1,9})")
 TOKENS = re.compile(rb"([0-9]{1,9}),([0-9]{1,9})")
-LOAD = re.compile(rb"([0-9]{1,7}),([0-9]{1,7}),([0-9]{1,7})")
+# Running, waiting, slots, and on some platforms how long work takes (100 = as usual).
+LOAD = re.compile(rb"([0-9]{1,7}),([0-9]{1,7}),([0-9]{1,7})(?:,([0-9]{1,7}))?")
+USUAL_PACE = 100.0
 MILLISECONDS = re.compile(rb"[0-9]{1,10}(?:\.[0-9]{1,6})?")
 SECONDS_PER_MILLISECOND = 0.001
 DECIMAL = re.compile(rb"[0-9]{0,9}\.?[0-9]{1,9}")
@@ -87,6 +89,8 @@
         leaving=status != 421 and header(fields, names.LEAVING).strip() == names.LEAVING_VALUE,
         retry_after=read_decimal(header(fields, b"retry-after")) if status == 503 else None,
         rate_limit=read_decimal(header(fields, names.LIMIT)),
+        slots=int(load[3]) if load else None,
+        pace=int(load[4]) / USUAL_PACE if load and load[4] and int(load[4]) else None,
     )
 
 
