Estimate the pace of endpoints, and let starting ones take requests by a window

Capacity, placement, timeouts and the wait queue took the same constants for every endpoint: 40,000 prompt tokens a second, 2 s a slot. Engines read 41,400 to 125,000, and some share their machine for a time. Once a service's responses state their pace, its rates are estimated over all its endpoints, and the pace of each from its statements and from what its responses take. Endpoints that appear or recover get a window of requests in flight of all routers. Services without the figure are decided as before: the tests that compare each choice with the reference pass unchanged.

--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -27,6 +27,7 @@
     :param entry_lifetime: seconds after which the store removes an entry that is not renewed.
     :param on_new_version: called with the hash of the name of an endpoint that has started again
         with another software version.
+    :param on_new_endpoint: called with an endpoint that has just become known, and the time.
     :ivar endpoints: endpoints by name.
     :ivar pools: endpoints by service, sorted by name.
     :ivar by_hash: endpoints by the hash of their name.
@@ -44,11 +45,13 @@
         reject=lambda error: None,
         entry_lifetime: float = 0.0,
         on_new_version=lambda key: None,
+        on_new_endpoint=lambda endpoint, now: None,
     ):
         self.decode = decode
         self.reject = reject
         self.entry_lifetime = entry_lifetime
         self.on_new_version = on_new_version
+        self.on_new_endpoint = on_new_endpoint
         self.endpoints: dict[str, Endpoint] = {}
         self.pools: dict[str, Pool] = {}
         self.by_hash: dict[int, Endpoint] = {}
@@ -126,6 +129,7 @@
             self.on_new_version(name_hash(entry.name))
         if endpoint is None or endpoint.entry.incarnation != entry.incarnation:
             endpoint = self.endpoints[entry.name] = self.create(entry, stored.position.era, now)
+            self.on_new_endpoint(endpoint, now)
         endpoint.entry = entry
         endpoint.missing_since = None
         endpoint.warm_at = now + entry.warmup_left
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -2,10 +2,12 @@
 
 from dataclasses import dataclass, field
 
-from .capacity import PREFILL_TOKENS_PER_SECOND
+from .capacity import DEFAULT_ESTIMATE, Estimate
+from .pace import EndpointPace
 from .prompt_cache import PromptCacheIndex
 from .rate_limit import RateLimit
 from .records import EndpointEntry
+from .slow_start import SlowStart
 
 FIRST_PAUSE_SECONDS = 0.25  # After the first failed connection or rejection with status 421.
 MAX_PAUSE_SECONDS = 2.0
@@ -56,6 +58,8 @@
     :param peer_requests: total requests in `peers`.
     :param peer_prefill: total prompt tokens in `peers`.
     :param prompt_cache: prompt parts that the endpoint has probably cached.
+    :param pace: what work takes there, or None where its service's endpoints don't state it.
+    :param slow_start: latest window after a start or a recovery, or None.
     """
 
     entry: EndpointEntry
@@ -76,6 +80,8 @@
     peer_requests: int = 0
     peer_prefill: int = 0
     prompt_cache: PromptCacheIndex = field(default_factory=PromptCacheIndex)
+    pace: EndpointPace | None = None
+    slow_start: SlowStart | None = None
 
     @property
     def name(self) -> str:
@@ -95,6 +101,16 @@
         """Return whether it takes new requests now, as far as it said so itself."""
         return self.accepting and now >= self.deferred_until
 
+    def estimate(self, now: float) -> Estimate:
+        """Return what work takes there."""
+        return DEFAULT_ESTIMATE if self.pace is None else self.pace.estimate(now)
+
+    @property
+    def starting(self) -> SlowStart | None:
+        """Return the window of an endpoint that is starting or recovering, else None."""
+        start = self.slow_start
+        return start if start is not None and start.active else None
+
     def limit_rate(self, rate: float | None, router_count: int, now: float) -> bool:
         """Set the limit that the endpoint names, and return whether it has changed.
 
@@ -193,4 +209,6 @@
         if not self.running:
             return False
         silence = now - max(self.last_byte_at, self.busy_since)
-        return silence > SILENCE_TIMEOUT_SECONDS + self.prefill / PREFILL_TOKENS_PER_SECOND
+        estimate = self.estimate(now)
+        prefill_seconds = estimate.pace * (self.prefill / estimate.tokens_per_second)
+        return silence > SILENCE_TIMEOUT_SECONDS + prefill_seconds
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -10,6 +10,7 @@
 from .call import Call
 from .endpoints import Endpoint
 from .observations import Observations
+from .pace_attempts import AttemptWatch
 from .placement import Choice
 from .placer import Placer
 from .pool import shared_parts
@@ -86,11 +87,10 @@
             endpoint.prompt_cache.add(call.info.parts, engine.memory_tokens)
             for part in shared_parts(call.info.parts):
                 peer_sync.outbox.queue_cached_part(endpoint.name, part.id, part.tokens, began)
+        watch = AttemptWatch(peer_sync.paces, call, endpoint, began)
         if call.stream is not None:
             call.stream.pending_prefill = pending_prefill
-            call.stream.on_first_event = lambda: self.node.resumption.record_first_event(
-                call, endpoint
-            )
+            call.stream.on_first_event = lambda: self.record_first_event(call, watch)
         attempt = Attempt(
             self.node.client,
             endpoint,
@@ -106,6 +106,7 @@
         try:
             outcome = await attempt.run()
         except BaseException:
+            watch.record_cancelled(time.monotonic())
             call.attempt_results.append(
                 f"{endpoint.name}@{endpoint.entry.failure_domain}:abandoned"
             )
@@ -115,9 +116,15 @@
         finally:
             endpoint.running -= 1
             pending_prefill.complete()
+        watch.record_outcome(outcome.result, outcome.status, time.monotonic())
         self.observations.record_outcome(call, endpoint, outcome, time.monotonic() - began)
         return outcome
 
+    def record_first_event(self, call: Call, watch: AttemptWatch) -> None:
+        """Record the first event of a stream."""
+        self.node.resumption.record_first_event(call, watch.endpoint)
+        watch.record_first_event(time.monotonic())
+
     def log_choice(self, call: Call, choice: Choice) -> None:
         """Log the selected endpoint with the inputs of the decision."""
         endpoint = choice.endpoint
@@ -135,6 +142,7 @@
             source=choice.source.name if choice.source else "",
             running=requests,
             prefill=round(prefill),
+            pace=round(endpoint.estimate(time.monotonic()).pace, 2),
             failures=round(endpoint.failure_rate(time.monotonic()), 2),
             waited=round(call.queued_seconds, 3),
             view=str(self.node.directory.latest),
@@ -146,7 +154,9 @@
         """Return the response timeouts of an attempt, or None if only the deadline applies."""
         if not self.route_allows_retry(call):
             return None
-        seconds = first_byte_timeout(call.route, call.service.engine, *endpoint.load())
+        seconds = first_byte_timeout(
+            call.route, call.service.engine, *endpoint.load(), endpoint.estimate(now)
+        )
         idle_timeout = stream_idle_timeout(call.route) if call.stream is not None else None
         return ResponseTimeouts(
             now + seconds, idle_timeout, lambda: self.can_retry_elsewhere(call)
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -73,6 +73,7 @@
             self.reject,
             settings.endpoint_entry_lifetime,
             lambda key: self.peer_sync.streams.table.forget_endpoint(key),
+            lambda endpoint, now: self.peer_sync.paces.adopt(endpoint, now),
         )
         self.budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
--- a/src/hickorylever/direct/observations.py
+++ b/src/hickorylever/direct/observations.py
@@ -33,6 +33,7 @@
         if info.retry_after is not None:
             endpoint.defer(info.retry_after, now)
             log(Event.ENDPOINT_DEFERS, endpoint.name, seconds=info.retry_after)
+        node.peer_sync.paces.record_head(endpoint, info, now)
         if info.stamped:
             self.record_rate_limit(endpoint, info.rate_limit, now)
         if info.leaving and not endpoint.leaving:
--- /dev/null
+++ b/src/hickorylever/direct/pace_attempts.py
@@ -0,0 +1,75 @@
+"""What one attempt shows of the pace of its endpoint."""
+
+from .attempt import Result
+from .call import Call
+from .endpoints import Endpoint
+from .pace_reports import PaceReports
+
+FAILURES = (Result.FAILED, Result.LOST, Result.BROKEN, Result.NOT_RUN)
+REDIRECTED = 421  # Another endpoint has the address, which says nothing about this one.
+MIN_EVENTS = 4  # Of a stream from which the time of a step is taken.
+
+
+class AttemptWatch:
+    """Reports the first event and the outcome of an attempt.
+
+    :param began: monotonic seconds at which the request was counted at the endpoint.
+    """
+
+    def __init__(self, paces: PaceReports, call: Call, endpoint: Endpoint, began: float):
+        self.paces = paces
+        self.call = call
+        self.endpoint = endpoint
+        self.began = began
+        self.engine = call.service.engine
+        slots = endpoint.entry.slots or (self.engine.slots if self.engine else 0)
+        self.sample = paces.sample(endpoint, slots, began)
+        self.requests = endpoint.load()[0]
+        self.events_before = call.stream.event_count if call.stream else 0
+
+    @property
+    def has_event(self) -> bool:
+        """Return whether the attempt has delivered an event."""
+        stream = self.call.stream
+        return stream is not None and stream.event_count > self.events_before
+
+    def record_first_event(self, now: float) -> None:
+        """Record the first event of the stream."""
+        if self.engine is not None:
+            self.paces.record_first_event(self.endpoint, self.sample, now)
+
+    def record_cancelled(self, now: float) -> None:
+        """Record that the caller left. It says how long the endpoint took at least."""
+        pace = self.endpoint.pace
+        if self.sample is not None and pace is not None and not self.has_event and self.engine:
+            pace.record_no_event(self.sample, now)
+
+    def record_outcome(self, result: Result, status: int, now: float) -> None:
+        """Record the outcome of the attempt."""
+        pace = self.endpoint.pace
+        if self.sample is None or pace is None:
+            return
+        if result is Result.ANSWERED:
+            if status < 300:
+                self.record_answer(now)
+        elif result is Result.EXPIRED:
+            if not self.has_event:
+                self.paces.record_failure(self.endpoint, self.sample, now)
+        elif result in FAILURES and status != REDIRECTED:
+            self.paces.record_failure(self.endpoint, self.sample, now)
+
+    def record_answer(self, now: float) -> None:
+        """Record a complete response."""
+        if self.engine is None:
+            self.paces.record_plain(self.endpoint, self.sample, now)
+            return
+        rates = self.endpoint.pace.rates
+        if not self.sample.queued:
+            rates.slot.add(now - self.began)
+        stream = self.call.stream
+        if stream is None or self.events_before or stream.event_count < MIN_EVENTS:
+            return
+        gap = (stream.latest_event_at - stream.first_event_at) / (stream.event_count - 1)
+        running = (self.requests + self.endpoint.load()[0] + 1) / 2
+        step = gap / max(1, self.engine.tokens_per_event)
+        rates.step.add(running, step / self.endpoint.pace.stated_pace(now))
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -1,8 +1,8 @@
 """The messages between routers.
 
 A datagram carries what changed since the last one: loads of endpoints, prompt parts that an
-endpoint has cached, requests during which an endpoint crashed, endpoints that shut down, and which
-software version began a stream.
+endpoint has cached, requests during which an endpoint crashed, endpoints that shut down, which
+software version began a stream, and the pace and slow-start windows of endpoints.
 """
 
 import msgspec
@@ -101,6 +101,36 @@
     started_ms: int
 
 
+class PaceUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """A pace that an endpoint stated.
+
+    :param endpoint: hash of the endpoint's name.
+    :param pace: how long work takes, in hundredths of the usual time.
+    :param age: milliseconds since the statement.
+    """
+
+    endpoint: int
+    pace: int
+    age: int
+
+
+class WindowUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender knows of an endpoint's slow-start window, see :mod:`.slow_start`.
+
+    :param endpoint: hash of the endpoint's name.
+    :param started_ms: start of the incarnation, as Unix time in milliseconds.
+    :param in_time: responses in time that the sender saw since the latest halving.
+    """
+
+    endpoint: int
+    started_ms: int
+    generation: int
+    halvings: int
+    base: int
+    in_time: int
+    ended: bool
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """A message from one router to another.
 
@@ -116,6 +146,8 @@
     :param suspects: causes in quarantine.
     :param streams: streams that have begun.
     :param stream_questions: keys of streams that the sender asks for.
+    :param paces: stated paces of endpoints that other routers don't expect.
+    :param windows: slow-start windows of endpoints.
     """
 
     incarnation: int
@@ -135,6 +167,8 @@
     limits: list[LimitUpdate] = []
     streams: list[StreamUpdate] = []
     stream_questions: list[int] = []
+    paces: list[PaceUpdate] = []
+    windows: list[WindowUpdate] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -11,7 +11,8 @@
 from .endpoints import PeerLoad
 from .hashes import name_hash
 from .limit_reports import LimitReports
-from .outbox import Outbox
+from .outbox import MAX_UPDATES_PER_KIND, Outbox
+from .pace_reports import PaceReports
 from .peer_protocol import FLUSH_INTERVAL_SECONDS, FLUSH_SECONDS_PER_PEER, Datagram, decode, encode
 from .peer_table import Peer, PeerTable, watcher_rank
 from .records import PromptPart
@@ -43,6 +44,7 @@
         self.registration = Registration(node, self.peers, self.rank)
         self.limits = LimitReports(node, self.peers)
         self.streams = StreamReports(node, self.peers)
+        self.paces = PaceReports(node)
         self.sock = None
 
     async def run(self) -> None:
@@ -69,7 +71,9 @@
         self.node.budget.router_count = len(self.peers.by_address) + 1
         interval = FLUSH_INTERVAL_SECONDS + FLUSH_SECONDS_PER_PEER * len(alive)
         if self.outbox.due(now, interval):
-            await self.broadcast(alive, **self.outbox.take(now))
+            updates = self.outbox.take(now)
+            room = MAX_UPDATES_PER_KIND - max(map(len, updates.values()))
+            await self.broadcast(alive, **updates, **self.paces.take(now, room))
         if updates := self.take_urgent_updates(now):
             await self.broadcast(alive, **updates)
         told = self.streams.take(self.node.resumption.uncertain_services(now), now)
@@ -174,6 +178,7 @@
             if endpoint is not None:
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
         self.limits.apply(address, datagram.limits, now)
+        self.paces.apply(address, datagram.paces, datagram.windows, now)
         self.node.quarantine.apply(datagram, now)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -10,10 +10,11 @@
 
 import msgspec
 
-from .capacity import has_capacity
+from .capacity import DEFAULT_ESTIMATE, Estimate, has_capacity
 from .endpoints import Endpoint
 from .pool import Pool
 from .records import Engine, PromptPart
+from .slow_start import START_RATIO, start_discount
 
 COPY_COST_RATIO = 0.3  # Cost of copying a cached token, relative to prefilling it.
 RUNNING_COST_TOKENS = 40.0  # For each running request, which slows down a new one.
@@ -43,6 +44,8 @@
     :param failure_domain: failure domain of this router.
     :param avoid: names of endpoints that have been tried.
     :param version: software version that the endpoint must have, or None for any.
+    :param objective: seconds within which the response, or its first event, is on time; None for
+        no limit.
     """
 
     now: float
@@ -53,6 +56,7 @@
     prompt_tokens: int = 0
     avoid: frozenset[str] = frozenset()
     version: str | None = None
+    objective: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +66,8 @@
     :param uncached: prompt tokens that the endpoint has to prefill, with copied tokens weighted.
     :param source: endpoint with a longer cached prefix, to copy it from.
     :param rank: position of the endpoint in the rendezvous order.
-    :param cost: cost of the choice in prefill tokens.
+    :param cost: expected time until the first event, and preferences, in prefill tokens at
+        `capacity.PREFILL_TOKENS_PER_SECOND`.
     :param available: whether the endpoint can start the request soon.
     """
 
@@ -81,6 +86,7 @@
     :param prefill: prompt tokens that it has yet to read.
     :param cached_tokens: tokens of the prompt's prefix that it has cached.
     :param rank: its position in the rendezvous order.
+    :param estimate: what work takes there.
     """
 
     endpoint: Endpoint
@@ -88,10 +94,24 @@
     prefill: float
     cached_tokens: int = 0
     rank: int = 0
+    estimate: Estimate = DEFAULT_ESTIMATE
 
-    def available(self, engine: Engine | None) -> bool:
+    def available(self, request: PlacementRequest) -> bool:
         """Return whether it can start one more request soon."""
-        return has_capacity(self.endpoint.entry, engine, self.requests, self.prefill)
+        return has_capacity(
+            self.endpoint.entry,
+            request.engine,
+            self.requests,
+            self.prefill,
+            self.estimate,
+            request.objective,
+            request.prompt_tokens - self.cached_tokens,
+        )
+
+    def within_window(self) -> bool:
+        """Return whether its slow-start window, if it has one, permits one more request."""
+        start = self.endpoint.starting
+        return start is None or start.permits(self.requests, self.endpoint.running)
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,21 +162,61 @@
     The bound is a multiple of the candidates' mean, of whose excess over 1 only the share
     `BOUND_EXCESS_RATIO` is used, plus `BOUND_SLACK_REQUESTS`. Candidates whose rate limit permits
     no request now are left out first, and those of other versions than the request's count only in
-    the mean. Of the returned candidates, only those with capacity are kept if there are any; the
-    second value says whether that is so.
+    the mean. Of the returned candidates, only those with capacity and within their slow-start
+    windows are kept if there are any; the second value says whether that is so.
     """
     permitted = within_rate_limit(candidates, request)
     eligible = of_version(permitted, request)
     if not eligible:
         return of_version(candidates, request), False
     mean = sum([candidate.requests for candidate in permitted]) / len(permitted)
-    multiple = 1.0 + BOUND_EXCESS_RATIO * (request.load_multiple - 1.0)
-    limit = multiple * mean + BOUND_SLACK_REQUESTS
+    limit = load_limit(mean, request.load_multiple)
     allowed = [entry for entry in eligible if entry.requests + 1 <= limit] or eligible
-    available = [entry for entry in allowed if entry.available(request.engine)]
+    available = [entry for entry in allowed if entry.available(request)]
+    if windows_apply(eligible):
+        available, allowed = apply_windows(available, allowed, eligible, request)
     return (available, True) if available else (allowed, False)
 
 
+def apply_windows(
+    available: list[Candidate],
+    allowed: list[Candidate],
+    eligible: list[Candidate],
+    request: PlacementRequest,
+) -> tuple[list[Candidate], list[Candidate]]:
+    """Return the first two lists without candidates whose slow-start window is used up.
+
+    They are returned unchanged if nothing would be available although others have capacity, which
+    only the load bound keeps from being chosen: a window must not lead to refusals then.
+    """
+    within = [entry for entry in available if entry.within_window()]
+    others = [entry for entry in eligible if entry.endpoint.starting is None]
+    if not within and any(entry.available(request) for entry in others):
+        return available, allowed
+    return within, [entry for entry in allowed if entry.within_window()] or allowed
+
+
+def load_limit(mean: float, load_multiple: float) -> float:
+    """Return the requests that an endpoint may have in flight, of which a margin is left.
+
+    :param mean: mean requests in flight of the candidates.
+    """
+    multiple = 1.0 + BOUND_EXCESS_RATIO * (load_multiple - 1.0)
+    return multiple * mean + BOUND_SLACK_REQUESTS
+
+
+def windows_apply(candidates: list[Candidate]) -> bool:
+    """Return whether slow-start windows limit the choice.
+
+    Where most endpoints are starting, the others could not take what the windows keep out.
+    """
+    windows = [candidate.endpoint.slow_start for candidate in candidates]
+    if not any(windows):
+        return False
+    starting = sum([window is not None and window.active for window in windows])
+    return 0 < starting <= START_RATIO * len(candidates)
+
+
 def within_rate_limit(candidates: list[Candidate], request: PlacementRequest) -> list[Candidate]:
     """Return the candidates without a rate limit and those whose limit permits a request now."""
     return [
@@ -188,7 +248,9 @@
 def place_plain(pool: Pool, request: PlacementRequest) -> Choice | None:
     """Return the endpoint with the fewest requests, weighted by locality and health."""
     candidates = [
-        Candidate(endpoint, *endpoint.load()) for endpoint in pool if is_usable(endpoint, request)
+        Candidate(endpoint, *endpoint.load(), estimate=endpoint.estimate(request.now))
+        for endpoint in pool
+        if is_usable(endpoint, request)
     ]
     if not of_version(candidates, request):
         return None
@@ -197,7 +259,8 @@
         endpoint = candidate.endpoint
         remote = endpoint.entry.failure_domain != request.failure_domain
         total = (
-            candidate.requests
+            (candidate.requests + 1) * candidate.estimate.pace
+            - 1
             + REMOTE_COST_REQUESTS * remote
             + FAILURE_COST_REQUESTS * endpoint.failure_rate(request.now)
             + SILENCE_COST_REQUESTS * endpoint.silent(request.now)
@@ -215,7 +278,9 @@
         endpoint.prompt_cache.cached_prefix_tokens(request.parts) for endpoint in order
     ]
     candidates = [
-        Candidate(endpoint, *endpoint.load(), cached_tokens[rank], rank)
+        Candidate(
+            endpoint, *endpoint.load(), cached_tokens[rank], rank, endpoint.estimate(request.now)
+        )
         for rank, endpoint in enumerate(order)
         if is_usable(endpoint, request)
     ]
@@ -224,8 +289,13 @@
     sources = copy_sources(order, cached_tokens, request.now)
     allowed, available = within_load_bound(candidates, request)
     total = max(request.prompt_tokens, sum(part.tokens for part in request.parts))
+    mean = sum([candidate.requests for candidate in candidates]) / len(candidates)
     cost, _, best = min(
-        (uncached_tokens(candidate, sources, total) + base_cost(candidate, request), n, candidate)
+        (
+            prompt_cost(candidate, uncached_tokens(candidate, sources, total), request, mean),
+            n,
+            candidate,
+        )
         for n, candidate in enumerate(allowed)
     )
     return Choice(
@@ -272,13 +342,33 @@
     return total - candidate.cached_tokens - copied * (1.0 - COPY_COST_RATIO)
 
 
+def prompt_cost(
+    candidate: Candidate, uncached: float, request: PlacementRequest, mean: float
+) -> float:
+    """Return the cost of a candidate, in prefill tokens at the default rate.
+
+    It is the expected time until the first event, with what makes a candidate preferable expressed
+    as such a time.
+
+    :param uncached: prompt tokens that the candidate has to prefill.
+    :param mean: mean requests in flight of the candidates.
+    """
+    tokens = uncached * candidate.estimate.token_cost
+    cost = tokens + base_cost(candidate, request)
+    start = candidate.endpoint.slow_start
+    if start is not None and start.active:
+        cost -= start_discount(start.window, candidate.requests, mean, tokens)
+    return cost
+
+
 def base_cost(candidate: Candidate, request: PlacementRequest) -> float:
-    """Return the prompt-independent cost of a candidate, in prefill tokens."""
+    """Return the prompt-independent cost of a candidate, in prefill tokens at the default rate."""
     endpoint = candidate.endpoint
+    estimate = candidate.estimate
     remote = endpoint.entry.failure_domain != request.failure_domain
     return (
-        candidate.prefill
-        + RUNNING_COST_TOKENS * candidate.requests
+        candidate.prefill * estimate.token_cost
+        + RUNNING_COST_TOKENS * candidate.requests * estimate.pace
         + RANK_COST_TOKENS * min(candidate.rank, MAX_RANK_STEPS)
         + REMOTE_COST_TOKENS * remote
         + WARMUP_COST_TOKENS * (request.now < endpoint.warm_at)
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -50,7 +50,7 @@
         started = call.stream is not None and call.stream.started
         if choice is None or started or (choice.available and not queue.entries):
             return choice
-        return await self.wait_for_capacity(call, queue)
+        return await self.wait_for_capacity(call, queue, choice)
 
     async def await_endpoint(self, call: Call) -> Choice | None:
         """Wait for an endpoint that defers requests, if the call can still be on time then."""
@@ -65,9 +65,11 @@
         await curio.sleep(until - now)
         return self.choose_endpoint(call)
 
-    async def wait_for_capacity(self, call: Call, queue: WaitQueue) -> Choice | None:
+    async def wait_for_capacity(self, call: Call, queue: WaitQueue, best: Choice) -> Choice | None:
         """Queue the call and return an endpoint when it has capacity and the call is next.
 
+        :param best: the best endpoint at this moment.
+
         :raises RequestError: if the wait is too long and the call has not run.
         """
         joined = time.monotonic()
@@ -80,6 +82,7 @@
             call.route.latency_objective,
             ends_at,
             self.node.draining,
+            self.node.peer_sync.paces.expected_seconds(best, joined),
         )
         queued = queue.enqueue(parameters, joined)
         choice = None
@@ -104,7 +107,8 @@
             await queue.wake_next(now)
         if call.ran is not Ran.NO:
             return None
-        retry_after = queue.retry_after(now, call.deadline - now)
+        expected_rate = self.node.peer_sync.paces.placement_rate(call.service, now)
+        retry_after = queue.retry_after(now, call.deadline - now, expected_rate)
         detail = f"no endpoint had capacity within {now - joined:.3f} s"
         raise RequestError(Kind.OVERLOADED, detail, Ran.NO, retry_after)
 
@@ -131,5 +135,6 @@
             prompt_tokens=call.info.prompt_tokens,
             avoid=frozenset(avoid),
             version=call.version,
+            objective=call.route.latency_objective,
         )
         return place(node.directory.pool(call.service.name), placement_request)
--- a/src/hickorylever/direct/timeouts.py
+++ b/src/hickorylever/direct/timeouts.py
@@ -8,12 +8,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .capacity import backlog_seconds
+from .capacity import DEFAULT_ESTIMATE, Estimate, backlog_seconds
 from .records import Engine, Route
 
 PLAIN_TIMEOUT_OBJECTIVES = 4.0  # Multiple of the objective after which a plain endpoint times out.
 ENGINE_TIMEOUT_OBJECTIVES = 0.6  # Less than 1, so that a retry can still be on time.
 STREAM_IDLE_GAPS = 3.0  # Multiple of the maximum gap after which a stream is resumed elsewhere.
+ESTIMATE_MARGIN = 1.5  # Multiple of an estimated backlog, as the pace may change meanwhile.
 MIN_FIRST_BYTE_TIMEOUT_SECONDS = 0.6  # Lower limit of the timeout of a plain endpoint.
 
 # Callers don't leave a stream that sends no event before the longest of these three times.
@@ -40,21 +41,27 @@
 
 
 def first_byte_timeout(
-    route: Route, engine: Engine | None, requests: int, prefill: float
+    route: Route,
+    engine: Engine | None,
+    requests: int,
+    prefill: float,
+    estimate: Estimate = DEFAULT_ESTIMATE,
 ) -> float:
     """Return the seconds within which a response should begin.
 
     :param engine: None for a plain endpoint.
     :param requests: in flight at the endpoint, including this one.
     :param prefill: prompt tokens that the endpoint has yet to read, including this request's.
+    :param estimate: what work takes at the endpoint.
     """
     if engine is None:
         return max(
             MIN_FIRST_BYTE_TIMEOUT_SECONDS, PLAIN_TIMEOUT_OBJECTIVES * route.latency_objective
         )
-    return ENGINE_TIMEOUT_OBJECTIVES * route.latency_objective + backlog_seconds(
-        engine.slots, requests, prefill
-    )
+    backlog = backlog_seconds(engine.slots, requests, prefill, estimate)
+    if estimate.known:
+        backlog = ESTIMATE_MARGIN * (backlog + estimate.first_event_seconds(0.0))
+    return ENGINE_TIMEOUT_OBJECTIVES * route.latency_objective + backlog
 
 
 def stream_idle_timeout(route: Route) -> float | None:
--- a/src/hickorylever/direct/wait_queue.py
+++ b/src/hickorylever/direct/wait_queue.py
@@ -13,6 +13,9 @@
 
 from .availability import MAX_RETRY_AFTER_SECONDS, ON_TIME_RATIO, bounded_retry_after
 
+MIN_ON_TIME_RATIO = 0.3  # Bounds of the share where the time to the first event is estimated.
+MAX_ON_TIME_RATIO = 0.9
+EXPECTED_MARGIN = 1.25  # Multiple of the expected time to the first event that is left for it.
 MAX_WAIT_RATIO = 0.75  # Maximum wait as a share of the time that the caller allows.
 LATE_WAIT_SECONDS = 1.0  # Late requests are refused if none was placed for this time.
 DRAINING_WAIT_SECONDS = 0.3  # At a router that shuts down.
@@ -32,6 +35,8 @@
     :param objective: seconds within which the response, or its first event, is on time.
     :param ends_at: time at which the caller leaves or the route's timeout ends the request.
     :param draining: whether the router shuts down.
+    :param expected: expected seconds from the placement to the first event, or None if nothing has
+        been estimated.
     """
 
     priority: int
@@ -39,6 +44,16 @@
     objective: float
     ends_at: float
     draining: bool = False
+    expected: float | None = None
+
+    @property
+    def on_time_until(self) -> float:
+        """Return the latest placement that meets the objective."""
+        ratio = ON_TIME_RATIO
+        if self.expected is not None and self.objective > 0:
+            left = 1.0 - EXPECTED_MARGIN * self.expected / self.objective
+            ratio = min(MAX_ON_TIME_RATIO, max(MIN_ON_TIME_RATIO, left))
+        return self.arrived_at + ratio * self.objective
 
 
 @dataclass(eq=False, slots=True)
@@ -95,10 +110,11 @@
         wait = MAX_WAIT_RATIO * (parameters.ends_at - now)
         if parameters.draining:
             wait = min(wait, DRAINING_WAIT_SECONDS)
-        on_time_until = parameters.arrived_at + ON_TIME_RATIO * parameters.objective
         if not self.entries:
             self.busy_since = now
-        entry = QueueEntry(parameters.priority, parameters.arrived_at, on_time_until, now + wait)
+        entry = QueueEntry(
+            parameters.priority, parameters.arrived_at, parameters.on_time_until, now + wait
+        )
         self.entries.append(entry)
         return entry
 
@@ -166,12 +182,13 @@
         ahead = sum(other.sort_key(now) < sort_key for other in self.entries)
         return now + ahead / placement_rate > entry.wait_until
 
-    def retry_after(self, now: float, time_left: float) -> float:
+    def retry_after(self, now: float, time_left: float, expected_rate: float = 0.0) -> float:
         """Return the seconds after which a caller that is refused now should retry.
 
         :param time_left: seconds until the caller's deadline.
+        :param expected_rate: placements per second while too few were seen; 0 if unknown.
         """
-        step = 1.0 / max(1.0, self.placement_rate(now))
+        step = 1.0 / max(1.0, self.placement_rate(now) or expected_rate)
         pause = min(MAX_RETRY_AFTER_SECONDS, len(self.entries) * step)
         self.next_retry_at = max(now + pause, self.next_retry_at) + step
         return bounded_retry_after(self.next_retry_at - now, time_left)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -40,6 +40,8 @@
     "position",
     "records",
     "capacity",
+    "pace",
+    "slow_start",
     "routes",
     "sse",
 )
