Weigh samples of the first event by how well the unread tokens are known

Others' prompts count as unread until their first event, so that with many in progress the estimated rate was up to three times the real one in the played loads (318,000 for 125,000).

--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -87,7 +87,7 @@
             endpoint.prompt_cache.add(call.info.parts, engine.memory_tokens)
             for part in shared_parts(call.info.parts):
                 peer_sync.outbox.queue_cached_part(endpoint.name, part.id, part.tokens, began)
-        watch = AttemptWatch(peer_sync.paces, call, endpoint, began)
+        watch = AttemptWatch(peer_sync.paces, call, endpoint, choice.uncached, began)
         if call.stream is not None:
             call.stream.pending_prefill = pending_prefill
             call.stream.on_first_event = lambda: self.record_first_event(call, watch)
--- a/src/hickorylever/direct/pace.py
+++ b/src/hickorylever/direct/pace.py
@@ -28,8 +28,10 @@
 FORGETTING = 0.995  # Weight of a sample of a service after the next one.
 PRIOR_WEIGHT = 1.0  # Of the assumptions, in samples.
 OUTLIER_SCALES = 3.0  # Residual, in mean residuals, at which a sample counts half.
-FIRST_SCALE_SECONDS = 0.1  # Mean residual before the first samples.
-MIN_SCALE_SECONDS = 0.001
+FIRST_SCALE = 1.0  # Mean residual before the first samples, relative to the expected time.
+MIN_SCALE = 0.2  # Else short prompts, whose times differ little, would make long ones outliers.
+CERTAIN_TOKENS = 200.0  # Unread prompt tokens of other requests that hardly matter.
+MIN_SECONDS = 0.001  # Avoids division by zero.
 SCALE_WEIGHT = 0.05
 CONFIDENT_SAMPLES = 5.0  # Samples at which the confidence is a half.
 ESTIMATE_REFRESH_SECONDS = 0.02  # Estimates are kept for so long, as placements ask for all.
@@ -53,7 +55,7 @@
             for value in (2.0, reach, reach * reach, intercept + assumed, reach * assumed)
         )
         self.sums = (0.0,) * len(self.prior)
-        self.scale = FIRST_SCALE_SECONDS
+        self.scale = FIRST_SCALE
 
     @property
     def samples(self) -> float:
@@ -64,12 +66,16 @@
         """Return the expected y."""
         return self.intercept + self.slope * x
 
-    def add(self, x: float, y: float) -> None:
-        """Add a sample."""
-        residual = abs(y - self.predict(x))
-        weight = 1.0 / (1.0 + (residual / (OUTLIER_SCALES * self.scale)) ** 2)
+    def add(self, x: float, y: float, certainty: float = 1.0) -> None:
+        """Add a sample.
+
+        :param certainty: 0 to 1, of x.
+        """
+        expected = max(MIN_SECONDS, self.predict(x))
+        residual = abs(y - expected) / expected
+        weight = certainty / (1.0 + (residual / (OUTLIER_SCALES * self.scale)) ** 2)
         bounded = min(residual, OUTLIER_SCALES * self.scale)
-        self.scale = max(MIN_SCALE_SECONDS, self.scale + SCALE_WEIGHT * (bounded - self.scale))
+        self.scale = max(MIN_SCALE, self.scale + SCALE_WEIGHT * (bounded - self.scale))
         sample = 1.0, x, x * x, y, x * y
         self.sums = tuple(
             FORGETTING * total + weight * value
@@ -128,15 +134,27 @@
     """A request, and what the router knew of its endpoint when it was sent.
 
     :param tokens: prompt tokens that the endpoint had to read, the request's own with the others.
+    :param own_tokens: the request's own part of `tokens`.
     :param queued: whether the request had to wait for a slot.
     :param expected: expected seconds to the first event.
     """
 
     sent_at: float
     tokens: float
+    own_tokens: float
     queued: bool
     expected: float
 
+    @property
+    def certainty(self) -> float:
+        """Return how well `tokens` is known, 0 to 1.
+
+        Others' prompts count as unread until their first event although they are partly read, and
+        what other routers sent just now is missing.
+        """
+        own = self.own_tokens + CERTAIN_TOKENS
+        return (own / (max(0.0, self.tokens - self.own_tokens) + own)) ** 2
+
 
 @dataclass(slots=True)
 class EndpointPace:
@@ -161,7 +179,7 @@
     mean: float = 1.0
     trust: float = 1.0
     log_correction: float = 0.0
-    samples: int = 0
+    samples: float = 0.0
     observed_at: float = -math.inf
     latest: Estimate = Estimate(known=True)
     latest_at: float = -math.inf
@@ -228,12 +246,13 @@
         """Record when the first event of a response arrived."""
         if sample.queued:  # The time for a slot to get free says little about the machine.
             return
-        seconds = max(MIN_SCALE_SECONDS, now - sample.sent_at)
-        ratio = seconds / max(MIN_SCALE_SECONDS, self.rates.first_event.predict(sample.tokens))
+        seconds = max(MIN_SECONDS, now - sample.sent_at)
+        ratio = seconds / max(MIN_SECONDS, self.rates.first_event.predict(sample.tokens))
         stated = self.stated_pace(now)
-        self.rates.first_event.add(sample.tokens, seconds / stated)
-        self.record_trust(ratio)
-        self.record_ratio(ratio / stated, now)
+        certainty = sample.certainty
+        self.rates.first_event.add(sample.tokens, seconds / stated, certainty)
+        self.record_trust(ratio, certainty)
+        self.record_ratio(ratio / stated, now, certainty)
 
     def record_no_event(self, sample: FirstEventSample, now: float) -> None:
         """Record that a request failed or was cancelled without an event.
@@ -248,26 +267,28 @@
                 seconds / (stated * self.rates.first_event.predict(sample.tokens)), now
             )
 
-    def record_trust(self, ratio: float) -> None:
+    def record_trust(self, ratio: float, certainty: float) -> None:
         """Trust the stated pace more if a response took as long as it says, and less if not.
 
         :param ratio: time of the response, relative to that at the usual pace.
+        :param certainty: 0 to 1, of the ratio.
         """
         deviation = math.log(self.stated)
         if abs(deviation) < NOTABLE_DEVIATION:
             return
         observed = math.log(ratio) - self.log_correction
         confirmed = abs(observed - deviation) <= abs(observed)
-        self.trust += TRUST_WEIGHT * (confirmed - self.trust)
+        self.trust += TRUST_WEIGHT * certainty * (confirmed - self.trust)
 
-    def record_ratio(self, ratio: float, now: float) -> None:
+    def record_ratio(self, ratio: float, now: float, certainty: float = 1.0) -> None:
         """Adapt the correction.
 
         :param ratio: time of a response, relative to what the stated pace lets expect.
+        :param certainty: 0 to 1, of the ratio.
         """
         current = math.log(self.correction(now))
         step = max(-MAX_CORRECTION_STEP, min(MAX_CORRECTION_STEP, math.log(ratio) - current))
-        self.samples += 1
-        self.log_correction = current + CORRECTION_WEIGHT * step
+        self.samples += certainty
+        self.log_correction = current + CORRECTION_WEIGHT * certainty * step
         self.observed_at = now
         self.latest_at = -math.inf
--- a/src/hickorylever/direct/pace_attempts.py
+++ b/src/hickorylever/direct/pace_attempts.py
@@ -13,17 +13,20 @@
 class AttemptWatch:
     """Reports the first event and the outcome of an attempt.
 
+    :param uncached: prompt tokens that the endpoint has to read.
     :param began: monotonic seconds at which the request was counted at the endpoint.
     """
 
-    def __init__(self, paces: PaceReports, call: Call, endpoint: Endpoint, began: float):
+    def __init__(
+        self, paces: PaceReports, call: Call, endpoint: Endpoint, uncached: float, began: float
+    ):
         self.paces = paces
         self.call = call
         self.endpoint = endpoint
         self.began = began
         self.engine = call.service.engine
         slots = endpoint.entry.slots or (self.engine.slots if self.engine else 0)
-        self.sample = paces.sample(endpoint, slots, began)
+        self.sample = paces.sample(endpoint, slots, uncached, began)
         self.requests = endpoint.load()[0]
         self.events_before = call.stream.event_count if call.stream else 0
 
--- a/src/hickorylever/direct/pace_reports.py
+++ b/src/hickorylever/direct/pace_reports.py
@@ -73,10 +73,13 @@
             endpoint.pace = EndpointPace(rates)
         log(Event.PACE_STATED, service)
 
-    def sample(self, endpoint: Endpoint, slots: int, now: float) -> FirstEventSample | None:
+    def sample(
+        self, endpoint: Endpoint, slots: int, uncached: float, now: float
+    ) -> FirstEventSample | None:
         """Return what is known at the start of an attempt, which the endpoint's load includes.
 
         :param slots: of the endpoint; 0 when unknown.
+        :param uncached: prompt tokens of the request that the endpoint has to read.
         """
         if endpoint.pace is None:
             return None
@@ -84,7 +87,7 @@
         rates = endpoint.pace.rates
         usual = rates.first_event.predict(tokens)
         expected = usual * endpoint.pace.stated_pace(now)
-        return FirstEventSample(now, tokens, 0 < slots < requests, expected)
+        return FirstEventSample(now, tokens, uncached, 0 < slots < requests, expected)
 
     def record_first_event(
         self, endpoint: Endpoint, sample: FirstEventSample | None, now: float
