--- a/src/hickorylever/direct/capacity.py
+++ b/src/hickorylever/direct/capacity.py
@@ -11,9 +11,9 @@
 PREFILL_TOKENS_PER_SECOND = 40_000.0  # Lower bound for an engine.
 SLOT_SECONDS = 2.0  # Time for which a request occupies a slot of an engine.
 MAX_BACKLOG_SECONDS = 0.4  # Work queued at an engine, up to which it has capacity.
-MIN_BACKLOG_SECONDS = 0.15  # Loads of peers arrive late, and an engine must not run out of work.
+MIN_BACKLOG_SECONDS = 0.3  # Half of what counts as unread is read; 0.15 made engines idle.
 PLAIN_REQUESTS_PER_SLOT = 2.0
-OBJECTIVE_RATIO = 0.8  # Share of the objective in which the first event is expected.
+PLAIN_OBJECTIVE_RATIO = 0.8  # Share of the objective in which a plain response is expected.
 
 
 class Estimate(msgspec.Struct, frozen=True, gc=False):
@@ -71,7 +71,7 @@
     """
     if objective is None:
         return MAX_BACKLOG_SECONDS
-    left = OBJECTIVE_RATIO * objective - estimate.first_event_seconds(tokens)
+    left = objective - estimate.first_event_seconds(tokens)
     return min(MAX_BACKLOG_SECONDS, max(MIN_BACKLOG_SECONDS, left))
 
 
@@ -80,7 +80,7 @@
     seconds = estimate.pace * estimate.plain_seconds
     if objective is None or not seconds:
         return PLAIN_REQUESTS_PER_SLOT
-    return min(PLAIN_REQUESTS_PER_SLOT, max(1.0, OBJECTIVE_RATIO * objective / seconds))
+    return min(PLAIN_REQUESTS_PER_SLOT, max(1.0, PLAIN_OBJECTIVE_RATIO * objective / seconds))
 
 
 def has_capacity(
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -8,7 +8,10 @@
 
 
 class DirectMetrics(Metrics):
-    """Counters, gauges and histograms; labels hold only names of routes, services and results."""
+    """Counters, gauges and histograms.
+
+    Labels hold only names of routes, services, endpoints and results.
+    """
 
     def __init__(self):
         super().__init__()
@@ -59,6 +62,29 @@
             "hickorylever_rate_limits",
             "Endpoints that limit the rate of requests, by service",
         )
+        self.pace = self.make(
+            Gauge,
+            "hickorylever_endpoint_pace",
+            "Expected time of work by endpoint, as a multiple of the usual",
+        )
+        self.pace_confidence = self.make(
+            Gauge, "hickorylever_endpoint_pace_confidence", "Confidence in the pace, 0 to 1"
+        )
+        self.windows = self.make(
+            Gauge,
+            "hickorylever_endpoint_window",
+            "Slow-start window by endpoint; 0 when none applies",
+        )
+        self.prefill_rate = self.make(
+            Gauge,
+            "hickorylever_prefill_tokens_per_second",
+            "Estimated prompt tokens that an engine reads a second, by service",
+        )
+        self.step_seconds = self.make(
+            Gauge,
+            "hickorylever_step_seconds",
+            "Estimated time of an engine's step, by service and part (base, request)",
+        )
         self.in_flight = self.make(Gauge, "hickorylever_in_flight", "Requests under way")
         self.descriptors = self.make(Gauge, "hickorylever_descriptors", "Open descriptors")
 
--- a/src/hickorylever/direct/pace.py
+++ b/src/hickorylever/direct/pace.py
@@ -16,7 +16,11 @@
 FIRST_DELAY_SECONDS = 0.03  # Assumed before the first samples.
 STEP_SECONDS = 0.005  # Of an engine without requests, assumed before the first samples.
 STEP_SECONDS_PER_REQUEST = 0.0001  # Assumed before the first samples.
-PACE_HALF_LIFE_SECONDS = 0.4  # Of a stated pace; machines change theirs about every 600 ms.
+PACE_HALF_LIFE_SECONDS = 0.4  # Of a stated pace, assumed before the first samples.
+MIN_HALF_LIFE_SECONDS = 0.02
+MAX_HALF_LIFE_SECONDS = 2.0
+PERSISTENCE_GAPS_SECONDS = 0.02, 0.6  # Between two statements that show how long a pace lasts.
+ASSUMED_GAP_SECONDS = 0.3  # Of the assumed sample.
 CORRECTION_HALF_LIFE_SECONDS = 60.0  # After it, an endpoint that was slow is tried again.
 MIN_PACE = 0.2  # Lower and higher figures are taken for faults of the endpoint.
 MAX_PACE = 10.0
@@ -107,6 +111,41 @@
         self.seconds += max(MEAN_WEIGHT, 1.0 / self.samples) * (seconds - self.seconds)
 
 
+class Persistence:
+    """Estimates how long a stated pace lasts, from how much of its deviation the next one shows.
+
+    :ivar half_life: seconds after which half of a deviation from the mean is left.
+    """
+
+    def __init__(self):
+        self.half_life = PACE_HALF_LIFE_SECONDS
+        self.squares = 1.0
+        self.products = 0.5 ** (ASSUMED_GAP_SECONDS / PACE_HALF_LIFE_SECONDS)
+        self.gaps = ASSUMED_GAP_SECONDS
+
+    def add(self, first: float, second: float, gap: float) -> None:
+        """Add two statements of an endpoint.
+
+        :param first: deviation of the first from the mean.
+        :param gap: seconds between them.
+        """
+        shortest, longest = PERSISTENCE_GAPS_SECONDS
+        if not shortest <= gap <= longest:
+            return
+        square = first * first
+        self.squares = FORGETTING * self.squares + square
+        self.products = FORGETTING * self.products + first * second
+        self.gaps = FORGETTING * self.gaps + square * gap
+        left = self.products / self.squares
+        gap = self.gaps / self.squares
+        half_life = MIN_HALF_LIFE_SECONDS
+        if left > 0.0:
+            half_life = MAX_HALF_LIFE_SECONDS
+            if left < 1.0:
+                half_life = min(half_life, gap * math.log(0.5) / math.log(left))
+        self.half_life = max(MIN_HALF_LIFE_SECONDS, half_life)
+
+
 @dataclass(slots=True)
 class ServiceRates:
     """What work takes at the endpoints of a service whose machines work as usual.
@@ -115,6 +154,7 @@
     :param step: seconds of an engine's step by running requests.
     :param slot: time for which a request occupies a slot.
     :param plain: service time of plain requests.
+    :param persistence: how long a stated pace lasts.
     """
 
     first_event: LinearFit = field(
@@ -127,6 +167,7 @@
     )
     slot: Average = field(default_factory=lambda: Average(SLOT_SECONDS))
     plain: Average = field(default_factory=Average)
+    persistence: Persistence = field(default_factory=Persistence)
 
 
 @dataclass(frozen=True, slots=True)
@@ -193,6 +234,8 @@
         pace = min(MAX_PACE, max(MIN_PACE, pace))
         if own:
             self.statements += 1
+            gap = at - self.stated_at
+            self.rates.persistence.add(self.stated - self.mean, pace - self.mean, gap)
             weight = max(MEAN_WEIGHT, 1.0 / (self.statements + 1))
             self.mean += weight * (pace - self.mean)
         if at >= self.stated_at:
@@ -201,7 +244,7 @@
 
     def stated_pace(self, now: float) -> float:
         """Return the pace by what the endpoint stated, which nears the mean as it ages."""
-        weight = 0.5 ** (max(0.0, now - self.stated_at) / PACE_HALF_LIFE_SECONDS)
+        weight = 0.5 ** (max(0.0, now - self.stated_at) / self.rates.persistence.half_life)
         stated = self.mean + weight * (self.stated - self.mean)
         return 1.0 + self.trust * (stated - 1.0)
 
--- a/src/hickorylever/direct/status_servers.py
+++ b/src/hickorylever/direct/status_servers.py
@@ -38,6 +38,7 @@
             limited = sum(endpoint.rate_limit is not None for endpoint in pool)
             metrics.rate_limits.set({"service": service}, limited)
             metrics.budget_left.set({"service": service}, node.budget.remaining(service, now))
+        self.update_paces(now)
         waiting = Counter()
         for (service, _), queue in self.router.forwarder.placer.queues.items():
             waiting[service] += len(queue.entries)
@@ -46,6 +47,21 @@
         for watcher in node.store_watchers:
             metrics.store_age.set({"kind": watcher.kind}, now - watcher.last_success_at)
 
+    def update_paces(self, now: float) -> None:
+        """Set the gauges of the services whose endpoints state their pace."""
+        node = self.node
+        metrics = node.metrics
+        for service, rates in node.peer_sync.paces.services.items():
+            metrics.prefill_rate.set({"service": service}, 1.0 / rates.first_event.slope)
+            for part, seconds in (("base", rates.step.intercept), ("request", rates.step.slope)):
+                metrics.step_seconds.set({"service": service, "part": part}, seconds)
+            for endpoint in node.directory.pool(service):
+                labels = {"endpoint": endpoint.name}
+                metrics.pace.set(labels, endpoint.pace.pace(now))
+                metrics.pace_confidence.set(labels, endpoint.pace.confidence(now))
+                start = endpoint.starting
+                metrics.windows.set(labels, start.window if start else 0)
+
 
 class ReadinessServer:
     """Serves the load balancer's readiness checks."""
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -67,6 +67,7 @@
     :ivar stopped: number of requests cancelled because the caller disconnected.
     :param leaving: whether each response says that the endpoint shuts down.
     :param limit: requests per second that each response names as the endpoint's limit.
+    :param load: value of the header in which each response states the endpoint's load, if any.
     :param retry_after: seconds in the responses of the behaviour ``defer``.
     :ivar duplicate_response: duplicate response that the behaviour ``late`` sends first.
     :param crashing_parts: ids of prompt parts on which the endpoint crashes when it begins to
@@ -82,6 +83,7 @@
     pause: float = 0.001
     leaving: bool = False
     limit: float | None = None
+    load: bytes = b""
     retry_after: bytes = b"1"
     runs: list[Run] = field(default_factory=list)
     arrivals: int = 0
@@ -153,6 +155,8 @@
             headers.append((names.LEAVING, names.LEAVING_VALUE))
         if self.limit is not None:
             headers.append((names.LIMIT, b"%.3f" % self.limit))
+        if self.load:
+            headers.append((names.LOAD, self.load))
         return headers
 
     def own_body(self, exchange: Exchange) -> bytes:
--- a/tests/pace_play.py
+++ b/tests/pace_play.py
@@ -56,6 +56,7 @@
     router: int
     arrived_at: float
     parts: tuple
+    output: int
     engine: int = -1
     sent_at: float = 0.0
     first_event_at: float | None = None
@@ -153,7 +154,8 @@
             PromptPart(f"s{tokens}-{self.rng.randrange(SUBJECTS)}", tokens),
             PromptPart(f"o{len(self.requests)}", self.rng.randrange(50, self.load.own_tokens)),
         )
-        request = Request(self.rng.randrange(self.load.routers), self.now, parts)
+        router, output = self.rng.randrange(self.load.routers), self.rng.randrange(50, 400)
+        request = Request(router, self.now, parts, output)
         self.requests.append(request)
         self.send(request)
 
@@ -210,13 +212,14 @@
         pace = self.load.pace(engine, self.now)
         stated = self.load.stated(engine, self.now, pace)
         info = AnswerInfo(200, "", True, False, slots=64, pace=stated)
+        node.latest_info = info
         node.paces.record_head(endpoint, info, self.now)
         node.paces.record_first_event(endpoint, sample, self.now)
         endpoint.prefill = max(0.0, endpoint.prefill - tokens)
         self.announce(node, endpoint)
         step = STEP_SECONDS + STEP_SECONDS_PER_REQUEST * self.in_flight[engine]
-        output = self.rng.randrange(50, 400)
-        self.at(self.worked(engine, self.now, output * step), self.finish, node, endpoint, engine)
+        done = self.worked(engine, self.now, request.output * step)
+        self.at(done, self.finish, node, endpoint, engine)
 
     def finish(self, node, endpoint, engine):
         self.in_flight[engine] -= 1
