--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -30,6 +30,7 @@
     :param on_new_version: called with the hash of the name of an endpoint that has started again
         with another software version, and its start as Unix time in milliseconds.
     :param cold_starts: limits of cold endpoints; none by default.
+    :param on_new_endpoint: called with an endpoint that has just become known, and the time.
     :ivar endpoints: endpoints by name.
     :ivar pools: endpoints by service, sorted by name.
     :ivar by_hash: endpoints by the hash of their name.
@@ -49,12 +50,14 @@
         entry_lifetime: float = 0.0,
         on_new_version=lambda key, started_ms: None,
         cold_starts: ColdStarts | None = None,
+        on_new_endpoint=lambda endpoint, now: None,
     ):
         self.decode = decode
         self.reject = reject
         self.entry_lifetime = entry_lifetime
         self.on_new_version = on_new_version
         self.cold_starts = cold_starts or ColdStarts(Membership(""))
+        self.on_new_endpoint = on_new_endpoint
         self.endpoints: dict[str, Endpoint] = {}
         self.pools: dict[str, Pool] = {}
         self.by_hash: dict[int, Endpoint] = {}
@@ -141,6 +144,7 @@
             endpoint.rate_limit = former.rate_limit if former else None
             self.cold_starts.replace(former, endpoint, now)
             known = stored
+            self.on_new_endpoint(endpoint, now)
         endpoint.entry = entry
         endpoint.evacuated = entry.failure_domain in self.evacuated_domains
         endpoint.missing_since = None
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -2,11 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from .capacity import PREFILL_TOKENS_PER_SECOND
+from .capacity import DEFAULT_ESTIMATE, Estimate
 from .cold_start import ColdStart
+from .pace import EndpointPace
 from .prompt_cache import PromptCacheIndex
 from .rate_limit import RateLimit
 from .records import EndpointEntry
+from .slow_start import SlowStart
 
 FIRST_PAUSE_SECONDS = 0.25  # After the first failed connection or rejection with status 421.
 MAX_PAUSE_SECONDS = 2.0
@@ -60,6 +62,8 @@
     :param evacuated: whether an operator evacuates its failure domain.
     :param cold: limit on the requests of this router while the endpoint is cold, or None.
     :param known_since: when this incarnation's entry arrived first.
+    :param pace: what work takes there, or None where its service's endpoints don't state it.
+    :param slow_start: latest window after a start or a recovery, or None.
     """
 
     entry: EndpointEntry
@@ -83,6 +87,8 @@
     evacuated: bool = False
     cold: ColdStart | None = None
     known_since: float = 0.0
+    pace: EndpointPace | None = None
+    slow_start: SlowStart | None = None
 
     @property
     def name(self) -> str:
@@ -110,6 +116,16 @@
         """Return whether this router may send it no request now because it is cold."""
         return self.cold is not None and not self.cold.permits(now)
 
+    def estimate(self, now: float) -> Estimate:
+        """Return what work takes there."""
+        return DEFAULT_ESTIMATE if self.pace is None else self.pace.estimate(now)
+
+    @property
+    def starting(self) -> SlowStart | None:
+        """Return the window of an endpoint that is starting or recovering, else None."""
+        start = self.slow_start
+        return start if start is not None and start.active else None
+
     def limit_rate(self, rate: float | None, router_count: int, now: float) -> bool:
         """Set the limit that the endpoint names, and return whether it has changed.
 
@@ -210,4 +226,6 @@
         if not self.running:
             return False
         silence = now - max(self.last_byte_at, self.busy_since)
-        return silence > SILENCE_TIMEOUT_SECONDS + self.prefill / PREFILL_TOKENS_PER_SECOND
+        estimate = self.estimate(now)
+        prefill_seconds = estimate.pace * (self.prefill / estimate.tokens_per_second)
+        return silence > SILENCE_TIMEOUT_SECONDS + prefill_seconds
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -83,6 +83,7 @@
             settings.endpoint_entry_lifetime,
             lambda *endpoint: self.peer_sync.streams.table.forget_endpoint(*endpoint),
             ColdStarts(self.membership, self.report_cold),
+            lambda endpoint, now: self.peer_sync.paces.adopt(endpoint, now),
         )
         self.budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -1,8 +1,8 @@
 """The messages between routers.
 
 A datagram carries what changed since the last one: loads of endpoints, prompt parts that an
-endpoint has cached, requests during which an endpoint crashed, endpoints that shut down, and which
-software version began a stream.
+endpoint has cached, requests during which an endpoint crashed, endpoints that shut down, which
+software version began a stream, and the pace and slow-start windows of endpoints.
 """
 
 import msgspec
@@ -138,6 +138,36 @@
     version: str
 
 
+class PaceUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """A pace that an endpoint stated.
+
+    :param endpoint: hash of the endpoint's name.
+    :param pace: how long work takes, in hundredths of the usual time.
+    :param age: milliseconds since the statement.
+    """
+
+    endpoint: int
+    pace: int
+    age: int
+
+
+class WindowUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender knows of an endpoint's slow-start window, see :mod:`.slow_start`.
+
+    :param endpoint: hash of the endpoint's name.
+    :param started_ms: start of the incarnation, as Unix time in milliseconds.
+    :param in_time: responses in time that the sender saw since the latest halving.
+    """
+
+    endpoint: int
+    started_ms: int
+    generation: int
+    halvings: int
+    base: int
+    in_time: int
+    ended: bool
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """A message from one router to another.
 
@@ -157,6 +187,8 @@
     :param caches_known: whether the sender knows what engines had cached before it started.
     :param cold_endpoints: endpoints that have become cold.
     :param ended_endpoints: endpoints that have ended.
+    :param paces: stated paces of endpoints that other routers don't expect.
+    :param windows: slow-start windows of endpoints.
     """
 
     incarnation: int
@@ -180,6 +212,8 @@
     caches_known: bool = False
     cold_endpoints: list[ColdUpdate] = []
     ended_endpoints: list[EndedUpdate] = []
+    paces: list[PaceUpdate] = []
+    windows: list[WindowUpdate] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -14,7 +14,8 @@
 from .evacuations import OwnWatch
 from .hashes import name_hash
 from .limit_reports import LimitReports
-from .outbox import Outbox
+from .outbox import MAX_UPDATES_PER_KIND, Outbox
+from .pace_reports import PaceReports
 from .peer_protocol import FLUSH_INTERVAL_SECONDS, FLUSH_SECONDS_PER_PEER, Datagram, decode, encode
 from .peer_table import Peer, PeerTable, watcher_rank
 from .records import PromptPart
@@ -50,6 +51,7 @@
         self.streams = StreamReports(node, self.peers, self.rank)
         self.caches = CacheListing(node, self.peers)
         self.own_watch = OwnWatch(node.rng.random())
+        self.paces = PaceReports(node)
         self.sock = None
 
     async def run(self) -> None:
@@ -77,7 +79,9 @@
         self.node.budget.router_count = len(self.peers.by_address) + 1
         interval = FLUSH_INTERVAL_SECONDS + FLUSH_SECONDS_PER_PEER * len(alive)
         if self.outbox.due(now, interval):
-            await self.broadcast(alive, **self.outbox.take(now))
+            updates = self.outbox.take(now)
+            room = MAX_UPDATES_PER_KIND - max(map(len, updates.values()))
+            await self.broadcast(alive, **updates, **self.paces.take(now, room))
         if updates := self.take_urgent_updates(now):
             await self.broadcast(alive, **updates)
         told = self.streams.take(self.node.resumption.uncertain_services(now), now)
@@ -195,6 +199,7 @@
         self.caches.apply(address, datagram, now)
         self.limits.apply(address, datagram.limits, now)
         self.cold.apply(datagram.cold_endpoints, now)
+        self.paces.apply(address, datagram.paces, datagram.windows, now)
         self.node.quarantine.apply(datagram, now)
         for update in datagram.ended_endpoints:
             self.node.restarts.apply(by_hash.get(update.endpoint), update, now)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -41,6 +41,8 @@
     "position",
     "records",
     "capacity",
+    "pace",
+    "slow_start",
     "routes",
     "sse",
 )
