--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -120,8 +120,11 @@
             self.reject(error)
             self.remove(stored.name, now)
             return
-        self.objects[stored.name] = stored
         endpoint = self.endpoints.get(entry.name)
+        if endpoint is not None and self.is_outdated(stored, entry, endpoint.entry):
+            endpoint.missing_since = None
+            return
+        self.objects[stored.name] = stored
         if endpoint is not None and endpoint.entry.version != entry.version:
             self.on_new_version(name_hash(entry.name), entry.started_ms)
         if endpoint is None or endpoint.entry.incarnation != entry.incarnation:
@@ -133,6 +136,16 @@
             self.mark_leaving(LeavingUpdate(name_hash(entry.name), entry.started_ms), now)
             endpoint.leaving = True
 
+    def is_outdated(
+        self, stored: StoredObject, entry: EndpointEntry, known: EndpointEntry
+    ) -> bool:
+        """Return whether a restored store holds the entry of an endpoint's former process.
+
+        The endpoint writes its own entry again. The former one may name another software version.
+        """
+        era = self.objects[stored.name].position.era
+        return stored.position.era > era and 0 < entry.started_ms < known.started_ms
+
     def create(self, entry: EndpointEntry, era: int, now: float) -> Endpoint:
         """Return a new endpoint, with what is known of the departure of its incarnation.
 
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -4,13 +4,17 @@
 import time
 
 import curio
+import msgspec
 import pytest
 from direct_harness import HOST, entry, versions_in
 from stream_fleet import StreamFleet, kind
 from test_peer_sync import play
 
+from hickorylever import platform
+from hickorylever.direct.directory import Directory
 from hickorylever.direct.endpoints import Endpoint
-from hickorylever.direct.records import EndpointEntry
+from hickorylever.direct.position import Position
+from hickorylever.direct.records import EndpointEntry, Listing, StoredObject
 from hickorylever.direct.restarts import REPORT_COUNT, Restarts
 from hickorylever.direct.streams import CLOCK_MARGIN_MS, StreamRecord
 from hickorylever.direct.versions import SETTLE_SECONDS
@@ -147,6 +151,23 @@
     return counts[0]
 
 
+def test_the_entry_of_a_former_process_in_a_restored_store_is_ignored():
+    """Streams went on at the version that it names."""
+    directory = Directory(platform.decode_endpoint)
+
+    def apply(era, revision, born, version):
+        content = msgspec.json.encode(entry(9, born=born, version=version))
+        stored = StoredObject("i-0", Position(era, revision), content)
+        directory.apply_listing(Listing((stored,), stored.position), 0.0, keep_missing=False)
+        return directory.endpoints["i-0"].entry.version
+
+    assert apply(1, 1, 1, "v1") == "v1"
+    assert apply(1, 2, 2, "v2") == "v2"
+    assert apply(2, 1, 1, "v1") == "v2"
+    assert apply(2, 2, 2, "v2") == "v2"
+    assert apply(2, 3, 1, "v1") == "v1"
+
+
 def make_endpoint(started_ms=1, version="v1"):
     return Endpoint(
         EndpointEntry("i", "s", HOST, 1, "a", 8, started_ms=started_ms, version=version)
