Divide an older slow-start window among the routers with requests only

Where one router had all requests, a new endpoint reached half of the others' load only after 9.4 s in a play with 24 routers, as the shares of the others were not used. After 2 s the window is now divided among the routers with requests; the test asks for 5 s. The failure of a plain endpoint no longer counts against the time to the first event of engines.

--- a/src/hickorylever/direct/pace_attempts.py
+++ b/src/hickorylever/direct/pace_attempts.py
@@ -57,9 +57,9 @@
                 self.record_answer(now)
         elif result is Result.EXPIRED:
             if not self.has_event:
-                self.paces.record_failure(self.endpoint, self.sample, now)
+                self.paces.record_failure(self.endpoint, self.sample, self.engine is not None, now)
         elif result in FAILURES and status != REDIRECTED:
-            self.paces.record_failure(self.endpoint, self.sample, now)
+            self.paces.record_failure(self.endpoint, self.sample, self.engine is not None, now)
 
     def record_answer(self, now: float) -> None:
         """Record a complete response."""
--- a/src/hickorylever/direct/pace_reports.py
+++ b/src/hickorylever/direct/pace_reports.py
@@ -12,7 +12,14 @@
 from .peer_protocol import PaceUpdate, WindowUpdate
 from .placement import Choice, load_limit
 from .records import AnswerInfo, Service
-from .slow_start import RECOVERY_FAILURES, SlowStart, WindowState, is_in_time, router_share
+from .slow_start import (
+    EVEN_SECONDS,
+    RECOVERY_FAILURES,
+    SlowStart,
+    WindowState,
+    is_in_time,
+    router_share,
+)
 
 MAX_UPDATES = 16  # Of each kind in one datagram, so that it fits a packet.
 REPORTED_RATIO = 1.25  # A pace is reported if it differs from the expected one by this factor.
@@ -113,11 +120,16 @@
             self.record_result(endpoint, sample.sent_at, in_time, now)
 
     def record_failure(
-        self, endpoint: Endpoint, sample: FirstEventSample | None, now: float
+        self, endpoint: Endpoint, sample: FirstEventSample | None, engine: bool, now: float
     ) -> None:
-        """Record an attempt that failed although the endpoint received it."""
+        """Record an attempt that failed although the endpoint received it.
+
+        :param engine: whether the endpoint is an engine. The time of plain requests differs too
+            much to say something about the machine.
+        """
         if sample is not None and endpoint.pace is not None:
-            endpoint.pace.record_no_event(sample, now)
+            if engine:
+                endpoint.pace.record_no_event(sample, now)
             self.record_result(endpoint, sample.sent_at, False, now)
 
     def record_result(self, endpoint: Endpoint, sent_at: float, in_time: bool, now: float) -> None:
@@ -146,8 +158,16 @@
         log(Event.SLOW_START_BEGUN, endpoint.name, cause=cause, window=start.window)
 
     def update_share(self, endpoint: Endpoint, start: SlowStart, now: float) -> None:
-        """Compute this router's share of a window."""
+        """Compute this router's share of a window.
+
+        Parts of it may belong to routers that have no requests. After some time it is divided
+        among the others, so that the endpoint doesn't stay idle.
+        """
         others = [peer.address for peer in self.node.peer_sync.peers.alive(now)]
+        if now - start.began_at > EVEN_SECONDS:
+            pool = self.node.directory.pool(endpoint.entry.service)
+            active = {address for other in pool for address in other.peers}
+            others = [address for address in others if address in active]
         key = name_hash(endpoint.name)
         start.share = router_share(start.window, key, self.node.settings.address, others)
 
--- a/src/hickorylever/direct/slow_start.py
+++ b/src/hickorylever/direct/slow_start.py
@@ -23,6 +23,7 @@
 IN_TIME_MARGIN_SECONDS = 0.1  # Added to it, for the network and for what peers sent meanwhile.
 RECOVERY_FAILURES = 2  # Failed connections in a row after which a response begins a window.
 RESTART_SECONDS = 5.0  # After its end, no window of the same incarnation begins.
+EVEN_SECONDS = 2.0  # Then a window is divided among the routers with requests only.
 START_RATIO = 0.5  # Windows don't apply where more endpoints than this share are starting.
 START_DISCOUNT_TOKENS = 2000.0  # Of the cost of an idle endpoint that is starting.
 
--- a/tests/pace_play.py
+++ b/tests/pace_play.py
@@ -38,6 +38,7 @@
     :param stated: returns what it states, or None.
     :param joins: time at which the last engine appears, or None.
     :param own_tokens: limit on the tokens of a prompt that no other has.
+    :param busy_routers: number of routers with requests; all by default.
     """
 
     routers: int = 12
@@ -49,6 +50,7 @@
     stated: object = lambda engine, now, pace: pace
     joins: float | None = None
     own_tokens: int = 500
+    busy_routers: int | None = None
 
 
 @dataclass
@@ -142,7 +144,7 @@
         for load in loads:
             if endpoint := node.directory.by_hash.get(load.endpoint):
                 endpoint.set_peer_load(
-                    f"{sender}", PeerLoad(load.requests, load.prefill, self.now)
+                    f"10.1.0.{sender}", PeerLoad(load.requests, load.prefill, self.now)
                 )
         paces, windows = updates.get("paces", []), updates.get("windows", [])
         node.paces.apply(f"10.1.0.{sender}", paces, windows, self.now)
@@ -154,7 +156,8 @@
             PromptPart(f"s{tokens}-{self.rng.randrange(SUBJECTS)}", tokens),
             PromptPart(f"o{len(self.requests)}", self.rng.randrange(50, self.load.own_tokens)),
         )
-        router, output = self.rng.randrange(self.load.routers), self.rng.randrange(50, 400)
+        router = self.rng.randrange(self.load.busy_routers or self.load.routers)
+        output = self.rng.randrange(50, 400)
         request = Request(router, self.now, parts, output)
         self.requests.append(request)
         self.send(request)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -128,6 +128,13 @@
     assert late == 0 and asked > 50
 
 
+def test_window_is_not_left_to_routers_without_requests():
+    """Where one router has all requests, the shares of the others left a new endpoint idle."""
+    play = Play(Load(joins=5.0, rate=60.0, engines=6, routers=24, busy_routers=1)).run()
+    reached = next(since for since, held, mean in of_newcomer(play) if held >= mean / 2)
+    assert reached <= 5.0
+
+
 def test_slow_new_endpoint_is_not_overloaded():
     """Its responses take five times as long as they should, and it does not say so."""
     load = Load(joins=5.0, rate=300.0, own_tokens=3000, stated=lambda *_: 1.0)
