--- a/src/hickorylever/direct/pace_attempts.py
+++ b/src/hickorylever/direct/pace_attempts.py
@@ -3,10 +3,9 @@
 from .attempt import Result
 from .call import Call
 from .endpoints import Endpoint
-from .pace_reports import PaceReports
+from .pace_reports import REDIRECTED, PaceReports
 
 FAILURES = (Result.FAILED, Result.LOST, Result.BROKEN, Result.NOT_RUN)
-REDIRECTED = 421  # Another endpoint has the address, which says nothing about this one.
 MIN_EVENTS = 4  # Of a stream from which the time of a step is taken.
 
 
--- a/src/hickorylever/direct/pace_reports.py
+++ b/src/hickorylever/direct/pace_reports.py
@@ -26,6 +26,7 @@
 WINDOW_REPEAT_SECONDS = 1.0  # For datagrams that were lost, and routers that start.
 MAX_COUNT = 10_000  # Higher counts in a report are taken for faults of the sender.
 HUNDREDTHS = 100
+REDIRECTED = 421  # Another endpoint has the address, which says nothing about this one.
 
 
 class PaceReports:
@@ -59,6 +60,8 @@
 
     def record_head(self, endpoint: Endpoint, info: AnswerInfo, now: float) -> None:
         """Record what the head of a response says about the endpoint's pace."""
+        if info.status == REDIRECTED:
+            return
         if info.pace is not None and info.stamped:
             self.enable(endpoint.entry.service)
             if endpoint.pace is None:
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -145,13 +145,16 @@
     assert play.late(5.0)[0] <= 0.01 * play.late(5.0)[1]
 
 
-@pytest.mark.parametrize(("failures", "begins"), [(0, False), (1, False), (2, True)])
-def test_recovered_endpoint_begins_a_window_that_other_routers_take_over(failures, begins):
+@pytest.mark.parametrize(
+    ("failures", "status", "begins"),
+    [(0, 200, False), (1, 200, False), (2, 200, True), (2, 421, False)],
+)
+def test_recovered_endpoint_begins_a_window_that_other_routers_take_over(failures, status, begins):
     first, second = Play(Load(routers=2, seconds=1.0)).run().nodes
     endpoint = first.directory.endpoints[3]
     for _ in range(failures):
         endpoint.pause(1.0)
-    info = dataclasses.replace(first.latest_info, pace=None)
+    info = dataclasses.replace(first.latest_info, pace=None, status=status)
     first.paces.record_head(endpoint, info, 2.0)
     assert (endpoint.starting is not None) is begins
     updates = first.paces.take(2.0, 16)
