--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -128,6 +128,13 @@
     assert late == 0 and asked > 50
 
 
+def test_window_is_not_left_to_routers_without_requests():
+    """Where one router has all requests, the shares of the others left a new endpoint idle."""
+    play = Play(Load(joins=5.0, rate=60.0, engines=6, routers=24, busy_routers=1)).run()
+    reached = next(since for since, held, mean in of_newcomer(play) if held >= mean / 2)
+    assert reached <= 5.0
+
+
 def test_slow_new_endpoint_is_not_overloaded():
     """Its responses take five times as long as they should, and it does not say so."""
     load = Load(joins=5.0, rate=300.0, own_tokens=3000, stated=lambda *_: 1.0)
@@ -138,13 +145,16 @@
     assert play.late(5.0)[0] <= 0.01 * play.late(5.0)[1]
 
 
-@pytest.mark.parametrize(("failures", "begins"), [(0, False), (1, False), (2, True)])
-def test_recovered_endpoint_begins_a_window_that_other_routers_take_over(failures, begins):
+@pytest.mark.parametrize(
+    ("failures", "status", "begins"),
+    [(0, 200, False), (1, 200, False), (2, 200, True), (2, 421, False)],
+)
+def test_recovered_endpoint_begins_a_window_that_other_routers_take_over(failures, status, begins):
     first, second = Play(Load(routers=2, seconds=1.0)).run().nodes
     endpoint = first.directory.endpoints[3]
     for _ in range(failures):
         endpoint.pause(1.0)
-    info = dataclasses.replace(first.latest_info, pace=None)
+    info = dataclasses.replace(first.latest_info, pace=None, status=status)
     first.paces.record_head(endpoint, info, 2.0)
     assert (endpoint.starting is not None) is begins
     updates = first.paces.take(2.0, 16)
