Count reading and copying a prompt in full, whatever the rate of the engine

Cause: with estimated rates, unread tokens cost a third as much as queued ones had, so prompts were copied to ever other engines. Reading also takes time from the requests that run there. Change: queued prompts count by the expected time, the prompt's own unread tokens by the pace only.

--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -378,13 +378,13 @@
 ) -> float:
     """Return the cost of a candidate, in prefill tokens at the default rate.
 
-    It is the expected time until the first event, with what makes a candidate preferable expressed
-    as such a time.
+    Queued prompts count by the expected time until they are read. Reading or copying this prompt
+    also takes time from the requests that run there, so it counts in full at any usual rate.
 
     :param uncached: prompt tokens that the candidate has to prefill.
     :param mean: mean requests in flight of the candidates.
     """
-    tokens = uncached * candidate.estimate.token_cost
+    tokens = uncached * candidate.estimate.pace
     cost = tokens + base_cost(candidate, request)
     start = candidate.endpoint.slow_start
     if start is not None and start.active:
--- a/src/hickorylever/direct/where.py
+++ b/src/hickorylever/direct/where.py
@@ -298,7 +298,7 @@
         if prompt:
             read = uncached_tokens(candidate, sources, total)
             costs = {
-                "unread prompt": read * candidate.estimate.token_cost,
+                "unread prompt": read * candidate.estimate.pace,
                 **base_cost_items(candidate, request),
             }
             costs["slow start"] = prompt_cost(candidate, read, request, mean) - sum(costs.values())
