Give client accounts shares of a full service's queue

Cause: the wait queue ordered by priority and arrival alone, so that one account that sent 7.5 times its usual load delayed all others.

Change: start-time fair queueing over the accounts of a priority, weighted by work in tokens, with a tolerance for bursts and a weight that keeps heavy accounts above a quarter of the mean service. Only with client accounts in the configuration; the order is unchanged without them (tested).

--- a/src/hickorylever/direct/availability.py
+++ b/src/hickorylever/direct/availability.py
@@ -59,10 +59,17 @@
     return bounded_retry_after(EVACUATED_RETRY_AFTER_SECONDS if evacuated else 0.0, time_left)
 
 
+def longest_retry_after(time_left: float) -> float:
+    """Return the longest Retry-After in seconds that a caller honours.
+
+    :param time_left: seconds until the caller's deadline.
+    """
+    return min(MAX_RETRY_AFTER_SECONDS, time_left / CALLER_WAIT_PARTS)
+
+
 def bounded_retry_after(seconds: float, time_left: float) -> float:
     """Return a Retry-After time that callers honour.
 
     :param time_left: seconds until the caller's deadline.
     """
-    longest = min(MAX_RETRY_AFTER_SECONDS, time_left / CALLER_WAIT_PARTS)
-    return max(MIN_RETRY_AFTER_SECONDS, min(longest, seconds))
+    return max(MIN_RETRY_AFTER_SECONDS, min(longest_retry_after(time_left), seconds))
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -46,6 +46,7 @@
         :raises RequestError: if there is no response from an endpoint to pass on.
         """
         last: Outcome | None = None
+        self.placer.record_offered(call)
         for _ in range(MAX_ENDPOINTS_TRIED):
             if not self.node.resumption.may_continue(call):
                 break
@@ -77,6 +78,7 @@
         self.log_choice(call, choice)
         began = time.monotonic()
         endpoint.add_request(choice.uncached, began)
+        self.placer.record_admitted(call, choice)
         if endpoint.rate_limit is not None:
             self.node.peer_sync.limits.queue(endpoint)
         peer_sync = self.node.peer_sync
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -5,10 +5,27 @@
 from ..metrics import LATENCY_BUCKETS, Metrics
 
 INF = float("inf")
+MAX_ACCOUNT_LABELS = 64  # Bounds the number of time series.
+OTHER_ACCOUNTS = "(others)"
+
+
+class AccountLabels:
+    """Names of client accounts for labels, the first `MAX_ACCOUNT_LABELS`; others share one."""
+
+    def __init__(self):
+        self.known: set[str] = set()
+
+    def label(self, account: str) -> str:
+        """Return the label's value for a client account."""
+        if account not in self.known:
+            if len(self.known) >= MAX_ACCOUNT_LABELS:
+                return OTHER_ACCOUNTS
+            self.known.add(account)
+        return account
 
 
 class DirectMetrics(Metrics):
-    """Counters, gauges and histograms; labels hold only names of routes, services and results."""
+    """Counters, gauges and histograms; labels hold only bounded sets of names."""
 
     def __init__(self):
         super().__init__()
@@ -80,6 +97,14 @@
             "hickorylever_cold_held_total",
             "Requests held back as only cold endpoints could take them, by service",
         )
+        self.admitted_work = self.make(
+            Counter,
+            "hickorylever_admitted_work_total",
+            "Work sent to endpoints in tokens (requests of plain services), by account",
+        )
+        self.account_waiting = self.make(
+            Gauge, "hickorylever_account_waiting", "Queued requests, by service and account"
+        )
         self.in_flight = self.make(Gauge, "hickorylever_in_flight", "Requests under way")
         self.descriptors = self.make(Gauge, "hickorylever_descriptors", "Open descriptors")
 
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -12,12 +12,13 @@
 from ..events import Event, log
 from ..exceptions import ContentError, SettingsError
 from ..http import Client
+from .account_shares import AccountShares
 from .budget import SharedRetryBudget
 from .cold_start import ColdStarts
 from .directory import Directory
 from .evacuation_control import EvacuationControl
 from .membership import Membership
-from .metrics import DirectMetrics
+from .metrics import AccountLabels, DirectMetrics
 from .peer_sync import PeerSync
 from .position import NO_CONFIGURATION, ConfigurationState, Decision, KnownState, Position, decide
 from .quarantine import Quarantine
@@ -99,6 +100,8 @@
         self.endpoints_listed = False
         self.evacuations = EvacuationControl(self)
         self.draining = False
+        self.account_shares = AccountShares()
+        self.account_labels = AccountLabels()
         self.peer_sync = PeerSync(self)
         self.store_watchers: list[StoreWatcher] = []
 
@@ -165,6 +168,7 @@
         self.routes = RouteTable(configuration)
         self.stored_configuration = stored
         self.limit_cold_endpoints()
+        self.account_shares.enabled = bool(configuration.accounts)
         for callback in self.configuration_callbacks:
             callback(self.routes)
         self.metrics.revision.set({}, stored.position.revision)
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -1,8 +1,8 @@
 """The messages between routers.
 
 A datagram carries what changed since the last one: loads of endpoints, prompt parts that an
-endpoint has cached, requests during which an endpoint crashed, endpoints that shut down, and which
-software version began a stream.
+endpoint has cached, requests during which an endpoint crashed, endpoints that shut down, which
+software version began a stream, and admitted work by account.
 """
 
 import msgspec
@@ -112,6 +112,17 @@
     stage: int
 
 
+class AdmittedUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Work that the sender admitted beyond an account's share, see :mod:`.account_shares`.
+
+    :param flow: hash of service, priority and account.
+    :param work: tokens, decayed up to now.
+    """
+
+    flow: int
+    work: int
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """A message from one router to another.
 
@@ -129,6 +140,7 @@
     :param stream_questions: keys of streams that the sender asks for.
     :param cache_listings: engines whose caches the sender lists after a start of all routers.
     :param caches_known: whether the sender knows what engines had cached before it started.
+    :param admitted: work of accounts beyond their shares, while requests wait at the sender.
     """
 
     incarnation: int
@@ -150,6 +162,7 @@
     stream_questions: list[int] = []
     cache_listings: list[CacheListingUpdate] = []
     caches_known: bool = False
+    admitted: list[AdmittedUpdate] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -73,7 +73,10 @@
         self.node.budget.router_count = len(self.peers.by_address) + 1
         interval = FLUSH_INTERVAL_SECONDS + FLUSH_SECONDS_PER_PEER * len(alive)
         if self.outbox.due(now, interval):
-            await self.broadcast(alive, **self.outbox.take(now))
+            updates = self.outbox.take(now)
+            if admitted := self.node.account_shares.take_reports(len(alive), now):
+                updates["admitted"] = admitted
+            await self.broadcast(alive, **updates)
         if updates := self.take_urgent_updates(now):
             await self.broadcast(alive, **updates)
         told = self.streams.take(self.node.resumption.uncertain_services(now), now)
@@ -186,6 +189,7 @@
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
         self.caches.apply(address, datagram, now)
         self.limits.apply(address, datagram.limits, now)
+        self.node.account_shares.apply_reports(address, datagram.admitted, now)
         self.node.quarantine.apply(datagram, now)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -5,6 +5,7 @@
 import curio
 
 from ..exceptions import Kind, Ran, RequestError
+from .account_shares import Flow
 from .availability import wait_until
 from .call import Call
 from .cold_start import due_after
@@ -30,6 +31,38 @@
         self.node = node
         self.queues: dict[tuple[str, str | None], WaitQueue] = {}
 
+    def queue(self, call: Call) -> WaitQueue:
+        """Return the queue that a call joins while no endpoint has capacity."""
+        queue = self.queues.setdefault((call.service.name, call.version), WaitQueue())
+        shares = self.node.account_shares
+        queue.shares = shares if shares.enabled else None
+        return queue
+
+    def flow(self, call: Call) -> Flow | None:
+        """Return the flow of a call, or None where accounts have no shares."""
+        shares = self.node.account_shares
+        if not shares.enabled:
+            return None
+        return shares.flow(call.service.name, call.priority, call.account_name)
+
+    def record_offered(self, call: Call) -> None:
+        """Count a call in the work that its account asks for."""
+        flow = self.flow(call)
+        if flow is not None:
+            self.node.account_shares.offer(flow, work(call), time.monotonic())
+
+    def record_admitted(self, call: Call, choice: Choice) -> None:
+        """Count a call that is sent to an endpoint."""
+        flow = self.flow(call)
+        if flow is None:
+            return
+        admitted = work(call, choice)
+        self.node.account_shares.admit(flow, admitted, time.monotonic())
+        account = self.node.account_labels.label(call.account_name)
+        self.node.metrics.admitted_work.add(
+            {"service": call.service.name, "account": account}, admitted
+        )
+
     async def recheck_queued(self) -> None:
         """Wake queued calls when the quarantine changes so that they check it, until cancelled."""
         known = self.node.quarantine.tracker.quarantine
@@ -60,13 +93,13 @@
         Another call may be sent there first if the endpoint is cold.
         """
         choice = self.choose_endpoint(call) or await self.await_endpoint(call)
-        queue = self.queues.setdefault((call.service.name, call.version), WaitQueue())
+        queue = self.queue(call)
         started = call.stream is not None and call.stream.started
         if choice is not None and choice.held:
             self.node.metrics.held.inc({"service": call.service.name})
         elif choice is None or started or (choice.available and not queue.entries):
             return choice
-        return await self.wait_for_capacity(call, queue)
+        return await self.wait_for_capacity(call, queue, choice)
 
     async def await_endpoint(self, call: Call) -> Choice | None:
         """Wait for an endpoint that defers requests, if the call can still be on time then."""
@@ -81,13 +114,16 @@
         await curio.sleep(until - now)
         return self.choose_endpoint(call)
 
-    async def wait_for_capacity(self, call: Call, queue: WaitQueue) -> Choice | None:
+    async def wait_for_capacity(
+        self, call: Call, queue: WaitQueue, expected: Choice | None = None
+    ) -> Choice | None:
         """Queue the call and return an endpoint when it has capacity and the call is next.
 
+        :param expected: the endpoint that the call would be sent to now.
         :raises RequestError: if the wait is too long and the call has not run.
         """
         joined = time.monotonic()
-        queued = queue.enqueue(self.queue_parameters(call), joined)
+        queued = queue.enqueue(self.queue_parameters(call, expected), joined)
         choice = None
         due_at = 0.0
         try:
@@ -114,12 +150,23 @@
             await queue.wake_next(now)
         if call.ran is not Ran.NO:
             return None
-        retry_after = queue.retry_after(now, call.deadline - now, due_at)
+        within_share = self.within_share(call, now)
+        retry_after = queue.retry_after(now, call.deadline - now, due_at, within_share)
         detail = f"no endpoint had capacity within {now - joined:.3f} s"
+        if within_share is False:
+            detail += ", account beyond its share"
         raise RequestError(Kind.OVERLOADED, detail, Ran.NO, retry_after)
 
-    def queue_parameters(self, call: Call) -> QueueParameters:
-        """Return the properties with which a call joins its queue."""
+    def within_share(self, call: Call, now: float) -> bool | None:
+        """Return whether a call's account is within its share, None where there are none."""
+        flow = self.flow(call)
+        return None if flow is None else not flow.is_beyond_share(now)
+
+    def queue_parameters(self, call: Call, expected: Choice | None = None) -> QueueParameters:
+        """Return the properties with which a call joins its queue.
+
+        :param expected: the endpoint that the call would be sent to now.
+        """
         ends_at = call.deadline
         if call.stream is not None:
             ends_at = min(ends_at, call.started_at + caller_idle_timeout(call.route))
@@ -129,6 +176,8 @@
             call.route.latency_objective,
             ends_at,
             self.node.draining,
+            self.flow(call),
+            work(call, expected),
         )
 
     def cold_due_at(self, call: Call, queue: WaitQueue, queued: QueueEntry, now: float) -> float:
@@ -183,3 +232,16 @@
             avoid=frozenset(avoid),
             version=call.version,
         )
+
+
+def work(call: Call, choice: Choice | None = None) -> float:
+    """Return the work of a call: unread prompt and output in tokens, 1 for a plain service.
+
+    :param choice: the endpoint whose cache determines what is unread; None for the whole prompt.
+    """
+    if call.service.engine is None:
+        return 1.0
+    info = call.info
+    prompt = max(info.prompt_tokens, sum(part.tokens for part in info.parts))
+    unread = choice.uncached if choice is not None and info.parts else prompt
+    return max(1.0, unread + info.output_tokens)
--- a/src/hickorylever/direct/status_servers.py
+++ b/src/hickorylever/direct/status_servers.py
@@ -18,6 +18,7 @@
     def __init__(self, node: Node, router: Router):
         self.node = node
         self.router = router
+        self.accounts_waiting: set[tuple[str, str]] = set()
         self.server = Server(self.handle, respond_malformed)
 
     async def handle(self, exchange: Exchange) -> None:
@@ -47,13 +48,26 @@
             cold = sum(endpoint.is_cold(now) for endpoint in pool)
             metrics.cold.set({"service": service}, cold)
             metrics.budget_left.set({"service": service}, node.budget.remaining(service, now))
+        self.update_waiting()
+        for watcher in node.store_watchers:
+            metrics.store_age.set({"kind": watcher.kind}, now - watcher.last_success_at)
+
+    def update_waiting(self) -> None:
+        """Set the gauges of queued requests, also those that fell to 0."""
+        node = self.node
+        metrics = node.metrics
         waiting = Counter()
+        by_account = Counter(dict.fromkeys(self.accounts_waiting, 0))
         for (service, _), queue in self.router.forwarder.placer.queues.items():
             waiting[service] += len(queue.entries)
+            for entry in queue.entries:
+                if entry.flow is not None:
+                    by_account[service, node.account_labels.label(entry.flow.account)] += 1
         for service, count in waiting.items():
             metrics.waiting.set({"service": service}, count)
-        for watcher in node.store_watchers:
-            metrics.store_age.set({"kind": watcher.kind}, now - watcher.last_success_at)
+        for (service, account), count in by_account.items():
+            metrics.account_waiting.set({"service": service, "account": account}, count)
+        self.accounts_waiting = {key for key, count in by_account.items() if count}
 
 
 class ReadinessServer:
--- a/src/hickorylever/direct/where.py
+++ b/src/hickorylever/direct/where.py
@@ -210,7 +210,8 @@
         )
         report.queue, refused = self.queue_view(queue, call, now)
         if refused:
-            retry_after = queue.retry_after(now, call.deadline - now)
+            within_share = self.forwarder.placer.within_share(call, now)
+            retry_after = queue.retry_after(now, call.deadline - now, within_share=within_share)
             raise RequestError(
                 Kind.OVERLOADED,
                 f"{report.detail}, and its turn would come too late",
@@ -243,18 +244,17 @@
         if queue is None:
             return WaitQueue()
         duplicate = copy.copy(queue)
-        duplicate.entries = list(queue.entries)
+        duplicate.entries = [copy.copy(entry) for entry in queue.entries]
         return duplicate
 
     def queue_view(self, queue: WaitQueue, call: Call, now: float) -> tuple[QueueView, bool]:
         """Return the place of a call in a copy of its queue, and whether it would be refused."""
-        waiting = list(queue.entries)
+        waiting = len(queue.entries)
         entry = queue.enqueue(self.forwarder.placer.queue_parameters(call), now)
-        own = entry.sort_key(now)
-        ahead = sum(other.sort_key(now) < own for other in waiting)
+        ahead = queue.count_ahead(entry, now)
         rate = queue.placement_rate(now)
         view = QueueView(
-            len(waiting), ahead, rate, ahead / rate if rate else None, entry.wait_until - now
+            waiting, ahead, rate, ahead / rate if rate else None, entry.wait_until - now
         )
         return view, queue.should_refuse(entry, now)
 
--- a/tests/test_direct.py
+++ b/tests/test_direct.py
@@ -400,3 +400,17 @@
         assert response.body == events(1, 2, 3, 4, 5, 6)
 
     run_scenario(scenario, WELL)
+
+
+def test_admitted_work_is_counted_by_account_where_there_are_accounts():
+    async def scenario(harness):
+        await harness.send_request("/safe/x", headers=harness.headers())
+        assert harness.node.account_shares.enabled
+        group = harness.node.account_shares.groups["engines", 2]
+        assert group.flows["clerks"].admitted.work == pytest.approx(1.0, rel=0.5)
+        text = harness.node.metrics.render().decode()
+        assert 'hickorylever_admitted_work_total{account="clerks",service="engines"} 1' in text
+        await harness.store.put("config", "main", configuration(version=2, tenants=None))
+        await harness.until(lambda: not harness.node.account_shares.enabled)
+
+    run_scenario(scenario, ("well",))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -31,6 +31,7 @@
     "prompt_cache",
     "rate_limit",
     "crashes",
+    "account_shares",
     "outbox",
     "hashes",
     "peer_protocol",
