Bound what a router holds for callers that read slowly

Cause: a complete response was held without a bound while its caller read it slowly, a slow caller held the endpoint of its stream up, and the frames of a failed request kept its response until a full garbage collection.

Change: a quarter of the memory for held responses, with read-ahead for streams within it, reservation of complete responses by Content-Length, and release of the longest stalled ones first. Request bodies get 0.15 of the memory in place of a constant. Frames of a lost connection are cleared.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -3,7 +3,7 @@
 import contextlib
 import enum
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import curio
@@ -77,6 +77,7 @@
     :param timeouts: response timeouts; None to wait until the deadline.
     :param on_head: called with what the head of the response says.
     :param on_begun: called when the endpoint has written much of its answer.
+    :param before_body: awaited before a complete body is read.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         timeouts: ResponseTimeouts | None = None,
         on_head: Callable[[AnswerInfo], None] = lambda info: None,
         on_begun: Callable[[], None] = lambda: None,
+        before_body: Callable[[ClientResponse], Awaitable[None]] | None = None,
     ):
         self.client = client
         self.endpoint = endpoint
@@ -102,6 +104,7 @@
         self.timeouts = timeouts
         self.on_head = on_head
         self.on_begun = on_begun
+        self.before_body = before_body
         self.begun = False
         self.sent = False
         self.channel: Channel | None = None
@@ -186,6 +189,8 @@
             raise InconsistentResponse(
                 f"the request to resume a stream returned status {response.status}"
             )
+        if self.before_body is not None:
+            await self.before_body(response)
         body = await response.body()
         if response.status < 300:
             self.mark_begun()
--- a/src/hickorylever/direct/call.py
+++ b/src/hickorylever/direct/call.py
@@ -5,6 +5,7 @@
 from ..exceptions import Ran
 from ..http import Exchange
 from .hashes import hash_strings
+from .held_bytes import Holder
 from .records import Account, RequestInfo, Route, Service
 from .stream import CallerStream
 
@@ -25,6 +26,7 @@
     :param tried: names of the endpoints tried.
     :param version: software version of the endpoints at which a stream may go on; None for any.
     :param stream_key: key of the stream in the table of streams, once it has an event.
+    :param holder: counts what is held for the caller; None for a call that is only described.
     :param attempt_results: endpoint, failure domain and result of each attempt, for the log.
     """
 
@@ -46,6 +48,13 @@
     stream: CallerStream | None = None
     version: str | None = None
     stream_key: int = 0
+    holder: Holder | None = None
+
+    def __post_init__(self):
+        if self.exchange is not None:
+            channel = self.exchange.channel
+            keys = ("service", self.service.name), ("account", self.account_name)
+            self.holder = Holder(keys, channel.shut_down, lambda: channel.written_at)
 
     @property
     def account_name(self) -> str:
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -2,9 +2,11 @@
 
 import time
 
+import curio
+
 from ..events import Event, log
 from ..exceptions import Kind, Ran, RequestError
-from ..http import end_to_end, header
+from ..http import ClientResponse, end_to_end, header
 from .attempt import Attempt, Outcome, Result, UpstreamRequest
 from .availability import retry_after
 from .call import Call
@@ -14,6 +16,7 @@
 from .placer import Placer
 from .pool import shared_parts
 from .prefill import PendingPrefill
+from .read_ahead import ReadAhead
 from .records import ForwardingMetadata, RouteKind
 from .stream import CallerStream
 from .timeouts import (
@@ -25,6 +28,9 @@
 MAX_ENDPOINTS_TRIED = 6  # Per request, including endpoints that rejected it.
 MAX_REJECTIONS = 3  # Rejections by endpoints after which a request is still retried.
 DEADLINE_MARGIN_SECONDS = 0.02  # The endpoint's deadline is this much earlier than the caller's.
+UNKNOWN_BODY_BYTES = 64 * 1024  # Reserved for a response without a Content-Length.
+ROOM_POLL_SECONDS = 0.02  # While the memory for responses is used up.
+BODY_COPIES = 2  # In memory while a response is sent: its body and the encoded response.
 MIN_RETRY_SECONDS = 0.05  # No retry starts with less time left.
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # They tell callers that a request did not run.
 
@@ -104,6 +110,7 @@
             self.response_timeouts(call, endpoint, began),
             lambda info: self.observations.record_head(endpoint, info, began),
             lambda: self.node.quarantine.record_answer(call, time.monotonic()),
+            lambda response: self.reserve_room(call, response),
         )
         try:
             outcome = await attempt.run()
@@ -215,17 +222,34 @@
         """Send an endpoint's response to the caller."""
         call.ran = Ran.YES
         if call.stream is not None and call.stream.started:
+            await call.stream.flush()
             await call.exchange.end()
             return
         headers = end_to_end(outcome.headers)
+        held = self.node.held
+        held.add(call.holder, BODY_COPIES * len(outcome.body) - call.holder.size)
+        call.holder.sending = True
         await call.exchange.respond(outcome.status, headers, outcome.body)
 
+    async def reserve_room(self, call: Call, response: ClientResponse) -> None:
+        """Wait until there is memory for a response that is read completely.
+
+        The size of one without a Content-Length is counted once it is known.
+        """
+        held = self.node.held
+        held.release(call.holder)
+        length = header(response.headers, b"content-length")
+        count = BODY_COPIES * int(length) if length.isdigit() else UNKNOWN_BODY_BYTES
+        while not held.reserve(call.holder, count, time.monotonic()):
+            await curio.sleep(ROOM_POLL_SECONDS)
+
     async def fail(self, call: Call, last: Outcome | None) -> None:
         """End a call for which all attempts failed.
 
         :raises RequestError: if there is no response from an endpoint to pass on.
         """
         if call.stream is not None and call.stream.started:
+            await call.stream.flush()
             raise RequestError(Kind.ANSWER_LOST, "the stream ended early", call.ran)
         if last is None:
             if self.version_is_gone(call):
@@ -268,9 +292,16 @@
 
 async def forward(forwarder: Forwarder, call: Call) -> None:
     """Set up the stream of a streaming call and run the call."""
+    held = forwarder.node.held
     if call.route.kind is RouteKind.STREAM:
         resume_after = call.info.last_event_id if call.resumes_stream else None
-        call.stream = CallerStream(call.exchange, resume_after)
+        read_ahead = ReadAhead(call.exchange, held, call.holder)
+        call.stream = CallerStream(call.exchange, resume_after, read_ahead)
         if call.resumes_stream:
             await forwarder.node.resumption.resolve(call)
-    await forwarder.run(call)
+    try:
+        await forwarder.run(call)
+    finally:
+        if call.stream is not None:
+            await call.stream.close()
+        held.release(call.holder)
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -97,6 +97,14 @@
             "hickorylever_cold_held_total",
             "Requests held back as only cold endpoints could take them, by service",
         )
+        self.held_bytes = self.make(
+            Gauge, "hickorylever_held_bytes", "Response bytes that callers have not taken yet"
+        )
+        self.held_dropped = self.make(
+            Counter,
+            "hickorylever_held_dropped_total",
+            "Responses dropped as their callers read too slowly, by service",
+        )
         self.admitted_work = self.make(
             Counter,
             "hickorylever_admitted_work_total",
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -17,6 +17,7 @@
 from .cold_start import ColdStarts
 from .directory import Directory
 from .evacuation_control import EvacuationControl
+from .held_bytes import HeldBytes, Holder
 from .membership import Membership
 from .metrics import AccountLabels, DirectMetrics
 from .peer_sync import PeerSync
@@ -31,6 +32,7 @@
 ENDPOINT_IDLE_TIMEOUT_SECONDS = 8.0  # Of endpoints; connections are reused for half of it.
 EXPIRY_INTERVAL_SECONDS = 0.2
 SETTINGS_POLL_SECONDS = 1.0
+HELD_RATIO = 0.25  # Of the memory, for responses that callers have not taken.
 RELOADABLE_SETTINGS = (
     "seeds",
     "drain_grace",
@@ -101,6 +103,7 @@
         self.evacuations = EvacuationControl(self)
         self.draining = False
         self.account_shares = AccountShares()
+        self.held = HeldBytes(int(settings.memory_bytes * HELD_RATIO), self.record_drop)
         self.account_labels = AccountLabels()
         self.peer_sync = PeerSync(self)
         self.store_watchers: list[StoreWatcher] = []
@@ -109,6 +112,12 @@
         """Count a call of the store by verb and result."""
         self.metrics.platform_calls.inc({"verb": verb, "result": result})
 
+    def record_drop(self, holder: Holder) -> None:
+        """Count and log a response that is dropped, as its caller reads too slowly."""
+        names = dict(holder.keys)
+        self.metrics.held_dropped.inc({"service": names["service"]})
+        log(Event.RESPONSE_DROPPED, names["account"], service=names["service"], bytes=holder.size)
+
     def reject(self, error: Exception) -> None:
         """Log an object of the store that can't be decoded."""
         log(Event.OBJECT_REJECTED, str(error))
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from ..defaults import MAX_BUFFERED_BYTES
 from ..events import Event, log
 from ..exceptions import CallerGone, ConnectionLost, Kind, Ran, RequestError
 from ..http import Exchange, Limits, Server, cancel_on_disconnect, header
@@ -15,6 +16,7 @@
 from .records import RequestInfo
 from .routes import RouteTable
 
+BODIES_RATIO = 0.15  # Of the memory, for request bodies, also while endpoints read them.
 DEFAULT_TIMEOUT_SECONDS = 30.0  # For requests without a deadline of their own.
 DRAIN_ACCEPT_SECONDS = 2.2  # New connections are accepted for this time after SIGTERM.
 DRAIN_FIRST_REQUEST_SECONDS = 0.5  # Then open connections may still send their first request.
@@ -67,7 +69,10 @@
         self.node = node
         self.forwarder = Forwarder(node)
         connections = node.settings.max_descriptors // 2
-        limits = Limits(max_age=float("inf"), max_connections=connections)
+        bodies = min(MAX_BUFFERED_BYTES, int(node.settings.memory_bytes * BODIES_RATIO))
+        limits = Limits(
+            max_age=float("inf"), max_connections=connections, max_buffered_bytes=bodies
+        )
         self.server = Server(self.handle, self.refuse, limits)
         self.in_flight = 0
         node.configuration_callbacks.append(self.apply_limits)
--- a/src/hickorylever/direct/status_servers.py
+++ b/src/hickorylever/direct/status_servers.py
@@ -37,6 +37,7 @@
         node = self.node
         metrics = node.metrics
         now = time.monotonic()
+        metrics.held_bytes.set({}, node.held.size)
         metrics.in_flight.set({}, self.router.in_flight)
         metrics.peers.set({}, len(node.peer_sync.peers.alive(now)))
         metrics.quarantined.set({}, len(node.quarantine.tracker.quarantine))
--- a/src/hickorylever/direct/stream.py
+++ b/src/hickorylever/direct/stream.py
@@ -5,12 +5,14 @@
 
 from ..exceptions import CallerGone, ConnectionLost
 from ..http import ClientResponse, Exchange, end_to_end
+from .read_ahead import ReadAhead
 
 
 class CallerStream:
     """Relays the head of the first response and the events of all of them.
 
     :param last_event_id: id of the last relayed event, or the one that the caller resumes after.
+    :param read_ahead: holds events for a caller that reads slowly; None to wait for it.
     :ivar started: whether the head was sent.
     :ivar event_count: number of relayed events.
     :ivar pending_prefill: prefill of the current attempt, which ends at its first event.
@@ -20,8 +22,14 @@
     :ivar max_gap: longest time between two events, in seconds.
     """
 
-    def __init__(self, exchange: Exchange, last_event_id: str | None = None):
+    def __init__(
+        self,
+        exchange: Exchange,
+        last_event_id: str | None = None,
+        read_ahead: ReadAhead | None = None,
+    ):
         self.exchange = exchange
+        self.read_ahead = read_ahead
         self.last_event_id = last_event_id
         self.started = False
         self.event_count = 0
@@ -54,7 +62,22 @@
         self.latest_event_at = now
         if self.pending_prefill is not None:
             self.pending_prefill.complete()
-        await self.await_write(self.exchange.write(b"".join(events)))
+        data = b"".join(events)
+        ahead = self.read_ahead
+        await self.await_write(ahead.write(data) if ahead else self.exchange.write(data))
+
+    async def flush(self) -> None:
+        """Wait until the caller has taken all events.
+
+        :raises CallerGone: if the caller's connection failed.
+        """
+        if self.read_ahead is not None:
+            await self.await_write(self.read_ahead.flush())
+
+    async def close(self) -> None:
+        """Stop sending, and forget what the caller has not taken."""
+        if self.read_ahead is not None:
+            await self.read_ahead.close()
 
     async def await_write(self, awaitable) -> None:
         """Await a write to the caller.
--- a/src/hickorylever/http/channel.py
+++ b/src/hickorylever/http/channel.py
@@ -40,6 +40,7 @@
     :ivar protocol: the h11 state machine.
     :ivar opened_at: monotonic time in seconds.
     :ivar last_used_at: monotonic time of the end of the last exchange in seconds.
+    :ivar written_at: monotonic time at which the peer last accepted a block of output.
     :ivar eof_received: whether the peer has closed its sending side.
     :ivar idle_timeout: seconds after which the peer closes the connection if it is idle.
     :ivar read_closed: whether this end has shut down its receiving side. An end of input then does
@@ -59,6 +60,7 @@
         self.write_timeout = write_timeout
         self.opened_at = time.monotonic()
         self.last_used_at = self.opened_at
+        self.written_at = self.opened_at
         self.eof_received = False
         self.idle_timeout = math.inf
         self.read_closed = False
@@ -92,17 +94,35 @@
 
         :raises ConnectionLost: if the connection fails or the write times out.
         """
-        data = b"".join(self.protocol.send(event) or b"" for event in events)
+        data = self.encode(*events)
         if not data:
             return
+        sent = self.send_now(data)
+        if sent < len(data):
+            await self.send_remainder(memoryview(data)[sent:])
+
+    def encode(self, *events) -> bytes:
+        """Return the bytes of h11 events, which must be sent in this order."""
+        return b"".join(self.protocol.send(event) or b"" for event in events)
+
+    def send_now(self, data: bytes | memoryview) -> int:
+        """Send what the socket buffer takes, and return the number of bytes.
+
+        :raises ConnectionLost: if the connection fails.
+        """
         try:
             sent = self.raw.send(data)
+            self.written_at = time.monotonic()
+            return sent
         except BlockingIOError:
-            sent = 0
+            return 0
         except OSError as error:
             raise ConnectionLost(str(error)) from error
-        if sent < len(data):
-            await self.send_remainder(memoryview(data)[sent:])
+
+    def shut_down(self) -> None:
+        """Shut the connection down, so that all that wait for it fail."""
+        with contextlib.suppress(OSError):
+            self.raw.shutdown(stdsocket.SHUT_RDWR)
 
     async def send_remainder(self, data: memoryview) -> None:
         """Send the data that did not fit into the socket buffer, with a timeout for each block."""
@@ -110,6 +130,7 @@
             block = data[start : start + defaults.WRITE_CHUNK_BYTES]
             try:
                 await curio.timeout_after(self.write_timeout, self.sock.sendall, block)
+                self.written_at = time.monotonic()
             except curio.TaskTimeout:
                 raise ConnectionLost(f"write timed out after {self.write_timeout:g} s") from None
             except OSError as error:
--- a/src/hickorylever/http/disconnect.py
+++ b/src/hickorylever/http/disconnect.py
@@ -1,6 +1,7 @@
 """Cancellation of a request's work when the caller disconnects."""
 
 import socket as stdsocket
+import traceback
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -29,11 +30,25 @@
     """
     try:
         await work(*arguments)
+    except ConnectionLost as error:
+        release_frames(error)
+        return error
     except Exception as error:
         return error
     return None
 
 
+def release_frames(error: BaseException | None) -> None:
+    """Clear the variables of the frames that an exception and its causes refer to.
+
+    They hold the response that was being sent, and are part of reference cycles, so that it would
+    stay in memory until the next full garbage collection.
+    """
+    while error is not None:
+        traceback.clear_frames(error.__traceback__)
+        error = error.__cause__ or error.__context__
+
+
 async def cancel_on_disconnect(
     exchange: Exchange, work: Callable[..., Awaitable], *arguments: object
 ) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -32,6 +32,7 @@
     "rate_limit",
     "crashes",
     "account_shares",
+    "held_bytes",
     "outbox",
     "hashes",
     "peer_protocol",
