--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -17,6 +17,7 @@
 from .routes import RouteTable
 
 BODIES_RATIO = 0.15  # Of the memory, for request bodies, also while endpoints read them.
+SEND_BUFFER_BYTES = 256 * 1024  # Of a caller; the kernel would take over 1 MiB if it reads slowly.
 DEFAULT_TIMEOUT_SECONDS = 30.0  # For requests without a deadline of their own.
 DRAIN_ACCEPT_SECONDS = 2.2  # New connections are accepted for this time after SIGTERM.
 DRAIN_FIRST_REQUEST_SECONDS = 0.5  # Then open connections may still send their first request.
@@ -71,7 +72,10 @@
         connections = node.settings.max_descriptors // 2
         bodies = min(MAX_BUFFERED_BYTES, int(node.settings.memory_bytes * BODIES_RATIO))
         limits = Limits(
-            max_age=float("inf"), max_connections=connections, max_buffered_bytes=bodies
+            max_age=float("inf"),
+            max_connections=connections,
+            max_buffered_bytes=bodies,
+            send_buffer=SEND_BUFFER_BYTES,
         )
         self.server = Server(self.handle, self.refuse, limits)
         self.in_flight = 0
--- a/src/hickorylever/http/server.py
+++ b/src/hickorylever/http/server.py
@@ -30,6 +30,7 @@
         without one if :data:`defaults.MAX_REFUSED_CONNECTIONS` are being refused already.
     :param max_buffered_bytes: total size of the request bodies in memory.
     :param max_head_bytes: size of a request head.
+    :param send_buffer: size of the kernel's send buffer of a connection; 0 lets the kernel choose.
     :param max_age: age from which on a connection is closed after its current exchange.
     """
 
@@ -41,6 +42,7 @@
     max_buffered_bytes: int = defaults.MAX_BUFFERED_BYTES
     max_age: float = defaults.MAX_CONNECTION_AGE_SECONDS
     max_head_bytes: int = defaults.MAX_HEADER_BYTES
+    send_buffer: int = 0
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -133,6 +135,10 @@
         channel = Channel(sock, h11.SERVER, write_timeout=self.limits.write_timeout)
         try:
             set_socket_options(channel.raw)
+            if self.limits.send_buffer:
+                channel.raw.setsockopt(
+                    stdsocket.SOL_SOCKET, stdsocket.SO_SNDBUF, self.limits.send_buffer
+                )
             if self.connections > self.limits.max_connections:
                 await self.refuse_connection(channel)
             else:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -96,7 +96,7 @@
     async def scenario(harness, flood):
         sock = await connect(harness, b"/stream/x")
         await harness.until(lambda: flood.finished)
-        assert harness.node.held.size > 0
+        await harness.until(lambda: harness.node.held.size >= flood.size - MEGABYTE)
         received = await read_all(sock)
         assert received.count(b"\nid: ") == flood.size // EVENT_BYTES
         assert received.endswith(b"0\r\n\r\n")
