--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -9,7 +9,7 @@
 import curio
 import h11
 
-from ..exceptions import ConnectionLost, InconsistentResponse, PeerTimeout
+from ..exceptions import ConnectionLost, InconsistentResponse, PeerRefused, PeerTimeout
 from ..http import Channel, Client, ClientResponse, header
 from .endpoints import Endpoint
 from .records import AnswerInfo
@@ -36,12 +36,16 @@
     EXPIRED = "expired"
 
 
+CONNECTION_FAILURES = frozenset((Result.NOT_SENT, Result.LOST, Result.BROKEN))
+
+
 @dataclass(slots=True)
 class Outcome:
     """Outcome of an attempt.
 
     :param status: HTTP status of the endpoint's own response; 0 if there was none.
     :param body: body of a response that was not streamed.
+    :param refused: the endpoint refused a connection, so that its process has ended.
     :param lost_early: the connection failed before the endpoint had written much of its answer.
     :param connection_lost: the connection failed, other than by silence.
     """
@@ -54,6 +58,7 @@
     info: AnswerInfo | None = None
     lost_early: bool = False
     connection_lost: bool = False
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +133,7 @@
             lost = isinstance(error, ConnectionLost) and not isinstance(error, PeerTimeout)
             outcome.connection_lost = lost
             outcome.lost_early = lost and not self.begun
+            outcome.refused = isinstance(error, PeerRefused)
         except BaseException:
             await self.close()
             raise
--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -28,8 +28,9 @@
     :param reject: called with the error of an entry that can't be decoded.
     :param entry_lifetime: seconds after which the store removes an entry that is not renewed.
     :param on_new_version: called with the hash of the name of an endpoint that has started again
-        with another software version.
+        with another software version, and its start as Unix time in milliseconds.
     :param cold_starts: limits of cold endpoints; none by default.
+    :param on_new_endpoint: called with an endpoint that has just become known, and the time.
     :ivar endpoints: endpoints by name.
     :ivar pools: endpoints by service, sorted by name.
     :ivar by_hash: endpoints by the hash of their name.
@@ -47,14 +48,16 @@
         decode,
         reject=lambda error: None,
         entry_lifetime: float = 0.0,
-        on_new_version=lambda key: None,
+        on_new_version=lambda key, started_ms: None,
         cold_starts: ColdStarts | None = None,
+        on_new_endpoint=lambda endpoint, now: None,
     ):
         self.decode = decode
         self.reject = reject
         self.entry_lifetime = entry_lifetime
         self.on_new_version = on_new_version
         self.cold_starts = cold_starts or ColdStarts(Membership(""))
+        self.on_new_endpoint = on_new_endpoint
         self.endpoints: dict[str, Endpoint] = {}
         self.pools: dict[str, Pool] = {}
         self.by_hash: dict[int, Endpoint] = {}
@@ -128,16 +131,23 @@
             self.remove(stored.name, now)
             return
         known = self.objects.get(stored.name)
-        self.objects[stored.name] = stored
         endpoint = self.endpoints.get(entry.name)
+        if endpoint is not None and self.is_outdated(stored, entry, endpoint.entry):
+            endpoint.missing_since = None
+            return
+        self.objects[stored.name] = stored
         if endpoint is not None and endpoint.entry.version != entry.version:
-            self.on_new_version(name_hash(entry.name))
+            self.on_new_version(name_hash(entry.name), entry.started_ms)
         if endpoint is None or endpoint.entry.incarnation != entry.incarnation:
             former = endpoint
             endpoint = self.endpoints[entry.name] = self.create(entry, stored.position.era, now)
             endpoint.warm_at = now + entry.warmup_left
+            # Holds until an answer of the new incarnation says otherwise. Without it, an endpoint
+            # that restarts gets a burst of requests where few others are left.
+            endpoint.rate_limit = former.rate_limit if former else None
             self.cold_starts.replace(former, endpoint, now)
             known = stored
+            self.on_new_endpoint(endpoint, now)
         endpoint.entry = entry
         endpoint.evacuated = entry.failure_domain in self.evacuated_domains
         endpoint.missing_since = None
@@ -152,6 +162,16 @@
         for endpoint in self.endpoints.values():
             self.cold_starts.update(endpoint, now)
 
+    def is_outdated(
+        self, stored: StoredObject, entry: EndpointEntry, known: EndpointEntry
+    ) -> bool:
+        """Return whether a restored store holds the entry of an endpoint's former process.
+
+        The endpoint writes its own entry again. The former one may name another software version.
+        """
+        era = self.objects[stored.name].position.era
+        return stored.position.era > era and 0 < entry.started_ms < known.started_ms
+
     def create(self, entry: EndpointEntry, era: int, now: float) -> Endpoint:
         """Return a new endpoint, with what is known of the departure of its incarnation.
 
@@ -159,7 +179,7 @@
         which is gone. It is used once the store would have removed it.
         """
         key = name_hash(entry.name)
-        endpoint = Endpoint(entry)
+        endpoint = Endpoint(entry, known_since=now)
         endpoint.leaving = self.departures.is_leaving(key, entry.started_ms)
         if self.departures.was_removed_before(key, entry.started_ms, era):
             endpoint.paused_until = now + self.entry_lifetime + REVIVAL_MARGIN_SECONDS
--- a/src/hickorylever/direct/metrics.py
+++ b/src/hickorylever/direct/metrics.py
@@ -25,7 +25,10 @@
 
 
 class DirectMetrics(Metrics):
-    """Counters, gauges and histograms; labels hold only bounded sets of names."""
+    """Counters, gauges and histograms.
+
+    Labels hold only bounded sets of names: routes, services, endpoints, accounts and results.
+    """
 
     def __init__(self):
         super().__init__()
@@ -55,6 +58,11 @@
             "hickorylever_streams_resumed_total",
             "Streams that callers took up, by where their version was known from",
         )
+        self.stream_segments = self.make(
+            Counter,
+            "hickorylever_stream_segments_total",
+            "Segments with records of streams that this router wrote to the store, by result",
+        )
         self.store_era = self.make(
             Gauge,
             "hickorylever_store_era",
@@ -113,6 +121,29 @@
         self.account_waiting = self.make(
             Gauge, "hickorylever_account_waiting", "Queued requests, by service and account"
         )
+        self.pace = self.make(
+            Gauge,
+            "hickorylever_endpoint_pace",
+            "Expected time of work by endpoint, as a multiple of the usual",
+        )
+        self.pace_confidence = self.make(
+            Gauge, "hickorylever_endpoint_pace_confidence", "Confidence in the pace, 0 to 1"
+        )
+        self.windows = self.make(
+            Gauge,
+            "hickorylever_endpoint_window",
+            "Slow-start window by endpoint; 0 when none applies",
+        )
+        self.prefill_rate = self.make(
+            Gauge,
+            "hickorylever_prefill_tokens_per_second",
+            "Estimated prompt tokens that an engine reads a second, by service",
+        )
+        self.step_seconds = self.make(
+            Gauge,
+            "hickorylever_step_seconds",
+            "Estimated time of an engine's step, by service and part (base, request)",
+        )
         self.in_flight = self.make(Gauge, "hickorylever_in_flight", "Requests under way")
         self.descriptors = self.make(Gauge, "hickorylever_descriptors", "Open descriptors")
 
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -15,6 +15,7 @@
 from .account_shares import AccountShares
 from .budget import SharedRetryBudget
 from .cold_start import ColdStarts
+from .crash_checks import check_closed
 from .directory import Directory
 from .evacuation_control import EvacuationControl
 from .held_bytes import HeldBytes, Holder
@@ -24,6 +25,7 @@
 from .position import NO_CONFIGURATION, ConfigurationState, Decision, KnownState, Position, decide
 from .quarantine import Quarantine
 from .records import Changes, Configuration, Listing, StoredObject
+from .restarts import Restarts
 from .resumption import Resumption
 from .routes import RouteTable
 from .settings import DirectSettings
@@ -53,11 +55,6 @@
         return 0
 
 
-def log_cold(name: str, seconds: float, reason: str) -> None:
-    """Log that an endpoint has become cold."""
-    log(Event.ENDPOINT_COLD, name, seconds=round(seconds, 3), reason=reason)
-
-
 class Node:
     """The components and the state of one router process.
 
@@ -87,13 +84,15 @@
             codec.decode_endpoint,
             self.reject,
             settings.endpoint_entry_lifetime,
-            lambda key: self.peer_sync.streams.table.forget_endpoint(key),
-            ColdStarts(self.membership, log_cold),
+            lambda *endpoint: self.peer_sync.streams.table.forget_endpoint(*endpoint),
+            ColdStarts(self.membership, self.report_cold),
+            lambda endpoint, now: self.peer_sync.paces.adopt(endpoint, now),
         )
         self.budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
         )
         self.quarantine = Quarantine()
+        self.restarts = Restarts()
         self.resumption = Resumption(self)
         self.routes: RouteTable | None = None
         self.configuration_callbacks: list[Callable[[RouteTable], None]] = []
@@ -190,6 +189,14 @@
             routes=len(configuration.routes),
         )
 
+    def report_cold(self, name: str, seconds: float, reason: str) -> None:
+        """Log that an endpoint has become cold, and tell the other routers.
+
+        :param reason: how this router learned of it.
+        """
+        log(Event.ENDPOINT_COLD, name, seconds=round(seconds, 3), reason=reason)
+        self.peer_sync.cold.queue(name, reason)
+
     def limit_cold_endpoints(self) -> None:
         """Apply the limits of cold endpoints that the configuration and the settings give."""
         if self.routes is not None:
@@ -295,7 +302,9 @@
             self.membership.expire(time.monotonic())
             self.quarantine.tracker.expire(time.monotonic())
             self.peer_sync.streams.expire(time.monotonic())
+            self.restarts.expire(self.directory.by_hash, time.monotonic())
             self.resumption.check_contact(time.monotonic())
+            await check_closed(self, time.monotonic())
             await self.client.reap()
 
 
--- a/src/hickorylever/direct/observations.py
+++ b/src/hickorylever/direct/observations.py
@@ -30,9 +30,11 @@
         now = time.monotonic()
         if info.status != 421:  # Another endpoint may have the address now.
             node.quarantine.record_alive(endpoint, sent_at)
+            node.restarts.record_connection(endpoint, sent_at)
         if info.retry_after is not None:
             endpoint.defer(info.retry_after, now)
             log(Event.ENDPOINT_DEFERS, endpoint.name, seconds=info.retry_after)
+        node.peer_sync.paces.record_head(endpoint, info, now)
         if info.stamped:
             self.record_rate_limit(endpoint, info.rate_limit, now)
             node.directory.cold_starts.record_answer(endpoint, info.warmup_left, sent_at, now)
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -2,7 +2,8 @@
 
 A datagram carries what changed since the last one: loads of endpoints, prompt parts that an
 endpoint has cached, requests during which an endpoint crashed, endpoints that shut down, which
-software version began a stream, and admitted work by account.
+software version began a stream, the pace and slow-start windows of endpoints, and admitted work by
+account.
 """
 
 import msgspec
@@ -90,6 +91,19 @@
     count: int
 
 
+class ColdUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint has become cold.
+
+    :param endpoint: hash of the endpoint's name.
+    :param started_ms: start of its incarnation, as Unix time in milliseconds.
+    :param left_ms: milliseconds for which it is still cold.
+    """
+
+    endpoint: int
+    started_ms: int
+    left_ms: int
+
+
 class LeavingUpdate(msgspec.Struct, array_like=True, frozen=True):
     """An endpoint shuts down.
 
@@ -112,6 +126,49 @@
     stage: int
 
 
+class EndedUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint has ended, see :mod:`.restarts`.
+
+    :param endpoint: hash of the endpoint's name.
+    :param started_ms: start of the incarnation that has ended, as Unix time in milliseconds.
+    :param version: of its software.
+    """
+
+    endpoint: int
+    started_ms: int
+    version: str
+
+
+class PaceUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """A pace that an endpoint stated.
+
+    :param endpoint: hash of the endpoint's name.
+    :param pace: how long work takes, in hundredths of the usual time.
+    :param age: milliseconds since the statement.
+    """
+
+    endpoint: int
+    pace: int
+    age: int
+
+
+class WindowUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """What the sender knows of an endpoint's slow-start window, see :mod:`.slow_start`.
+
+    :param endpoint: hash of the endpoint's name.
+    :param started_ms: start of the incarnation, as Unix time in milliseconds.
+    :param in_time: responses in time that the sender saw since the latest halving.
+    """
+
+    endpoint: int
+    started_ms: int
+    generation: int
+    halvings: int
+    base: int
+    in_time: int
+    ended: bool
+
+
 class AdmittedUpdate(msgspec.Struct, array_like=True, frozen=True):
     """Work that the sender admitted beyond an account's share, see :mod:`.account_shares`.
 
@@ -140,6 +197,10 @@
     :param stream_questions: keys of streams that the sender asks for.
     :param cache_listings: engines whose caches the sender lists after a start of all routers.
     :param caches_known: whether the sender knows what engines had cached before it started.
+    :param cold_endpoints: endpoints that have become cold.
+    :param ended_endpoints: endpoints that have ended.
+    :param paces: stated paces of endpoints that other routers don't expect.
+    :param windows: slow-start windows of endpoints.
     :param admitted: work of accounts beyond their shares, while requests wait at the sender.
     """
 
@@ -162,6 +223,10 @@
     stream_questions: list[int] = []
     cache_listings: list[CacheListingUpdate] = []
     caches_known: bool = False
+    cold_endpoints: list[ColdUpdate] = []
+    ended_endpoints: list[EndedUpdate] = []
+    paces: list[PaceUpdate] = []
+    windows: list[WindowUpdate] = []
     admitted: list[AdmittedUpdate] = []
 
 
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -9,11 +9,13 @@
 from ..events import Event, log, logger
 from ..http import listen
 from .cache_listing import CacheListing
+from .cold_reports import ColdReports
 from .endpoints import PeerLoad
 from .evacuations import OwnWatch
 from .hashes import name_hash
 from .limit_reports import LimitReports
-from .outbox import Outbox
+from .outbox import MAX_UPDATES_PER_KIND, Outbox
+from .pace_reports import PaceReports
 from .peer_protocol import FLUSH_INTERVAL_SECONDS, FLUSH_SECONDS_PER_PEER, Datagram, decode, encode
 from .peer_table import Peer, PeerTable, watcher_rank
 from .records import PromptPart
@@ -24,6 +26,7 @@
 TICK_SECONDS = 0.02
 DATAGRAM_BUFFER_BYTES = 65536
 MAX_ADDRESSES_PER_DATAGRAM = 64
+MILLISECONDS_PER_SECOND = 1000
 DECODE_ERRORS = (msgspec.DecodeError, TypeError, ValueError)
 
 
@@ -44,9 +47,11 @@
         self.rank = watcher_rank(node.settings.address, node.settings.link_mbps)
         self.registration = Registration(node, self.peers, self.rank)
         self.limits = LimitReports(node, self.peers)
-        self.streams = StreamReports(node, self.peers)
+        self.cold = ColdReports(node)
+        self.streams = StreamReports(node, self.peers, self.rank)
         self.caches = CacheListing(node, self.peers)
         self.own_watch = OwnWatch(node.rng.random())
+        self.paces = PaceReports(node)
         self.sock = None
 
     async def run(self) -> None:
@@ -62,6 +67,7 @@
             await group.spawn(self.pulls.server.serve, listener)
             await group.spawn(self.receive)
             await group.spawn(self.registration.run)
+            await group.spawn(self.streams.records.run)
             while True:
                 await self.tick()
                 await curio.sleep(TICK_SECONDS)
@@ -74,9 +80,11 @@
         interval = FLUSH_INTERVAL_SECONDS + FLUSH_SECONDS_PER_PEER * len(alive)
         if self.outbox.due(now, interval):
             updates = self.outbox.take(now)
+            room = MAX_UPDATES_PER_KIND - max(map(len, updates.values()))
             if admitted := self.node.account_shares.take_reports(len(alive), now):
                 updates["admitted"] = admitted
-            await self.broadcast(alive, **updates)
+                room = max(0, room - len(admitted))
+            await self.broadcast(alive, **updates, **self.paces.take(now, room))
         if updates := self.take_urgent_updates(now):
             await self.broadcast(alive, **updates)
         told = self.streams.take(self.node.resumption.uncertain_services(now), now)
@@ -98,6 +106,10 @@
             updates["limits"] = limits
         if listings := self.caches.take():
             updates["cache_listings"] = listings
+        if cold := self.cold.take(now):
+            updates["cold_endpoints"] = cold
+        if ended := self.node.restarts.take_reports():
+            updates["ended_endpoints"] = ended
         return updates
 
     async def broadcast(self, peers: list[Peer], **updates) -> None:
@@ -190,7 +202,11 @@
         self.caches.apply(address, datagram, now)
         self.limits.apply(address, datagram.limits, now)
         self.node.account_shares.apply_reports(address, datagram.admitted, now)
+        self.cold.apply(datagram.cold_endpoints, now)
+        self.paces.apply(address, datagram.paces, datagram.windows, now)
         self.node.quarantine.apply(datagram, now)
+        for update in datagram.ended_endpoints:
+            self.node.restarts.apply(by_hash.get(update.endpoint), update, now)
         for update in datagram.leaving_endpoints:
             self.node.directory.mark_leaving(update, now)
 
@@ -217,6 +233,14 @@
         """Announce to the other routers that this one is shutting down."""
         await self.broadcast(self.peers.alive(time.monotonic()), leaving=True)
 
+    def unix_ms(self, at: float) -> int:
+        """Return monotonic seconds as Unix time in milliseconds.
+
+        The wall clock is read at the start only, as it may jump.
+        """
+        elapsed = at - self.peers.started_at
+        return self.incarnation + int(MILLISECONDS_PER_SECOND * elapsed)
+
     def announce_load(self, endpoint) -> None:
         """Queue this router's load at an endpoint for the next datagram."""
         self.outbox.queue_load(endpoint.name, endpoint.running, endpoint.prefill)
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -114,16 +114,15 @@
         await curio.sleep(until - now)
         return self.choose_endpoint(call)
 
-    async def wait_for_capacity(
-        self, call: Call, queue: WaitQueue, expected: Choice | None = None
-    ) -> Choice | None:
+    async def wait_for_capacity(self, call: Call, queue: WaitQueue, best: Choice) -> Choice | None:
         """Queue the call and return an endpoint when it has capacity and the call is next.
 
-        :param expected: the endpoint that the call would be sent to now.
+        :param best: the best endpoint at this moment.
+
         :raises RequestError: if the wait is too long and the call has not run.
         """
         joined = time.monotonic()
-        queued = queue.enqueue(self.queue_parameters(call, expected), joined)
+        queued = queue.enqueue(self.queue_parameters(call, best), joined)
         choice = None
         due_at = 0.0
         try:
@@ -151,7 +150,10 @@
         if call.ran is not Ran.NO:
             return None
         within_share = self.within_share(call, now)
-        retry_after = queue.retry_after(now, call.deadline - now, due_at, within_share)
+        expected_rate = self.node.peer_sync.paces.placement_rate(call.service, now)
+        retry_after = queue.retry_after(
+            now, call.deadline - now, due_at, expected_rate, within_share
+        )
         detail = f"no endpoint had capacity within {now - joined:.3f} s"
         if within_share is False:
             detail += ", account beyond its share"
@@ -162,10 +164,10 @@
         flow = self.flow(call)
         return None if flow is None else not flow.is_beyond_share(now)
 
-    def queue_parameters(self, call: Call, expected: Choice | None = None) -> QueueParameters:
+    def queue_parameters(self, call: Call, best: Choice | None = None) -> QueueParameters:
         """Return the properties with which a call joins its queue.
 
-        :param expected: the endpoint that the call would be sent to now.
+        :param best: the best endpoint at this moment.
         """
         ends_at = call.deadline
         if call.stream is not None:
@@ -176,8 +178,8 @@
             call.route.latency_objective,
             ends_at,
             self.node.draining,
-            self.flow(call),
-            work(call, expected),
+            flow=self.flow(call),
+            work=work(call, best),
         )
 
     def cold_due_at(self, call: Call, queue: WaitQueue, queued: QueueEntry, now: float) -> float:
@@ -200,10 +202,12 @@
 
     def choose_from(self, pool: Pool, call: Call) -> Choice | None:
         """Return the best endpoint of a pool for the call at this moment."""
-        unsettled = self.node.resumption.unsettled_endpoints(call)
-        choice = place(pool, self.placement_request(call, call.tried | unsettled))
+        resumption = self.node.resumption
+        avoid = call.tried | resumption.doubted_endpoints(call)
+        unsettled = resumption.unsettled_endpoints(call)
+        choice = place(pool, self.placement_request(call, avoid | unsettled))
         if choice is None and unsettled:
-            return place(pool, self.placement_request(call, call.tried))
+            return place(pool, self.placement_request(call, avoid))
         return choice
 
     def load_multiple(self, service: str) -> float:
@@ -231,6 +235,7 @@
             prompt_tokens=call.info.prompt_tokens,
             avoid=frozenset(avoid),
             version=call.version,
+            objective=call.route.latency_objective,
         )
 
 
--- a/src/hickorylever/direct/records.py
+++ b/src/hickorylever/direct/records.py
@@ -255,6 +255,9 @@
     :param rate_limit: requests per second that the endpoint takes from all routers together, or
         None for any number.
     :param warmup_left: time for which the endpoint is still cold, or None when not stated.
+    :param slots: requests that the endpoint can run concurrently, or None when not stated.
+    :param pace: how long work takes at the endpoint at this moment, as a multiple of the usual
+        time, or None when not stated.
     """
 
     status: int
@@ -268,6 +271,8 @@
     retry_after: float | None = None
     rate_limit: float | None = None
     warmup_left: float | None = None
+    slots: int | None = None
+    pace: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/hickorylever/direct/wait_queue.py
+++ b/src/hickorylever/direct/wait_queue.py
@@ -22,6 +22,9 @@
     longest_retry_after,
 )
 
+MIN_ON_TIME_RATIO = 0.3  # Bounds of the share where the time to the first event is estimated.
+MAX_ON_TIME_RATIO = 0.9
+EXPECTED_MARGIN = 1.25  # Multiple of the expected time to the first event that is left for it.
 MAX_WAIT_RATIO = 0.75  # Maximum wait as a share of the time that the caller allows.
 LATE_WAIT_SECONDS = 1.0  # Late requests are refused if none was placed for this time.
 DRAINING_WAIT_SECONDS = 0.3  # At a router that shuts down.
@@ -42,6 +45,8 @@
     :param objective: seconds within which the response, or its first event, is on time.
     :param ends_at: time at which the caller leaves or the route's timeout ends the request.
     :param draining: whether the router shuts down.
+    :param expected: expected seconds from the placement to the first event, or None if nothing has
+        been estimated.
     :param flow: share of the client account, or None where accounts have no shares.
     :param work: expected work in tokens, 1 for plain services.
     """
@@ -51,9 +56,19 @@
     objective: float
     ends_at: float
     draining: bool = False
+    expected: float | None = None
     flow: Flow | None = None
     work: float = 1.0
 
+    @property
+    def on_time_until(self) -> float:
+        """Return the latest placement that meets the objective."""
+        ratio = ON_TIME_RATIO
+        if self.expected is not None and self.objective > 0:
+            left = 1.0 - EXPECTED_MARGIN * self.expected / self.objective
+            ratio = min(MAX_ON_TIME_RATIO, max(MIN_ON_TIME_RATIO, left))
+        return self.arrived_at + ratio * self.objective
+
 
 @dataclass(eq=False, slots=True)
 class QueueEntry:
@@ -122,7 +137,6 @@
         wait = MAX_WAIT_RATIO * (parameters.ends_at - now)
         if parameters.draining:
             wait = min(wait, DRAINING_WAIT_SECONDS)
-        on_time_until = parameters.arrived_at + ON_TIME_RATIO * parameters.objective
         if not self.entries:
             self.busy_since = now
         flow, work = parameters.flow, parameters.work
@@ -131,7 +145,7 @@
         entry = QueueEntry(
             parameters.priority,
             parameters.arrived_at,
-            on_time_until,
+            parameters.on_time_until,
             now + wait,
             flow=flow,
             work=work,
@@ -242,7 +256,12 @@
         return sum(key < own for key in keys)
 
     def retry_after(
-        self, now: float, time_left: float, earliest: float = 0.0, within_share: bool | None = None
+        self,
+        now: float,
+        time_left: float,
+        earliest: float = 0.0,
+        expected_rate: float = 0.0,
+        within_share: bool | None = None,
     ) -> float:
         """Return the seconds after which a caller that is refused now should retry.
 
@@ -250,9 +269,10 @@
 
         :param time_left: seconds until the caller's deadline.
         :param earliest: time before which no endpoint takes the request.
+        :param expected_rate: placements per second while too few were seen; 0 if unknown.
         :param within_share: whether the account is within its share; None without shares.
         """
-        step = 1.0 / max(1.0, self.placement_rate(now))
+        step = 1.0 / max(1.0, self.placement_rate(now) or expected_rate)
         pause = min(MAX_RETRY_AFTER_SECONDS, len(self.entries) * step)
         if within_share is False:
             known = max(self.next_retry_at, self.next_beyond_at)
--- a/src/hickorylever/direct/where.py
+++ b/src/hickorylever/direct/where.py
@@ -23,6 +23,7 @@
     copy_sources,
     is_usable,
     plain_cost_items,
+    prompt_cost,
     source_for,
     uncached_tokens,
     within_load_bound,
@@ -39,6 +40,7 @@
 # Why an endpoint is not usable; the first reason that applies is named.
 REASONS: dict[str, Callable[[Endpoint, PlacementRequest], bool]] = {
     "shuts down": lambda endpoint, request: not endpoint.accepting,
+    "its failure domain is evacuated": lambda endpoint, request: endpoint.evacuated,
     "asked for a pause": lambda endpoint, request: request.now < endpoint.deferred_until,
     "paused after failed connections": lambda endpoint, request: (
         request.now < endpoint.paused_until
@@ -51,6 +53,9 @@
     "its rate limit is used up": lambda endpoint, request: (
         endpoint.rate_limit is not None and not endpoint.rate_limit.permits(request.now)
     ),
+    "it is cold, and this router's share is used up": lambda endpoint, request: endpoint.held(
+        request.now
+    ),
 }
 
 
@@ -274,18 +279,29 @@
     cached = [endpoint.prompt_cache.cached_prefix_tokens(request.parts) for endpoint in order]
     sources = copy_sources(order, cached, request.now) if prompt else {}
     candidates = [
-        Candidate(endpoint, *endpoint.load(), cached[rank] if prompt else 0, rank)
+        Candidate(
+            endpoint,
+            *endpoint.load(),
+            cached[rank] if prompt else 0,
+            rank,
+            endpoint.estimate(request.now),
+        )
         for rank, endpoint in enumerate(order)
     ]
     usable = [entry for entry in candidates if is_usable(entry.endpoint, request)]
     allowed = within_load_bound(usable, request)[0] if usable else []
     total = max(request.prompt_tokens, sum(part.tokens for part in request.parts))
+    mean = sum(entry.requests for entry in usable) / len(usable) if usable else 0.0
 
     def view(candidate: Candidate) -> CandidateView:
         endpoint = candidate.endpoint
         if prompt:
             read = uncached_tokens(candidate, sources, total)
-            costs = {"unread prompt": read, **base_cost_items(candidate, request)}
+            costs = {
+                "unread prompt": read * candidate.estimate.token_cost,
+                **base_cost_items(candidate, request),
+            }
+            costs["slow start"] = prompt_cost(candidate, read, request, mean) - sum(costs.values())
             source = source_for(candidate, sources)[0]
         else:
             costs, source = plain_cost_items(candidate, request), None
@@ -311,4 +327,6 @@
     for text, applies in REASONS.items():
         if applies(candidate.endpoint, request):
             return text
-    return "load bound" if candidate.available(request.engine) else "no capacity"
+    if not candidate.within_window():
+        return "slow start"
+    return "load bound" if candidate.available(request) else "no capacity"
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -70,6 +70,7 @@
     :ivar stopped: number of requests cancelled because the caller disconnected.
     :param leaving: whether each response says that the endpoint shuts down.
     :param limit: requests per second that each response names as the endpoint's limit.
+    :param load: value of the header in which each response states the endpoint's load, if any.
     :param retry_after: seconds in the responses of the behaviour ``defer``.
     :ivar duplicate_response: duplicate response that the behaviour ``late`` sends first.
     :param crashing_parts: ids of prompt parts on which the endpoint crashes when it begins to
@@ -92,6 +93,7 @@
     pause: float = 0.001
     leaving: bool = False
     limit: float | None = None
+    load: bytes = b""
     retry_after: bytes = b"1"
     runs: list[Run] = field(default_factory=list)
     arrivals: int = 0
@@ -177,6 +179,8 @@
             headers.append((names.LIMIT, b"%.3f" % self.limit))
         if self.cold_until is not None:
             headers.append((names.WARMUP, b"%d" % (1000 * self.warmup_left())))
+        if self.load:
+            headers.append((names.LOAD, self.load))
         return headers
 
     def warmup_left(self) -> float:
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -12,6 +12,8 @@
     DOMAINS,
     DRAIN_GRACE_SECONDS,
     EVACUATION_SECONDS,
+    RESTART_SECONDS,
+    WARMUP,
     LimitPeriod,
     RouterProcess,
     SoakHarness,
@@ -51,6 +53,7 @@
 LIMIT_SECONDS = 9.0
 EVACUATED_SECONDS = 4.0  # In which an evacuated domain must get nothing.
 VERSION_COUNT = 3
+ENTRY_DELAY_SECONDS = 0.3  # Between the start of an endpoint and its entry.
 LIMITS_PER_SECOND = (0.5, 2.0, 8.0)
 
 
@@ -215,6 +218,13 @@
     origin.limit = None
 
 
+@faults.register("cold")
+async def restart_endpoint(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
+    """Crash an endpoint, which is cold when it has started again."""
+    await harness.crash_endpoint(rng.randrange(len(harness.origins)))
+    await curio.sleep(RESTART_SECONDS + WARMUP.seconds)
+
+
 @faults.register("leave")
 async def drain_and_restart(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
     """Drain an endpoint for `DRAINING_SECONDS`."""
@@ -248,6 +258,25 @@
         await harness.replace_endpoint(index, version)
 
 
+@faults.register("upgrade")
+async def crash_and_upgrade(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
+    """Crash an endpoint, start it again under its name with another version, and write its entry.
+
+    It serves a little before its entry is in the store.
+    """
+    index = rng.randrange(len(harness.origins))
+    proxy = harness.proxies[index]
+    if proxy.refusing or index in harness.draining:
+        return
+    proxy.refusing = True
+    await proxy.reset_connections()
+    await curio.sleep(seconds / 3)
+    harness.origins[index].version = f"v{rng.randrange(1, VERSION_COUNT + 1)}"
+    proxy.refusing = False
+    await curio.sleep(rng.uniform(0.0, ENTRY_DELAY_SECONDS))
+    await harness.start_endpoint(index)
+
+
 @faults.register("shutdown")
 async def announce_shutdown(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
     """Make an endpoint say in its responses that it shuts down, while its entry stays ready."""
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -43,6 +43,8 @@
     "position",
     "records",
     "capacity",
+    "pace",
+    "slow_start",
     "routes",
     "sse",
 )
