--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -2,7 +2,8 @@
 
 A datagram carries what changed since the last one: loads of endpoints, prompt parts that an
 endpoint has cached, requests during which an endpoint crashed, endpoints that shut down, which
-software version began a stream, and the pace and slow-start windows of endpoints.
+software version began a stream, the pace and slow-start windows of endpoints, and admitted work by
+account.
 """
 
 import msgspec
@@ -168,6 +169,17 @@
     ended: bool
 
 
+class AdmittedUpdate(msgspec.Struct, array_like=True, frozen=True):
+    """Work that the sender admitted beyond an account's share, see :mod:`.account_shares`.
+
+    :param flow: hash of service, priority and account.
+    :param work: tokens, decayed up to now.
+    """
+
+    flow: int
+    work: int
+
+
 class Datagram(msgspec.Struct, array_like=True, frozen=True):
     """A message from one router to another.
 
@@ -189,6 +201,7 @@
     :param ended_endpoints: endpoints that have ended.
     :param paces: stated paces of endpoints that other routers don't expect.
     :param windows: slow-start windows of endpoints.
+    :param admitted: work of accounts beyond their shares, while requests wait at the sender.
     """
 
     incarnation: int
@@ -214,6 +227,7 @@
     ended_endpoints: list[EndedUpdate] = []
     paces: list[PaceUpdate] = []
     windows: list[WindowUpdate] = []
+    admitted: list[AdmittedUpdate] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -81,6 +81,9 @@
         if self.outbox.due(now, interval):
             updates = self.outbox.take(now)
             room = MAX_UPDATES_PER_KIND - max(map(len, updates.values()))
+            if admitted := self.node.account_shares.take_reports(len(alive), now):
+                updates["admitted"] = admitted
+                room = max(0, room - len(admitted))
             await self.broadcast(alive, **updates, **self.paces.take(now, room))
         if updates := self.take_urgent_updates(now):
             await self.broadcast(alive, **updates)
@@ -198,6 +201,7 @@
                 endpoint.prompt_cache.add((PromptPart(update.part, update.tokens),), 0)
         self.caches.apply(address, datagram, now)
         self.limits.apply(address, datagram.limits, now)
+        self.node.account_shares.apply_reports(address, datagram.admitted, now)
         self.cold.apply(datagram.cold_endpoints, now)
         self.paces.apply(address, datagram.paces, datagram.windows, now)
         self.node.quarantine.apply(datagram, now)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -31,6 +31,8 @@
     "prompt_cache",
     "rate_limit",
     "crashes",
+    "account_shares",
+    "held_bytes",
     "outbox",
     "hashes",
     "peer_protocol",
