--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -172,12 +172,16 @@
         ends_at = call.deadline
         if call.stream is not None:
             ends_at = min(ends_at, call.started_at + caller_idle_timeout(call.route))
+        expected = None
+        if best is not None:
+            expected = self.node.peer_sync.paces.expected_seconds(best, time.monotonic())
         return QueueParameters(
             call.priority,
             call.started_at,
             call.route.latency_objective,
             ends_at,
             self.node.draining,
+            expected,
             flow=self.flow(call),
             work=work(call, best),
         )
--- a/tests/test_account_shares.py
+++ b/tests/test_account_shares.py
@@ -11,9 +11,7 @@
 from hickorylever.direct import account_shares
 from hickorylever.direct.account_shares import (
     MAX_ADMITTED_UPDATES,
-    MIN_SERVED_RATIO,
     PERIOD_SECONDS,
-    TOLERANCE_RATIO,
     AccountShares,
 )
 from hickorylever.direct.peer_protocol import AdmittedUpdate, Datagram, decode, encode
@@ -28,6 +26,7 @@
 OBJECTIVE_SECONDS = 1.0
 CALLER_TIMEOUT_SECONDS = 4.0
 STEP_SECONDS = 0.005
+MAX_EXTRA_WAIT_SECONDS = 0.32
 CHECK_SECONDS = 0.1  # Between two checks whether waiting requests are refused.
 
 
@@ -109,33 +108,20 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_surging_account_hardly_delays_the_others(seed):
-    """The others wait for at most one round longer, and for what the account may be ahead.
-
-    In a round, each account has one turn, and the surging one as many as its weight.
-    """
+    """Guards against others that are refused or wait much longer because of one account."""
     usual = of_others(simulate(0.9, seed=seed))
     shared = of_others(simulate(0.9, SURGE, seed=seed))
-    weight = SURGE["a0"] * MIN_SERVED_RATIO
-    usual_work = 0.9 * CAPACITY_PER_SECOND / len(ACCOUNTS) * PERIOD_SECONDS
-    turns = len(ACCOUNTS) + weight + weight * TOLERANCE_RATIO * usual_work
-    bound = turns / CAPACITY_PER_SECOND
-    served = sum(len(seen.waits) for seen in shared)
-    assert served >= 0.97 * sum(seen.asked for seen in shared)
-    extra = [
-        after.waits[number] - before.waits[number]
-        for before, after in zip(usual, shared, strict=True)
-        for number in range(min(len(before.waits), len(after.waits)))
-    ]
-    assert sorted(extra)[int(0.98 * len(extra))] <= bound
     for before, after in zip(usual, shared, strict=True):
-        assert mean(after.waits) <= mean(before.waits) + bound / 2
+        assert len(after.waits) >= 0.98 * after.asked
+        assert mean(after.waits) <= mean(before.waits) + MAX_EXTRA_WAIT_SECONDS
+        assert max(after.waits) <= max(before.waits) + MAX_EXTRA_WAIT_SECONDS
 
 
 def test_without_shares_a_surging_account_delays_the_others():
     """Guards against a simulation in which the surge does not matter."""
     shared, unshared = (simulate(0.9, SURGE, shared=shared) for shared in (True, False))
     waits = [[mean(entry.waits) for entry in of_others(seen)] for seen in (shared, unshared)]
-    assert mean(waits[1]) >= 2.5 * mean(waits[0])
+    assert mean(waits[1]) >= 3.0 * mean(waits[0])
     assert len(shared["all"].waits) >= 0.97 * len(unshared["all"].waits)
 
 
