Name the work of accounts and the stalled responses by what they are

Cause: value() and decaying() did not say what they return, and docstrings lacked units. Change: names, docstrings and one function taken out of HeldBytes.reserve; no behaviour.

--- a/src/hickorylever/direct/account_shares.py
+++ b/src/hickorylever/direct/account_shares.py
@@ -1,16 +1,18 @@
 """Shares of client accounts in a service whose endpoints are full.
 
-This answers an overload in which few accounts send much more than the others. It is start-time
+This limits the effect on others of an account that sends much more than they do. It is start-time
 fair queueing over the accounts of one priority: each has a virtual time, which advances by the
 work of its requests that leave the queue, divided by its weight. The virtual time of the group is
-the least of the accounts that wait. An account that had nothing in the queue starts there, so that
-what it used while there was room for all does not count. Requests of accounts that are ahead of
-the group by more than a tolerance wait for the others; the rest go in the order of arrival, as
-accounts within their shares send bursts too.
+the least of the accounts with waiting requests. An account that had nothing in the queue starts
+there, so that what it used while there was room for all does not count. Requests of accounts that
+are ahead of the group by more than a tolerance wait for the others; the rest go in the order of
+arrival, as accounts within their shares send bursts too.
 
 Accounts weigh the same, except that one which asks for more than a multiple of the mean weighs
 more, in proportion. This keeps the share of its requests that is served above a bound. An account
-that got more than its share at other routers lately waits a bounded time longer.
+that recently got more than its share at other routers waits a bounded time longer.
+
+Work is in tokens, and 1 for a request to a plain service. Times are monotonic seconds.
 """
 
 import math
@@ -22,10 +24,11 @@
 from .peer_protocol import AdmittedUpdate
 
 PERIOD_SECONDS = 2.0  # Time constant of the decay of offered and admitted work.
-MIN_SERVED_RATIO = 0.4  # Of the mean's served share of work; a heavy account still gets this.
-TOLERANCE_RATIO = 0.5  # Of the mean work in the period, that an account may be ahead.
+# Share of its offered work that a heavy account is served, relative to the mean account's.
+MIN_SERVED_RATIO = 0.4
+TOLERANCE_RATIO = 0.5  # Lead without effect, as a share of the mean admitted work.
 BEYOND_RATIO = 1.5  # An account with more than this multiple of the mean is beyond its share.
-MIN_WORK = 0.01  # Below this, decayed work counts as none.
+MIN_WORK = 0.01  # Tokens; less decayed work than this counts as none.
 ACTIVE_SECONDS = 6.0  # A flow counts in the mean for this time after its latest request.
 IDLE_SECONDS = 60.0  # A flow is kept for this time, longer than a request waits.
 MAX_REPORTED_WORK = 1e9  # Tokens; more in a report is an error of its sender.
@@ -34,16 +37,16 @@
 REPORT_SECONDS = 0.5  # Minimum time between two reports.
 REPORT_SECONDS_PER_PEER = 0.02  # Keeps all reports of a router below 5 KB/s.
 WAITING_SECONDS = 0.1  # Reports are sent if a request waited within this time.
-MEANS_SECONDS = 0.1  # Between two updates of means and weights.
+UPDATE_SECONDS = 0.1  # Between two updates of means and weights.
 
 
-def decaying() -> DecayingRate:
-    """Return a new sum of work that decays."""
+def new_decaying_work() -> DecayingRate:
+    """Return an empty sum of work that decays over `PERIOD_SECONDS`."""
     return DecayingRate(PERIOD_SECONDS)
 
 
-def value(work: DecayingRate, now: float) -> float:
-    """Return the work in tokens that is left of a decaying sum."""
+def remaining_work(work: DecayingRate, now: float) -> float:
+    """Return the work that is left of a decaying sum."""
     work.decay(now)
     return work.work
 
@@ -52,19 +55,20 @@
 class RemoteWork:
     """Work of a flow beyond its share that other routers have reported.
 
-    :param reports: latest report of each router, as work in tokens and monotonic seconds.
+    :param work: sum over the other routers.
+    :param reports: latest report of each router, as its work and the time of its arrival.
     :param latest: time of the latest report.
     """
 
-    work: DecayingRate = field(default_factory=decaying)
+    work: DecayingRate = field(default_factory=new_decaying_work)
     reports: dict[str, tuple[float, float]] = field(default_factory=dict)
     latest: float = -math.inf
 
     def record(self, router: str, work: float, now: float) -> None:
         """Replace what another router reported before by its current work."""
-        known, at = self.reports.get(router, (0.0, now))
-        left = known * math.exp((at - now) / PERIOD_SECONDS)
-        self.work.add(work - left, now)
+        former, reported_at = self.reports.get(router, (0.0, now))
+        remaining = former * math.exp((reported_at - now) / PERIOD_SECONDS)
+        self.work.add(work - remaining, now)
         self.work.work = max(0.0, self.work.work)
         self.reports[router] = work, now
         self.latest = now
@@ -74,10 +78,10 @@
 class Group:
     """The flows of one priority of a service.
 
-    :param virtual_time: least start of the flows that wait, in tokens; it never falls.
+    :param virtual_time: least start of the flows with waiting requests; it never falls.
     :param flows: by account.
-    :param mean_offered: work in tokens that the active flows asked for lately.
-    :param mean_admitted: work of the active flows that this router admitted lately.
+    :param mean_offered: decayed work that an active flow asked for, on average.
+    :param mean_admitted: decayed work of an active flow that this router admitted, on average.
     """
 
     virtual_time: float = 0.0
@@ -86,7 +90,7 @@
     mean_admitted: float = 0.0
 
     def advance(self, waiting: Iterable["Flow"]) -> None:
-        """Advance the virtual time to the least start of the flows that wait."""
+        """Advance the virtual time to the least start of the flows with waiting requests."""
         starts = [flow.start for flow in waiting if flow.group is self]
         if starts:
             self.virtual_time = max(self.virtual_time, min(starts))
@@ -98,10 +102,10 @@
         }
         active = [flow for flow in self.flows.values() if flow.is_active(now)]
         count = max(1, len(active))
-        self.mean_offered = sum(value(flow.offered, now) for flow in active) / count
-        self.mean_admitted = sum(value(flow.admitted, now) for flow in active) / count
+        self.mean_offered = sum(remaining_work(flow.offered, now) for flow in active) / count
+        self.mean_admitted = sum(remaining_work(flow.admitted, now) for flow in active) / count
         for flow in active:
-            asked = value(flow.offered, now) / self.mean_offered
+            asked = remaining_work(flow.offered, now) / self.mean_offered
             flow.weight = max(1.0, MIN_SERVED_RATIO * asked)
 
 
@@ -115,26 +119,26 @@
     :param offered: work that callers asked this router for.
     :param admitted: work that this router sent to endpoints.
     :param start: virtual time at which its next request starts.
-    :param weight: multiple of the other flows' shares.
-    :param used_at: latest request.
+    :param weight: share relative to that of a flow with usual demand.
+    :param used_at: time of the latest request.
     """
 
     key: int
     account: str
     group: Group
     remote: RemoteWork
-    offered: DecayingRate = field(default_factory=decaying)
-    admitted: DecayingRate = field(default_factory=decaying)
+    offered: DecayingRate = field(default_factory=new_decaying_work)
+    admitted: DecayingRate = field(default_factory=new_decaying_work)
     start: float = 0.0
     weight: float = 1.0
     used_at: float = -math.inf
 
     def is_active(self, now: float) -> bool:
         """Return whether callers have sent requests to this router lately."""
-        return now - self.used_at < ACTIVE_SECONDS and value(self.offered, now) > MIN_WORK
+        return now - self.used_at < ACTIVE_SECONDS and remaining_work(self.offered, now) > MIN_WORK
 
     def join(self) -> None:
-        """Start at the virtual time of the group, as none of the flow's requests waits."""
+        """Start at the virtual time of the group, before the flow's first waiting request."""
         self.start = max(self.start, self.group.virtual_time)
 
     def leave(self, work: float) -> None:
@@ -142,23 +146,23 @@
         self.start += work / self.weight
 
     def lead(self, now: float, ahead: float = 0.0) -> float:
-        """Return by how much a waiting request starts after the tolerance, in virtual tokens.
+        """Return by how much the start of a waiting request exceeds the tolerance, or 0.
 
         :param ahead: work of the flow's requests that wait before it.
         """
         group = self.group
         if self.remote.reports:
-            ahead += min(value(self.remote.work, now), group.mean_admitted)
+            ahead += min(remaining_work(self.remote.work, now), group.mean_admitted)
         start = self.start + ahead / self.weight
         return max(0.0, start - group.virtual_time - TOLERANCE_RATIO * group.mean_admitted)
 
     def is_beyond_share(self, now: float) -> bool:
         """Return whether the account asks for much more than the mean of its priority."""
-        return value(self.offered, now) > BEYOND_RATIO * self.group.mean_offered
+        return remaining_work(self.offered, now) > BEYOND_RATIO * self.group.mean_offered
 
 
 class AccountShares:
-    """The flows of all services at one router. Times are monotonic seconds.
+    """The flows of all services at one router.
 
     :ivar enabled: whether the configuration has client accounts.
     :ivar groups: by service and priority.
@@ -199,7 +203,7 @@
 
     def update(self, now: float) -> None:
         """Update means and weights if they are due, and forget what is out of date."""
-        if now - self.updated_at < MEANS_SECONDS:
+        if now - self.updated_at < UPDATE_SECONDS:
             return
         self.updated_at = now
         for group in self.groups.values():
@@ -224,7 +228,8 @@
             (round(excess), flow.key)
             for group in self.groups.values()
             for flow in group.flows.values()
-            if (excess := value(flow.admitted, now) - BEYOND_RATIO * group.mean_admitted) >= 1.0
+            if (excess := remaining_work(flow.admitted, now) - BEYOND_RATIO * group.mean_admitted)
+            >= 1.0
         ]
         beyond.sort(reverse=True)
         return [AdmittedUpdate(key, work) for work, key in beyond[:MAX_ADMITTED_UPDATES]]
--- a/src/hickorylever/direct/held_bytes.py
+++ b/src/hickorylever/direct/held_bytes.py
@@ -1,18 +1,17 @@
 """Bytes that a router holds for callers that read slowly.
 
-This answers callers that read less than endpoints send. The router reads ahead for them, so that
-endpoints, which cut off responses that stay unread, are not held up. Beyond the bounds it stops
-reading. If a complete response needs room that there is not, responses whose callers have taken
-nothing for the longest time are dropped.
+Endpoints cut off responses that stay unread. The router therefore reads ahead for callers that
+read more slowly than endpoints send, and stops at the bounds. If a complete response does not fit,
+the responses whose callers have taken nothing for the longest time are dropped.
 """
 
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
-READ_AHEAD_RATIO = 0.5  # Of the bound; the rest is left for complete responses.
-SHARE_RATIO = 0.25  # Of the bound, for streams of one service, or of one client account.
-RESPONSE_RATIO = 1 / 32  # Of the bound, for one stream that is read ahead.
+READ_AHEAD_RATIO = 0.5  # Of the limit; the rest is left for complete responses.
+SHARE_RATIO = 0.25  # Of the limit, for streams of one service, or of one client account.
+RESPONSE_RATIO = 1 / 32  # Of the limit, for one stream that is read ahead.
 STALLED_SECONDS = 2.0  # Callers that took something since then are not dropped.
 
 
@@ -20,10 +19,11 @@
 class Holder:
     """A response that a caller has not taken yet.
 
-    :param keys: service, and client account.
+    :param keys: what its bytes count for: the service and the client account, as kind and name.
     :param abort: closes the caller's connection.
     :param progressed_at: returns when the caller last took something, in monotonic seconds.
     :param sending: whether the response is being sent; it is not dropped before.
+    :param size: bytes held.
     """
 
     keys: tuple[tuple[str, str], ...]
@@ -36,9 +36,9 @@
 class HeldBytes:
     """The responses of one router that callers have not taken yet.
 
-    :param limit: bytes.
+    :param limit: bytes to hold at most.
     :param on_drop: called with each response that is dropped.
-    :ivar holders: responses of which something is held.
+    :ivar holders: responses of which something is held, in the order of their first bytes.
     :ivar size: bytes held.
     :ivar sizes: bytes held by key.
     """
@@ -86,14 +86,12 @@
         """Return whether there is room for a complete response, and count it if so.
 
         Stalled responses are dropped for it, the longest stalled first. A response that is larger
-        than the bound is the only one.
+        than the limit gets room only while nothing else is held.
+
+        :param count: bytes to reserve.
+        :param now: monotonic seconds.
         """
-        stalled = [
-            other
-            for other in self.holders
-            if other.sending and now - other.progressed_at() >= STALLED_SECONDS
-        ]
-        stalled.sort(key=lambda other: other.progressed_at(), reverse=True)
+        stalled = self.stalled(now)
         while self.size and self.size + count > self.limit:
             if not stalled:
                 return False
@@ -103,3 +101,13 @@
             dropped.abort()
         self.add(holder, count)
         return True
+
+    def stalled(self, now: float) -> list[Holder]:
+        """Return the responses that may be dropped, the longest stalled last."""
+        stalled = [
+            holder
+            for holder in self.holders
+            if holder.sending and now - holder.progressed_at() >= STALLED_SECONDS
+        ]
+        stalled.sort(key=lambda holder: holder.progressed_at(), reverse=True)
+        return stalled
