Ask the cache plan which caches are known; name what listings send

Cause: CacheListing looked into the plan's pending engines with nested conditions, and greet() did not say that it sends reports. Change: CachePlan.knows, send_reports, known_caches, types and docstrings; no behaviour. Measured: tests of cache listing, peer synchronization and layers pass.

--- a/src/hickorylever/direct/cache_listing.py
+++ b/src/hickorylever/direct/cache_listing.py
@@ -1,11 +1,12 @@
-"""Learns what engines have cached when routers start and no other router knows it.
+"""Calls and pulls by which starting routers learn what engines have cached.
 
-The routers divide the engines among themselves, see :mod:`.cache_plan`. Each lists its own engines
-once, and the others pull the parts from it in one piece.
+They are needed if no other router knows it. The routers divide the engines among themselves, see
+:mod:`.cache_plan`. Each lists its own engines once, and the others pull the parts from it.
 """
 
 import time
 import zlib
+from collections.abc import Iterable, Sequence
 from urllib.parse import parse_qs
 
 import curio
@@ -18,15 +19,15 @@
 from .endpoints import Endpoint
 from .hashes import name_hash
 from .outbox import MAX_UPDATES_PER_KIND, take_sends
-from .peer_protocol import Datagram
+from .peer_protocol import CacheListingUpdate, Datagram
 from .peer_table import Peer
-from .records import PromptPart
+from .records import Engine, PromptPart
 
 CACHES_PATH = "/caches"
-SOME_HEARD_WAIT_SECONDS = 0.1  # In which other routers say whether they know the caches.
+SOME_HEARD_WAIT_SECONDS = 0.1  # Time in which other routers say whether they know the caches.
 NONE_HEARD_WAIT_SECONDS = 0.25  # The same while none answers, as datagrams may be lost.
 MAX_CALLS = 8  # At the same time.
-LINK_MBPS_PER_CALL = 2.5  # So that calls which share a slow link end in time.
+LINK_MBPS_PER_CALL = 2.5  # Calls that share a slow link then end within their time limit.
 LISTING_TIMEOUT_SECONDS = 2.0
 MAX_LISTING_BYTES = 4 * 1024 * 1024
 PULL_TIMEOUT_SECONDS = 3.0  # A slow link may have to serve all other routers.
@@ -53,6 +54,7 @@
 
     :param node: the components of this router.
     :param peers: the other routers.
+    :ivar plan: what is left to learn, and from whom.
     :ivar first_tick: monotonic time in seconds at which the other routers were first probed.
     :ivar calls: number of engines that are being listed.
     :ivar max_calls: limit on `calls`.
@@ -107,7 +109,7 @@
         if keys:
             await self.node.peer_sync.broadcast(alive, cache_listings=self.take())
 
-    async def greet(self, peer: Peer) -> None:
+    async def send_reports(self, peer: Peer) -> None:
         """Tell a router that was just heard which engines this one has listed."""
         if reports := self.plan.reports():
             await self.node.peer_sync.broadcast([peer], cache_listings=reports)
@@ -123,10 +125,9 @@
 
         Return whether there are engines to learn of.
         """
-        node = self.node
-        wait = SOME_HEARD_WAIT_SECONDS if alive else NONE_HEARD_WAIT_SECONDS
-        if node.routes is None or not node.endpoints_listed:
+        if self.node.routes is None or not self.node.endpoints_listed:
             return False
+        wait = SOME_HEARD_WAIT_SECONDS if alive else NONE_HEARD_WAIT_SECONDS
         if now - self.first_tick < wait:
             return False
         self.plan.begin(self.engine_keys(), self.peers.by_address, now)
@@ -142,13 +143,13 @@
             if endpoint.accepting
         ]
 
-    def engine_of(self, service: str):
+    def engine_of(self, service: str) -> Engine | None:
         """Return the capacity of a service's engines, or None for a plain or unknown service."""
         found = self.node.routes.services.get(service)
         return found.engine if found else None
 
     def may_call(self, key: int) -> bool:
-        """Return whether an engine takes requests now and is not slow after its start."""
+        """Return whether an engine takes requests now and has finished its warm-up."""
         endpoint = self.node.directory.by_hash.get(key)
         now = time.monotonic()
         return endpoint is not None and endpoint.usable(now) and now >= endpoint.warm_at
@@ -203,10 +204,10 @@
             raise ContentError(f"status {response.status}")
         return codec.read_cached_parts(content)
 
-    def add(self, endpoint: Endpoint, parts, source: str) -> None:
-        """Add parts to the index of an engine, as older than what it got since the start.
+    def add(self, endpoint: Endpoint, parts: Sequence[PromptPart], source: str) -> None:
+        """Add parts to the index of an engine, as older than those of requests since the start.
 
-        :param source: where they were learned, for metrics.
+        :param source: label of the metric: `engine` or `router`.
         """
         engine = self.engine_of(endpoint.entry.service)
         endpoint.prompt_cache.add_oldest(parts, engine.memory_tokens if engine else 0)
@@ -220,7 +221,7 @@
         for update in datagram.cache_listings:
             self.plan.record(address, update, now)
 
-    def take(self) -> list:
+    def take(self) -> list[CacheListingUpdate]:
         """Return the updates for the next datagram."""
         return take_sends(self.plan.sends, MAX_UPDATES_PER_KIND)
 
@@ -262,14 +263,12 @@
         values = parse_qs(exchange.query).get("endpoints", [""])[0].split(",")
         if not all(value.isdecimal() and len(value) <= MAX_HASH_DIGITS for value in values):
             raise RequestError(Kind.BAD_REQUEST, "endpoints are numbers")
-        content = msgspec.msgpack.encode(self.caches(map(int, values)))
+        content = msgspec.msgpack.encode(self.known_caches(map(int, values)))
         await exchange.respond(200, body=zlib.compress(content, 1))
 
-    def caches(self, keys) -> list[CachedParts]:
-        """Return the cached parts of engines, as far as this router knows them."""
+    def known_caches(self, keys: Iterable[int]) -> list[CachedParts]:
+        """Return the cached parts of engines, without engines of which they are not known."""
         by_hash = self.node.directory.by_hash
-        pending = self.plan.pending if self.plan.pending is not None else by_hash
-        unknown = () if self.plan.complete else pending
         return [
             CachedParts(
                 key,
@@ -277,5 +276,5 @@
                 by_hash[key].prompt_cache.latest_parts(MAX_PULLED_PARTS),
             )
             for key in keys
-            if key in by_hash and key not in unknown
+            if key in by_hash and self.plan.knows(key)
         ]
--- a/src/hickorylever/direct/cache_plan.py
+++ b/src/hickorylever/direct/cache_plan.py
@@ -1,9 +1,9 @@
 """Decides which router lists the cache of which engine after all routers have started.
 
-It handles the load that follows a start of all routers: nobody knows what engines have cached, and
-each call that asks an engine for it delays the engine's requests. Engines are therefore divided
-among the routers by rendezvous hashing, and a router takes over from those before it in the order
-of an engine when they remain silent or don't list it.
+After a start of all routers, none of them knows what engines have cached, and each call that asks
+an engine for it delays the engine's requests. Engines are therefore divided among the routers by
+rendezvous hashing. A router takes an engine over from those before it in the engine's order when
+they remain silent or don't list it.
 """
 
 import enum
@@ -18,11 +18,11 @@
 
 HEARD_STEP_SECONDS = 0.3  # Wait for each earlier router that runs; it takes up to one call.
 SILENT_STEP_SECONDS = 0.04  # Wait for each earlier router that was not heard; it may just start.
-CLAIM_SECONDS = 2.5  # For which another router's call is waited for; longer than its timeout.
-GIVE_UP_SECONDS = 8.0  # After which engines that were not listed are taken to have nothing cached.
+CLAIM_SECONDS = 2.5  # Wait for another router's call, longer than the call's time limit.
+GIVE_UP_SECONDS = 8.0  # Engines that were not listed by then are taken to have nothing cached.
 PULL_RETRY_SECONDS = 0.3  # Between two pulls of the same engine's parts.
 MAX_PULLED_ENGINES = 64  # In one pull, to limit the size of its response.
-MAX_EARLY_UPDATES = 4096
+MAX_EARLY_UPDATES = 4096  # Bounds the memory for updates that arrive before this router begins.
 UPDATE_REPEATS = 3  # Datagrams that carry each update, as some may be lost.
 
 
@@ -43,10 +43,10 @@
 class PendingEngine:
     """An engine whose cached parts are not known yet. Times are monotonic seconds.
 
-    :param own_score: position of this router in the engine's rendezvous order.
+    :param own_score: rendezvous score of this router for the engine.
     :param earlier: addresses of the routers before it in that order.
     :param claimant: address of the router that is listing it, or empty.
-    :param claimed_until: time until which that one is waited for.
+    :param claimed_until: time until which this router waits for the claimant.
     :param tried: whether this router has tried.
     :param source: address of the router that has listed it, or empty.
     :param source_failed: whether a pull from it failed.
@@ -87,7 +87,11 @@
         self.early: list[tuple[str, CacheListingUpdate]] = []
 
     def begin(self, engines: Iterable[int], routers: Iterable[str], now: float) -> None:
-        """Begin with the engines that are known at the start; later ones have nothing cached."""
+        """Begin with the engines that are known at the start; later ones have nothing cached.
+
+        :param engines: hashes of their names.
+        :param routers: addresses of the known routers.
+        """
         self.pending = {key: PendingEngine(score(key, self.own_address)) for key in engines}
         self.begun_at = now
         self.divide(routers)
@@ -97,10 +101,12 @@
         self.complete = not self.pending
 
     def divide(self, routers: Iterable[str]) -> None:
-        """Divide the engines among the routers that have become known, too."""
+        """Divide the engines among more routers, if some of the given ones are new."""
         new = [address for address in routers if address not in self.routers]
         self.routers.update(new)
-        for key, engine in self.pending.items() if new else ():
+        if not new:
+            return
+        for key, engine in self.pending.items():
             engine.earlier += [
                 address for address in new if score(key, address) > engine.own_score
             ]
@@ -137,6 +143,10 @@
         latest = () if self.complete else list(self.reported.items())[-MAX_UPDATES_PER_KIND:]
         return [CacheListingUpdate(*report) for report in latest]
 
+    def knows(self, key: int) -> bool:
+        """Return whether nothing is left to learn of an engine."""
+        return self.complete or (self.pending is not None and key not in self.pending)
+
     def resolve(self, key: int) -> None:
         """Record that nothing is left to learn of an engine."""
         self.pending.pop(key, None)
@@ -163,16 +173,17 @@
 
         :param heard: addresses of the routers that are alive.
         :param may_call: returns whether an engine may get a call now.
-        :param limit: number of engines.
+        :param limit: number of engines to return at most.
         """
         calls = []
         for key, engine in self.pending.items():
             if len(calls) >= limit:
                 break
-            earliest = self.begun_at + SILENT_STEP_SECONDS * len(engine.earlier)
-            if engine.source or engine.tried or now < max(earliest, engine.claimed_until):
+            if engine.source or engine.tried or now < engine.claimed_until:
                 continue
-            if now >= self.turn(engine, heard) and may_call(key):
+            # A lower bound of the turn, which takes less time to compute.
+            earliest = self.begun_at + SILENT_STEP_SECONDS * len(engine.earlier)
+            if now >= earliest and now >= self.turn(engine, heard) and may_call(key):
                 engine.tried = True
                 calls.append(key)
         return calls
@@ -213,5 +224,5 @@
 
 
 def score(key: int, address: str) -> int:
-    """Return a router's position in the rendezvous order of an engine; the highest is first."""
+    """Return a router's score in the rendezvous order of an engine; the highest is first."""
     return xxhash.xxh3_64_intdigest(address.encode(), seed=key)
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -179,7 +179,7 @@
             await self.send(encode(self.datagram(routers=addresses)), address)
         if new:
             log(Event.PEER_HEARD, address, incarnation=datagram.incarnation)
-            await self.caches.greet(peer)
+            await self.caches.send_reports(peer)
         self.apply_updates(address, datagram, now)
         await self.streams.apply(datagram, now)
         if answers := self.streams.answers(datagram, now):
