Make the reasons for which an endpoint is cold an enumeration

Cause: reasons were free strings in three modules, and suspected_at was documented with another default than it has. Change: ColdReason with the logged values, docstrings and comments of cold starts and of Node; no behaviour. Measured: tests of cold starts, cold endpoints, cold placement, control and layers as before.

--- a/src/hickorylever/direct/cold_reports.py
+++ b/src/hickorylever/direct/cold_reports.py
@@ -4,11 +4,11 @@
 an entry that it watches, tells the others, which would send at full load until they read it too.
 """
 
+from .cold_start import ColdReason
 from .hashes import name_hash
 from .peer_protocol import ColdUpdate
 
 MAX_COLD_UPDATES = 24  # In one datagram, so that it fits a packet.
-REPORTED_REASONS = frozenset(("answer", "entry"))
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -23,16 +23,23 @@
         self.node = node
         self.pending: set[str] = set()
 
-    def queue(self, name: str, reason: str) -> None:
+    def queue(self, name: str, reason: ColdReason) -> None:
         """Queue a report of an endpoint if this router was among the first to know.
 
+        These are the routers that got an answer of it, and those that watch its entry.
+
         :param reason: how this router learned of it.
         """
-        if reason in REPORTED_REASONS and (reason == "answer" or self.node.peer_sync.watching()):
+        if reason is ColdReason.ANSWER or (
+            reason is ColdReason.ENTRY and self.node.peer_sync.watching()
+        ):
             self.pending.add(name)
 
     def take(self, now: float) -> list[ColdUpdate]:
-        """Remove and return the reports for one datagram."""
+        """Remove and return the reports for one datagram.
+
+        :param now: monotonic seconds.
+        """
         names = sorted(self.pending)[:MAX_COLD_UPDATES]
         self.pending.difference_update(names)
         endpoints = self.node.directory.endpoints
@@ -48,7 +55,10 @@
         ]
 
     def apply(self, updates: list[ColdUpdate], now: float) -> None:
-        """Apply the reports of another router to the starts that they are about."""
+        """Apply the reports of another router; those about other starts are left out.
+
+        :param now: monotonic seconds.
+        """
         directory = self.node.directory
         for update in updates:
             endpoint = directory.by_hash.get(update.endpoint)
--- a/src/hickorylever/direct/cold_start.py
+++ b/src/hickorylever/direct/cold_start.py
@@ -3,9 +3,10 @@
 An endpoint that starts during traffic crashes when it gets many requests at once. Its limit holds
 for the sum over all routers, also over those that can't hear each other. A fixed number of
 requests for each period of `WINDOW_SECONDS` is therefore divided among the routers by rendezvous
-hashing, and each router spaces its own ones evenly without messages.
+hashing. Each router spaces the requests of its share evenly, for which it needs no messages.
 """
 
+import enum
 import heapq
 import math
 from collections.abc import Callable, Iterable
@@ -16,19 +17,30 @@
 
 # Requests count in any second at their arrival, and some arrive up to 150 ms later than others.
 WINDOW_SECONDS = 1.15
-MAX_LATENESS_SECONDS = 0.02  # Of a request, for which the next one makes up; queues poll.
-# Share of the limit that is divided. The rest is for routers that know different other routers.
+# Queues poll, so a request may be sent this late. The next one is not delayed by it.
+MAX_LATENESS_SECONDS = 0.02
+# Share of the limit that is divided. The rest covers routers whose lists of routers differ.
 DIVIDED_RATIO = 0.65
-MAX_REPORT_SECONDS = 60.0  # Longer reports are taken for a fault of the endpoint.
-ENTRY_DELAY_SECONDS = 2.0  # An entry that is read may have been written this much earlier.
+MAX_REPORT_SECONDS = 60.0  # Longer times are a fault of the sender and count as this time.
+ENTRY_DELAY_SECONDS = 2.0  # An entry may have been written this long before it is read.
 RESTART_SECONDS = 4.0  # From a failed connection until the endpoint has started again.
 
 
+class ColdReason(enum.StrEnum):
+    """How a router learned that an endpoint is cold; the values are logged."""
+
+    APPEARED = "appeared"
+    ENTRY = "entry"
+    ANSWER = "answer"
+    ROUTER = "router"
+    CONNECTION = "connection"
+
+
 @dataclass(frozen=True, slots=True)
 class ColdLimit:
     """Limit of the cold endpoints of a service.
 
-    :param seconds: for which an endpoint is cold after its start.
+    :param seconds: time for which an endpoint is cold after its start.
     :param per_window: requests of all routers to one endpoint in `WINDOW_SECONDS`.
     """
 
@@ -50,7 +62,8 @@
 def share(per_window: int, rank: int, router_count: int) -> int:
     """Return the requests of one router in `WINDOW_SECONDS`.
 
-    :param rank: of the router in the rendezvous order of the endpoint; 0 is first.
+    :param per_window: requests of all routers in that time.
+    :param rank: position of the router in the rendezvous order of the endpoint; 0 is first.
     """
     return per_window // router_count + (rank < per_window % router_count)
 
@@ -62,10 +75,11 @@
     :param key: name of the endpoint. The shares are the same for its next start, so that requests
         before and after it are spaced too.
     :param cold_until: when the endpoint is warm.
-    :param sent_at: when this router sent its last request there, or could have shortly before.
+    :param sent_at: when this router sent its last request there, or up to `MAX_LATENESS_SECONDS`
+        earlier if its share allowed it then.
     :param uncertain_at: when the endpoint last answered how cold it is, or a connection failed.
         Entries that are read soon after may be older.
-    :param suspected_at: when a connection last failed; 0 if none has since an answer.
+    :param suspected_at: when a connection last failed, or minus infinity if an answer came since.
     """
 
     limit: ColdLimit
@@ -127,7 +141,7 @@
             self.suspected_at = -math.inf
 
     def record_failed_connection(self, now: float) -> None:
-        """Record that the endpoint may start again, before its entry says so."""
+        """Record that the endpoint may start again before its entry says so."""
         self.cold_until = max(self.cold_until, now + RESTART_SECONDS + self.limit.seconds)
         self.uncertain_at = self.suspected_at = now
 
@@ -135,7 +149,9 @@
 def due_after(cold_starts: Iterable[ColdStart], ahead: int, now: float) -> float:
     """Return when one more request can be sent to one of several endpoints.
 
-    :param ahead: requests that are sent before it.
+    The result is in monotonic seconds, and infinity if no endpoint is given.
+
+    :param ahead: number of requests that are sent before it.
     """
     upcoming = []
     warm_at = math.inf
@@ -153,7 +169,7 @@
     return min(warm_at, upcoming[0][0]) if upcoming else warm_at
 
 
-def ignore_cold(name: str, seconds: float, reason: str) -> None:
+def ignore_cold(name: str, seconds: float, reason: ColdReason) -> None:
     """Ignore that an endpoint has become cold."""
 
 
@@ -168,7 +184,7 @@
     """
 
     membership: Membership
-    on_cold: Callable[[str, float, str], None] = ignore_cold
+    on_cold: Callable[[str, float, ColdReason], None] = ignore_cold
     limits: dict[str, ColdLimit] = field(default_factory=dict)
 
     def configure(
@@ -176,7 +192,7 @@
     ) -> None:
         """Set the limits of the services that have a warm-up.
 
-        There are none without the two settings.
+        There are none without the two settings, see :func:`cold_limit`.
         """
         self.limits = {}
         if overage is not None and allowance is not None:
@@ -187,7 +203,7 @@
             }
 
     def update(self, endpoint, now: float) -> None:
-        """Give an endpoint the limit of its service, or none."""
+        """Apply the limit of its service, if there is one, to an endpoint."""
         limit = self.limits.get(endpoint.entry.service)
         if limit is None:
             endpoint.cold = None
@@ -201,10 +217,10 @@
         entry = endpoint.entry
         until = endpoint.warm_at if entry.reports_warmup else now + limit.seconds
         endpoint.cold = ColdStart(limit, entry.name, self.membership, until)
-        self.report(endpoint, 0.0, "appeared", now)
+        self.report(endpoint, 0.0, ColdReason.APPEARED, now)
 
     def replace(self, old, new, now: float) -> None:
-        """Take an endpoint's next start over from the former one."""
+        """Apply the limit to the next start of an endpoint, and space it from the former one."""
         self.update(new, now)
         if new.cold is not None and old is not None and old.cold is not None:
             new.cold.sent_at = old.cold.sent_at
@@ -217,33 +233,36 @@
         elif endpoint.entry.reports_warmup:
             before = endpoint.cold.cold_until
             endpoint.cold.record_entry(left, now)
-            self.report(endpoint, before, "entry", now)
+            self.report(endpoint, before, ColdReason.ENTRY, now)
 
     def record_answer(self, endpoint, left: float | None, sent_at: float, now: float) -> None:
         """Record an answer of an endpoint, see :meth:`ColdStart.record_answer`."""
         if endpoint.cold is not None:
             before = endpoint.cold.cold_until
             endpoint.cold.record_answer(left, sent_at, now)
-            self.report(endpoint, before, "answer", now)
+            self.report(endpoint, before, ColdReason.ANSWER, now)
 
     def record_report(self, endpoint, left: float, now: float) -> None:
-        """Record what another router has read of an endpoint."""
+        """Record what another router has read of an endpoint.
+
+        :param left: seconds for which the endpoint is still cold.
+        """
         if endpoint.cold is not None:
             before = endpoint.cold.cold_until
             endpoint.cold.cold_until = max(before, now + min(left, MAX_REPORT_SECONDS))
-            self.report(endpoint, before, "router", now)
+            self.report(endpoint, before, ColdReason.ROUTER, now)
 
     def record_failed_connection(self, endpoint, now: float) -> None:
         """Record that a connection to an endpoint failed, or broke off."""
         if endpoint.cold is not None:
             before = endpoint.cold.cold_until
             endpoint.cold.record_failed_connection(now)
-            self.report(endpoint, before, "connection", now)
+            self.report(endpoint, before, ColdReason.CONNECTION, now)
 
-    def report(self, endpoint, before: float, reason: str, now: float) -> None:
+    def report(self, endpoint, before: float, reason: ColdReason, now: float) -> None:
         """Pass on that an endpoint is cold, if it was not before.
 
-        :param before: when it would have been warm.
+        :param before: monotonic seconds at which it would have become warm, as known before.
         """
         endpoint.warm_at = endpoint.cold.cold_until
         left = endpoint.warm_at - now
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -14,7 +14,7 @@
 from ..http import Client
 from .account_shares import AccountShares
 from .budget import SharedRetryBudget
-from .cold_start import ColdStarts
+from .cold_start import ColdReason, ColdStarts
 from .crash_checks import check_closed
 from .directory import Directory
 from .evacuation_control import EvacuationControl
@@ -34,7 +34,7 @@
 ENDPOINT_IDLE_TIMEOUT_SECONDS = 8.0  # Of endpoints; connections are reused for half of it.
 EXPIRY_INTERVAL_SECONDS = 0.2
 SETTINGS_POLL_SECONDS = 1.0
-HELD_RATIO = 0.25  # Of the memory, for responses that callers have not taken.
+HELD_RATIO = 0.25  # Share of the memory for responses that callers have not taken.
 RELOADABLE_SETTINGS = (
     "seeds",
     "drain_grace",
@@ -66,7 +66,8 @@
     :ivar configuration_state: version and positions of the configuration in force.
     :ivar settings_modified_ns: modification time of the settings file when it was last read.
     :ivar endpoints_listed: whether the endpoints have been listed since the start.
-    :ivar evacuations: evacuated failure domains, if the settings enable evacuations.
+    :ivar evacuations: puts evacuations of failure domains in force, if the settings enable them.
+    :ivar held: responses that callers have not taken yet.
     """
 
     def __init__(self, settings: DirectSettings, codec, store_class):
@@ -84,7 +85,7 @@
             codec.decode_endpoint,
             self.reject,
             settings.endpoint_entry_lifetime,
-            lambda *endpoint: self.peer_sync.streams.table.forget_endpoint(*endpoint),
+            lambda key, started_ms: self.peer_sync.streams.table.forget_endpoint(key, started_ms),
             ColdStarts(self.membership, self.report_cold),
             lambda endpoint, now: self.peer_sync.paces.adopt(endpoint, now),
         )
@@ -129,7 +130,7 @@
         return self.store_known() and not self.draining
 
     def store_known(self) -> bool:
-        """Return whether all is known of the store that forwarding needs."""
+        """Return whether this router knows all of the store's state that forwarding needs."""
         return self.routes is not None and self.endpoints_listed and self.evacuations.known()
 
     def known_state(self) -> KnownState:
@@ -140,7 +141,7 @@
         )
 
     def lacks(self, other: KnownState) -> bool:
-        """Return whether another router knows what this one lacks and uses."""
+        """Return whether another router knows a later state of something that this one uses."""
         behind = self.evacuations.is_behind(other.evacuations)
         return behind or self.known_state().is_behind(other)
 
@@ -189,9 +190,10 @@
             routes=len(configuration.routes),
         )
 
-    def report_cold(self, name: str, seconds: float, reason: str) -> None:
+    def report_cold(self, name: str, seconds: float, reason: ColdReason) -> None:
         """Log that an endpoint has become cold, and tell the other routers.
 
+        :param seconds: time for which it is still cold.
         :param reason: how this router learned of it.
         """
         log(Event.ENDPOINT_COLD, name, seconds=round(seconds, 3), reason=reason)
@@ -294,17 +296,21 @@
                 self.reload()
 
     async def expire(self) -> None:
-        """Remove expired endpoints, loads and idle connections periodically until cancelled."""
+        """Remove expired state and idle connections periodically until cancelled.
+
+        Idle connections that endpoints have closed are checked first, as they may show a crash.
+        """
         while True:
             await curio.sleep(EXPIRY_INTERVAL_SECONDS)
-            self.directory.expire(time.monotonic())
+            now = time.monotonic()
+            self.directory.expire(now)
             self.evacuations.expire()
-            self.membership.expire(time.monotonic())
-            self.quarantine.tracker.expire(time.monotonic())
-            self.peer_sync.streams.expire(time.monotonic())
-            self.restarts.expire(self.directory.by_hash, time.monotonic())
-            self.resumption.check_contact(time.monotonic())
-            await check_closed(self, time.monotonic())
+            self.membership.expire(now)
+            self.quarantine.tracker.expire(now)
+            self.peer_sync.streams.expire(now)
+            self.restarts.expire(self.directory.by_hash, now)
+            self.resumption.check_contact(now)
+            await check_closed(self, now)
             await self.client.reap()
 
 
