Read the pace in a function of its own; name the decoder of cached parts

Cause: two functions of the platform were named read_parts, and one expression parsed the pace three times. Change: read_pace, decode_parts, docstrings of the stand-in; no behaviour. Measured: tests of documents, heads, cache listing, pace, cold endpoints and server limits pass.

--- a/src/hickorylever/platform/caches.py
+++ b/src/hickorylever/platform/caches.py
@@ -15,7 +15,10 @@
 
 
 class WireCacheList(msgspec.Struct):
-    """An engine's cached prompt parts as encoded :class:`WirePart` documents."""
+    """The list of an engine's cached prompt parts.
+
+    :param held: encoded :class:`WirePart` documents; malformed ones are left out.
+    """
 
     held: list[msgspec.Raw]
 
@@ -40,11 +43,11 @@
         wire = msgspec.json.decode(content, type=WireCacheList)
     except DECODE_ERRORS as error:
         raise ContentError(f"invalid list of cached parts: {error}") from None
-    return list(read_parts(wire.held))
+    return list(decode_parts(wire.held))
 
 
-def read_parts(entries: list[msgspec.Raw]) -> Iterator[PromptPart]:
-    """Yield the well-formed entries of a list."""
+def decode_parts(entries: list[msgspec.Raw]) -> Iterator[PromptPart]:
+    """Decode the well-formed entries of a list."""
     for entry in entries:
         try:
             part = part_decoder.decode(entry)
--- a/src/hickorylever/platform/documents.py
+++ b/src/hickorylever/platform/documents.py
@@ -25,7 +25,7 @@
 SECONDS_PER_MILLISECOND = 0.001
 MAX_CACHED_ROUTES = 8192
 MAX_PORT = 65535
-MAX_DOMAIN_LENGTH = 253
+MAX_DOMAIN_LENGTH = 253  # Characters in the name of a failure domain.
 
 ROUTE_KINDS = {
     "safe": RouteKind.IDEMPOTENT,
--- a/src/hickorylever/platform/headers.py
+++ b/src/hickorylever/platform/headers.py
@@ -10,9 +10,9 @@
 
 PART = re.compile(rb"([0-9a-fA-F]{1,32}):([0-9]{1,9})")
 TOKENS = re.compile(rb"([0-9]{1,9}),([0-9]{1,9})")
-# Running, waiting, slots, and on some platforms how long work takes (100 = as usual).
+# Running, waiting, slots, and on some platforms how long work takes as a percentage of the usual.
 LOAD = re.compile(rb"([0-9]{1,7}),([0-9]{1,7}),([0-9]{1,7})(?:,([0-9]{1,7}))?")
-USUAL_PACE = 100.0
+PERCENT = 100.0
 MILLISECONDS = re.compile(rb"[0-9]{1,10}(?:\.[0-9]{1,6})?")
 SECONDS_PER_MILLISECOND = 0.001
 DECIMAL = re.compile(rb"[0-9]{0,9}\.?[0-9]{1,9}")
@@ -96,10 +96,19 @@
         rate_limit=read_decimal(header(fields, names.LIMIT)),
         warmup_left=read_milliseconds(header(fields, names.WARMUP)),
         slots=int(load[3]) if load else None,
-        pace=int(load[4]) / USUAL_PACE if load and load[4] and int(load[4]) else None,
+        pace=read_pace(load) if load else None,
     )
 
 
+def read_pace(load: re.Match[bytes]) -> float | None:
+    """Return how long work takes as a multiple of the usual time, or None if it is not stated.
+
+    :param load: match of `LOAD`.
+    """
+    percent = int(load[4] or 0)
+    return percent / PERCENT if percent else None
+
+
 def read_milliseconds(value: bytes) -> float | None:
     """Return a number of milliseconds in seconds, or None if it is missing or malformed."""
     value = value.strip()
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -76,13 +76,14 @@
     :param crashing_parts: ids of prompt parts on which the endpoint crashes when it begins to
         write its answer.
     :param version: version of its software, which each event of a stream names.
-    :param cached: what the endpoint lists as its cache, each as ``[text, id, tokens, model]``.
-    :param listing: how it responds when asked for that, one of `LISTINGS`.
+    :param cached: prompt parts that the endpoint lists as its cache, each as
+        ``[text, id, tokens, model]``.
+    :param listing: how it responds when asked for its cache, one of `LISTINGS`.
     :ivar list_calls: number of requests for the list.
-    :param cold_until: monotonic seconds until which the endpoint is cold, which each response
-        says; None for an endpoint that says nothing of it.
-    :ivar cold_arrivals: monotonic seconds of the requests that it got while it was cold, without
-        those that it answered with status 421.
+    :param cold_until: monotonic time in seconds until which the endpoint is cold, from which each
+        response states the rest; None for an endpoint that states nothing.
+    :ivar cold_arrivals: monotonic times in seconds of the requests that it got while it was cold,
+        without those that it answered with status 421.
     :param on_crash: called when the endpoint crashes; by default it ends for good.
     :ivar crashed: set when the endpoint has ended.
     """
@@ -147,7 +148,6 @@
             self.list_calls += 1
             await LISTINGS[self.listing](self, exchange)
             return
-
         if self.warmup_left() > 0.0:
             self.cold_arrivals.append(time.monotonic())
         if self.crashing_parts.intersection(prompt_parts(exchange.headers)):
@@ -252,11 +252,11 @@
 
 
 def most_in_a_second(times: Iterable[float]) -> int:
-    """Return the largest number of times within any one second."""
+    """Return the largest number of times, in seconds, within any one second."""
     times = sorted(times)
     most = first = 0
-    for last, time_ in enumerate(times):
-        while time_ - times[first] >= 1.0:
+    for last, latest in enumerate(times):
+        while latest - times[first] >= 1.0:
             first += 1
         most = max(most, last - first + 1)
     return most
