Take the cost of a plain endpoint and the mean load out of the functions around them

Cause: the cost was a nested function, the mean was computed twice, and the flag cold of within_rate_limit did not say what it switches. Change: plain_cost, mean_requests, include_cold_limits and docstrings; no behaviour. Measured: tests of placement, load bound, cold placement, slow start, where and layers pass.

--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -69,7 +69,8 @@
     :param cost: expected time until the first event, and preferences, in prefill tokens at
         `capacity.PREFILL_TOKENS_PER_SECOND`.
     :param available: whether the endpoint can start the request soon.
-    :param held: whether it is cold and takes no request of this router now, nor do others.
+    :param held: whether the endpoint is cold and its limit permits no request of this router now;
+        it is chosen only if that is so for all.
     """
 
     endpoint: Endpoint
@@ -88,7 +89,7 @@
     :param prefill: prompt tokens that it has yet to read.
     :param cached_tokens: tokens of the prompt's prefix that it has cached.
     :param rank: its position in the rendezvous order.
-    :param estimate: what work takes there.
+    :param estimate: expected times of work there.
     """
 
     endpoint: Endpoint
@@ -161,10 +162,9 @@
 ) -> tuple[list[Candidate], bool]:
     """Return the candidates that can take one more request within the bound, or all if none can.
 
-    The bound is a multiple of the candidates' mean, of whose excess over 1 only the share
-    `BOUND_EXCESS_RATIO` is used, plus `BOUND_SLACK_REQUESTS`. Candidates whose rate limit permits
-    no request now are left out first. Those of other versions than the request's and cold ones
-    that take no request now count only in the mean. Of the returned candidates, only those with
+    The bound is :func:`load_limit` of the candidates' mean. Candidates whose rate limit permits no
+    request now are left out first. Those of other versions than the request's and cold ones that
+    take no request now count only in the mean. Of the returned candidates, only those with
     capacity and within their slow-start windows are kept if there are any; the second value says
     whether that is so.
     """
@@ -174,8 +174,8 @@
         return of_version(candidates, request), False
     counted = permitted
     if len(permitted) < len(candidates):
-        counted = within_rate_limit(candidates, request, cold=False)
-    mean = sum([candidate.requests for candidate in counted]) / len(counted)
+        counted = within_rate_limit(candidates, request, include_cold_limits=False)
+    mean = mean_requests(counted)
     limit = load_limit(mean, request.load_multiple)
     allowed = [entry for entry in eligible if entry.requests + 1 <= limit]
     if not allowed:
@@ -188,6 +188,11 @@
     return (available, True) if available else (allowed, False)
 
 
+def mean_requests(candidates: list[Candidate]) -> float:
+    """Return the mean number of requests in flight."""
+    return sum([candidate.requests for candidate in candidates]) / len(candidates)
+
+
 def apply_windows(
     available: list[Candidate],
     allowed: list[Candidate],
@@ -196,8 +201,12 @@
 ) -> tuple[list[Candidate], list[Candidate]]:
     """Return the first two lists without candidates whose slow-start window is used up.
 
-    They are returned unchanged if nothing would be available although others have capacity, which
-    only the load bound keeps from being chosen: a window must not lead to refusals then.
+    They are returned unchanged if nothing would be available although endpoints beyond the load
+    bound have capacity, since a window must not lead to refusals then.
+
+    :param available: candidates within the load bound that have capacity.
+    :param allowed: candidates within the load bound.
+    :param eligible: candidates that can serve the request, also beyond the load bound.
     """
     within = [entry for entry in available if entry.within_window()]
     others = [entry for entry in eligible if entry.endpoint.starting is None]
@@ -207,7 +216,10 @@
 
 
 def load_limit(mean: float, load_multiple: float) -> float:
-    """Return the requests that an endpoint may have in flight, of which a margin is left.
+    """Return the number of requests that an endpoint may have in flight.
+
+    It leaves a margin to the load multiple, of whose excess over 1 only `BOUND_EXCESS_RATIO` is
+    used.
 
     :param mean: mean requests in flight of the candidates.
     """
@@ -228,28 +240,28 @@
 
 
 def within_multiple(candidates: list[Candidate], mean: float, request: PlacementRequest) -> bool:
-    """Return whether one of the candidates can take a request within the whole bound.
+    """Return whether one of the candidates can take a request within the whole load multiple.
 
     While others are held back as they are cold, the few that are warm must not take all requests.
 
-    :param mean: requests of an endpoint.
+    :param mean: mean requests in flight of the candidates, with those that are held back.
     """
     limit = request.load_multiple * mean + BOUND_SLACK_REQUESTS
     return any(candidate.requests + 1 <= limit for candidate in candidates)
 
 
 def within_rate_limit(
-    candidates: list[Candidate], request: PlacementRequest, cold: bool = True
+    candidates: list[Candidate], request: PlacementRequest, include_cold_limits: bool = True
 ) -> list[Candidate]:
     """Return the candidates without a rate limit and those whose limit permits a request now.
 
-    :param cold: whether the limits of cold endpoints count as well.
+    :param include_cold_limits: whether the limits of cold endpoints count as well.
     """
     return [
         candidate
         for candidate in candidates
         if ((limit := candidate.endpoint.rate_limit) is None or limit.permits(request.now))
-        and not (cold and candidate.endpoint.held(request.now))
+        and not (include_cold_limits and candidate.endpoint.held(request.now))
     ]
 
 
@@ -281,24 +293,25 @@
     ]
     if not of_version(candidates, request):
         return None
-
-    def cost(candidate: Candidate) -> tuple[float, str]:
-        endpoint = candidate.endpoint
-        remote = endpoint.entry.failure_domain != request.failure_domain
-        total = (
-            (candidate.requests + 1) * candidate.estimate.pace
-            - 1
-            + REMOTE_COST_REQUESTS * remote
-            + FAILURE_COST_REQUESTS * endpoint.failure_rate(request.now)
-            + SILENCE_COST_REQUESTS * endpoint.silent(request.now)
-        )
-        return total, endpoint.name
-
     allowed, available = within_load_bound(candidates, request)
-    best = min(allowed, key=cost).endpoint
+    best = min(
+        allowed, key=lambda entry: (plain_cost(entry, request), entry.endpoint.name)
+    ).endpoint
     return Choice(best, available=available, held=best.held(request.now))
 
 
+def plain_cost(candidate: Candidate, request: PlacementRequest) -> float:
+    """Return the cost of a plain endpoint in requests, 0 for an idle one with the usual pace."""
+    endpoint = candidate.endpoint
+    return (
+        (candidate.requests + 1) * candidate.estimate.pace
+        - 1
+        + REMOTE_COST_REQUESTS * is_remote(endpoint, request)
+        + FAILURE_COST_REQUESTS * endpoint.failure_rate(request.now)
+        + SILENCE_COST_REQUESTS * endpoint.silent(request.now)
+    )
+
+
 def place_prompt(pool: Pool, request: PlacementRequest) -> Choice | None:
     """Return the engine that can finish the prefill of a prompt first."""
     order = pool.ranked(request.parts)
@@ -317,7 +330,7 @@
     sources = copy_sources(order, cached_tokens, request.now)
     allowed, available = within_load_bound(candidates, request)
     total = max(request.prompt_tokens, sum(part.tokens for part in request.parts))
-    mean = sum([candidate.requests for candidate in candidates]) / len(candidates)
+    mean = mean_requests(candidates)
     cost, _, best = min(
         (
             prompt_cost(candidate, uncached_tokens(candidate, sources, total), request, mean),
@@ -409,9 +422,9 @@
 
 
 def base_cost_items(candidate: Candidate, request: PlacementRequest) -> dict[str, float]:
-    """Return what :func:`base_cost` adds up, by name.
+    """Return the items that :func:`base_cost` adds up, by name.
 
-    A function of its own, since the sum alone takes less time for each request.
+    The sum is computed separately, since it is needed for each candidate of each request.
     """
     endpoint = candidate.endpoint
     estimate = candidate.estimate
@@ -427,7 +440,7 @@
 
 
 def plain_cost_items(candidate: Candidate, request: PlacementRequest) -> dict[str, float]:
-    """Return what makes up the cost of a plain endpoint, by name."""
+    """Return the items that :func:`plain_cost` adds up, by name."""
     endpoint = candidate.endpoint
     return {
         "running": (candidate.requests + 1) * candidate.estimate.pace - 1,
