Name the constants of pace and slow start plainly, and state units

Comments told how values came about or left out units, two modules each had the longest Retry-After that a caller honours, and status 421 was called a redirect. Names, comments and docstrings only, besides one use of longest_retry_after in place of a second constant.

--- a/src/hickorylever/direct/availability.py
+++ b/src/hickorylever/direct/availability.py
@@ -12,7 +12,7 @@
 ON_TIME_RATIO = 0.7  # Share of the objective before which a request must be placed to meet it.
 MIN_RETRY_AFTER_SECONDS = 0.25
 MAX_RETRY_AFTER_SECONDS = 5.0
-CALLER_WAIT_PARTS = 3  # Callers wait at most for this part of their remaining time.
+CALLER_WAIT_DIVISOR = 3  # Callers wait for at most a third of their remaining time.
 EVACUATED_RETRY_AFTER_SECONDS = 2.0  # An evacuation lasts until an operator ends it.
 
 
@@ -64,7 +64,7 @@
 
     :param time_left: seconds until the caller's deadline.
     """
-    return min(MAX_RETRY_AFTER_SECONDS, time_left / CALLER_WAIT_PARTS)
+    return min(MAX_RETRY_AFTER_SECONDS, time_left / CALLER_WAIT_DIVISOR)
 
 
 def bounded_retry_after(seconds: float, time_left: float) -> float:
--- a/src/hickorylever/direct/capacity.py
+++ b/src/hickorylever/direct/capacity.py
@@ -11,7 +11,7 @@
 PREFILL_TOKENS_PER_SECOND = 40_000.0  # Lower bound for an engine.
 SLOT_SECONDS = 2.0  # Time for which a request occupies a slot of an engine.
 MAX_BACKLOG_SECONDS = 0.4  # Work queued at an engine, up to which it has capacity.
-MIN_BACKLOG_SECONDS = 0.3  # Half of what counts as unread is read; 0.15 made engines idle.
+MIN_BACKLOG_SECONDS = 0.3  # Below it engines run idle, as half of what counts as unread is read.
 PLAIN_REQUESTS_PER_SLOT = 2.0
 PLAIN_OBJECTIVE_RATIO = 0.8  # Share of the objective in which a plain response is expected.
 
@@ -76,7 +76,10 @@
 
 
 def plain_requests_per_slot(estimate: Estimate, objective: float | None) -> float:
-    """Return the requests in flight for each slot up to which a plain endpoint has capacity."""
+    """Return the requests in flight for each slot up to which a plain endpoint has capacity.
+
+    :param objective: seconds within which the response is on time, or None.
+    """
     seconds = estimate.pace * estimate.plain_seconds
     if objective is None or not seconds:
         return PLAIN_REQUESTS_PER_SLOT
--- a/src/hickorylever/direct/pace.py
+++ b/src/hickorylever/direct/pace.py
@@ -1,6 +1,6 @@
 """Estimates of what work takes at an endpoint, from what its responses show.
 
-This answers machines that differ, and machines that slow down for a time because others share
+This handles machines that differ, and machines that slow down for a time because others share
 them. What belongs to the model and the hardware (prompt tokens a second, the delay of the first
 event, the time of a step, the service time) is estimated once for all endpoints of a service, as
 a router alone sees one endpoint only every few seconds. What belongs to one machine at one moment
@@ -19,14 +19,16 @@
 PACE_HALF_LIFE_SECONDS = 0.4  # Of a stated pace, assumed before the first samples.
 MIN_HALF_LIFE_SECONDS = 0.02
 MAX_HALF_LIFE_SECONDS = 2.0
-PERSISTENCE_GAPS_SECONDS = 0.02, 0.6  # Between two statements that show how long a pace lasts.
-ASSUMED_GAP_SECONDS = 0.3  # Of the assumed sample.
+# Bounds of the time between two statements from which the half-life is estimated.
+MIN_STATEMENT_GAP_SECONDS = 0.02
+MAX_STATEMENT_GAP_SECONDS = 0.6
+ASSUMED_GAP_SECONDS = 0.3  # Between the statements of the assumed first sample.
 CORRECTION_HALF_LIFE_SECONDS = 60.0  # After it, an endpoint that was slow is tried again.
-MIN_PACE = 0.2  # Lower and higher figures are taken for faults of the endpoint.
+MIN_PACE = 0.2  # Lower figures, and those above `MAX_PACE`, are faults of the endpoint.
 MAX_PACE = 10.0
-MEAN_WEIGHT = 0.05  # Of a stated pace in the mean of an endpoint's.
+MEAN_WEIGHT = 0.05  # Of a sample in a moving average.
 CORRECTION_WEIGHT = 0.25  # Of a response in an endpoint's correction.
-MAX_CORRECTION_STEP = 1.5  # Logarithm; one response counts for no more.
+MAX_CORRECTION_STEP = 1.5  # Logarithm; limits the effect of a single response.
 TRUST_WEIGHT = 0.2  # Of a response in the trust in an endpoint's stated pace.
 NOTABLE_DEVIATION = 0.3  # Logarithm, from which a stated pace can be told from the usual one.
 FORGETTING = 0.995  # Weight of a sample of a service after the next one.
@@ -34,11 +36,11 @@
 OUTLIER_SCALES = 3.0  # Residual, in mean residuals, at which a sample counts half.
 FIRST_SCALE = 1.0  # Mean residual before the first samples, relative to the expected time.
 MIN_SCALE = 0.2  # Else short prompts, whose times differ little, would make long ones outliers.
-CERTAIN_TOKENS = 200.0  # Unread prompt tokens of other requests that hardly matter.
+CERTAIN_TOKENS = 200.0  # So few unread tokens of other requests hardly change the expected time.
 MIN_SECONDS = 0.001  # Avoids division by zero.
-SCALE_WEIGHT = 0.05
+SCALE_WEIGHT = 0.05  # Of a sample in the mean residual.
 CONFIDENT_SAMPLES = 5.0  # Samples at which the confidence is a half.
-ESTIMATE_REFRESH_SECONDS = 0.02  # Estimates are kept for so long, as placements ask for all.
+ESTIMATE_REFRESH_SECONDS = 0.02  # Estimates are cached, as each placement reads all of them.
 
 
 class LinearFit:
@@ -112,9 +114,12 @@
 
 
 class Persistence:
-    """Estimates how long a stated pace lasts, from how much of its deviation the next one shows.
+    """Estimates how long a stated pace lasts, from the autocorrelation of successive statements.
 
     :ivar half_life: seconds after which half of a deviation from the mean is left.
+    :ivar squares: weighted sum of the squares of the earlier deviations.
+    :ivar products: weighted sum of the products of the earlier and the later deviations.
+    :ivar gaps: weighted sum of the seconds between them.
     """
 
     def __init__(self):
@@ -129,8 +134,7 @@
         :param first: deviation of the first from the mean.
         :param gap: seconds between them.
         """
-        shortest, longest = PERSISTENCE_GAPS_SECONDS
-        if not shortest <= gap <= longest:
+        if not MIN_STATEMENT_GAP_SECONDS <= gap <= MAX_STATEMENT_GAP_SECONDS:
             return
         square = first * first
         self.squares = FORGETTING * self.squares + square
@@ -174,6 +178,7 @@
 class FirstEventSample:
     """A request, and what the router knew of its endpoint when it was sent.
 
+    :param sent_at: monotonic seconds at which it was sent.
     :param tokens: prompt tokens that the endpoint had to read, the request's own with the others.
     :param own_tokens: the request's own part of `tokens`.
     :param queued: whether the request had to wait for a slot.
@@ -211,6 +216,8 @@
         stated paces let expect.
     :param samples: responses in `log_correction`.
     :param observed_at: when the latest of them arrived.
+    :param latest: cached estimate.
+    :param latest_at: when it was computed.
     """
 
     rates: ServiceRates
@@ -287,7 +294,7 @@
 
     def record_first_event(self, sample: FirstEventSample, now: float) -> None:
         """Record when the first event of a response arrived."""
-        if sample.queued:  # The time for a slot to get free says little about the machine.
+        if sample.queued:  # The wait for a slot depends on other requests, not on the machine.
             return
         seconds = max(MIN_SECONDS, now - sample.sent_at)
         ratio = seconds / max(MIN_SECONDS, self.rates.first_event.predict(sample.tokens))
@@ -300,18 +307,15 @@
     def record_no_event(self, sample: FirstEventSample, now: float) -> None:
         """Record that a request failed or was cancelled without an event.
 
-        Only a longer wait than expected says something: the response would have taken longer yet.
+        Only a longer wait than expected is evidence, as the response would have taken even longer.
         """
         seconds = now - sample.sent_at
-        expected = self.rates.first_event.predict(sample.tokens) * self.pace(now)
-        if not sample.queued and seconds > expected:
-            stated = self.stated_pace(now)
-            self.record_ratio(
-                seconds / (stated * self.rates.first_event.predict(sample.tokens)), now
-            )
+        usual = self.rates.first_event.predict(sample.tokens)
+        if not sample.queued and seconds > usual * self.pace(now):
+            self.record_ratio(seconds / (self.stated_pace(now) * usual), now)
 
     def record_trust(self, ratio: float, certainty: float) -> None:
-        """Trust the stated pace more if a response took as long as it says, and less if not.
+        """Adapt the trust to whether a response took as long as the stated pace says.
 
         :param ratio: time of the response, relative to that at the usual pace.
         :param certainty: 0 to 1, of the ratio.
--- a/src/hickorylever/direct/pace_attempts.py
+++ b/src/hickorylever/direct/pace_attempts.py
@@ -1,9 +1,9 @@
-"""What one attempt shows of the pace of its endpoint."""
+"""Reports what one attempt shows of the pace of its endpoint."""
 
 from .attempt import Result
 from .call import Call
 from .endpoints import Endpoint
-from .pace_reports import REDIRECTED, PaceReports
+from .pace_reports import MISDIRECTED_STATUS, PaceReports
 
 FAILURES = (Result.FAILED, Result.LOST, Result.BROKEN, Result.NOT_RUN)
 MIN_EVENTS = 4  # Of a stream from which the time of a step is taken.
@@ -41,7 +41,7 @@
             self.paces.record_first_event(self.endpoint, self.sample, now)
 
     def record_cancelled(self, now: float) -> None:
-        """Record that the caller left. It says how long the endpoint took at least."""
+        """Record that the caller left, which bounds the endpoint's response time from below."""
         pace = self.endpoint.pace
         if self.sample is not None and pace is not None and not self.has_event and self.engine:
             pace.record_no_event(self.sample, now)
@@ -57,7 +57,7 @@
         elif result is Result.EXPIRED:
             if not self.has_event:
                 self.paces.record_failure(self.endpoint, self.sample, self.engine is not None, now)
-        elif result in FAILURES and status != REDIRECTED:
+        elif result in FAILURES and status != MISDIRECTED_STATUS:
             self.paces.record_failure(self.endpoint, self.sample, self.engine is not None, now)
 
     def record_answer(self, now: float) -> None:
--- a/src/hickorylever/direct/pace_reports.py
+++ b/src/hickorylever/direct/pace_reports.py
@@ -1,4 +1,4 @@
-"""What responses show of the pace of endpoints, and what routers tell each other of it.
+"""What responses show of the pace of endpoints, and what routers report to each other.
 
 A service is estimated from the first response that states a pace; until then nothing changes for
 it. Routers report a stated pace only where it differs from what the receivers expect, and their
@@ -13,7 +13,7 @@
 from .placement import Choice, load_limit
 from .records import AnswerInfo, Service
 from .slow_start import (
-    EVEN_SECONDS,
+    EQUAL_SHARE_SECONDS,
     RECOVERY_FAILURES,
     SlowStart,
     WindowState,
@@ -26,7 +26,8 @@
 WINDOW_REPEAT_SECONDS = 1.0  # For datagrams that were lost, and routers that start.
 MAX_COUNT = 10_000  # Higher counts in a report are taken for faults of the sender.
 HUNDREDTHS = 100
-REDIRECTED = 421  # Another endpoint has the address, which says nothing about this one.
+MILLISECONDS_PER_SECOND = 1000
+MISDIRECTED_STATUS = 421  # Another endpoint has the address and has sent the response.
 
 
 class PaceReports:
@@ -60,7 +61,7 @@
 
     def record_head(self, endpoint: Endpoint, info: AnswerInfo, now: float) -> None:
         """Record what the head of a response says about the endpoint's pace."""
-        if info.status == REDIRECTED:
+        if info.status == MISDIRECTED_STATUS:
             return
         if info.pace is not None and info.stamped:
             self.enable(endpoint.entry.service)
@@ -75,7 +76,7 @@
             self.begin_window(endpoint, "recovered", now)
 
     def enable(self, service: str) -> None:
-        """Estimate a service from now on."""
+        """Begin to estimate a service, unless it is estimated already."""
         if service in self.services:
             return
         rates = self.services[service] = ServiceRates()
@@ -136,7 +137,11 @@
             self.record_result(endpoint, sample.sent_at, False, now)
 
     def record_result(self, endpoint: Endpoint, sent_at: float, in_time: bool, now: float) -> None:
-        """Adapt an endpoint's window to a response, and tell the other routers."""
+        """Adapt an endpoint's window to a response, and report it to the other routers.
+
+        :param sent_at: monotonic seconds at which the request was sent.
+        :param in_time: whether the first event, or a plain response, was in time.
+        """
         start = endpoint.starting
         if start is None:
             return
@@ -150,7 +155,10 @@
         self.pending_windows.add(name_hash(endpoint.name))
 
     def begin_window(self, endpoint: Endpoint, cause: str, now: float) -> None:
-        """Begin a window unless one lasts or ended just now."""
+        """Begin a window unless one is active or ended within `RESTART_SECONDS`.
+
+        :param cause: why it begins, for the log.
+        """
         previous = endpoint.slow_start
         if previous is not None and not previous.may_restart(now):
             return
@@ -163,11 +171,11 @@
     def update_share(self, endpoint: Endpoint, start: SlowStart, now: float) -> None:
         """Compute this router's share of a window.
 
-        Parts of it may belong to routers that have no requests. After some time it is divided
-        among the others, so that the endpoint doesn't stay idle.
+        Some routers may have no requests for the service. After `EQUAL_SHARE_SECONDS` they get no
+        share, so that the endpoint doesn't stay idle.
         """
         others = [peer.address for peer in self.node.peer_sync.peers.alive(now)]
-        if now - start.began_at > EVEN_SECONDS:
+        if now - start.began_at > EQUAL_SHARE_SECONDS:
             pool = self.node.directory.pool(endpoint.entry.service)
             active = {address for other in pool for address in other.peers}
             others = [address for address in others if address in active]
@@ -196,7 +204,7 @@
         return total / (len(self.node.peer_sync.peers.alive(now)) + 1)
 
     def refresh(self, now: float) -> None:
-        """Queue all windows again from time to time, and follow changes of the other routers."""
+        """Queue active windows again and update their shares, every `WINDOW_REPEAT_SECONDS`."""
         if now - self.repeated_at < WINDOW_REPEAT_SECONDS:
             return
         self.repeated_at = now
@@ -225,15 +233,15 @@
         return updates
 
     def pace_update(self, key: int, endpoint: Endpoint, now: float) -> PaceUpdate | None:
-        """Return the report of an endpoint's pace."""
+        """Return the report of an endpoint's pace, or None if it has none."""
         pace = endpoint.pace
         if pace is None:
             return None
-        age_ms = round(1000 * (now - pace.stated_at))
+        age_ms = round(MILLISECONDS_PER_SECOND * (now - pace.stated_at))
         return PaceUpdate(key, round(HUNDREDTHS * pace.stated), age_ms)
 
     def window_update(self, key: int, endpoint: Endpoint, now: float) -> WindowUpdate | None:
-        """Return the report of an endpoint's window."""
+        """Return the report of an endpoint's latest window, or None if it had none."""
         start = endpoint.slow_start
         if start is None:
             return None
@@ -266,7 +274,7 @@
                 continue
             self.enable(endpoint.entry.service)
             if endpoint.pace is not None:
-                at = now - update.age / 1000
+                at = now - update.age / MILLISECONDS_PER_SECOND
                 endpoint.pace.record_statement(update.pace / HUNDREDTHS, at, own=False)
         for update in windows:
             endpoint = by_hash.get(update.endpoint)
@@ -276,7 +284,7 @@
     def apply_window(
         self, address: str, endpoint: Endpoint, update: WindowUpdate, now: float
     ) -> None:
-        """Take over what another router knows of an endpoint's window."""
+        """Merge another router's report of an endpoint's window; impossible counts are ignored."""
         counts = update.generation, update.halvings, update.base, update.in_time
         if not all(0 <= count <= MAX_COUNT for count in counts):
             return
--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -14,7 +14,7 @@
 from .endpoints import Endpoint
 from .pool import Pool
 from .records import Engine, PromptPart
-from .slow_start import START_RATIO, start_discount
+from .slow_start import MAX_STARTING_RATIO, start_discount
 
 COPY_COST_RATIO = 0.3  # Cost of copying a cached token, relative to prefilling it.
 RUNNING_COST_TOKENS = 40.0  # For each running request, which slows down a new one.
@@ -224,7 +224,7 @@
     if not any(windows):
         return False
     starting = sum([window is not None and window.active for window in windows])
-    return 0 < starting <= START_RATIO * len(candidates)
+    return 0 < starting <= MAX_STARTING_RATIO * len(candidates)
 
 
 def within_multiple(candidates: list[Candidate], mean: float, request: PlacementRequest) -> bool:
--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -7,6 +7,7 @@
 
 from ..events import Event, log
 from ..exceptions import Kind, Ran, RequestError
+from .availability import longest_retry_after
 from .call import Call
 from .crash_checks import check_idle
 from .endpoints import Endpoint
@@ -17,7 +18,6 @@
 UNLIMITED_STREAM_SECONDS = 600.0  # For which a stream without a time limit is remembered.
 EXPIRY_MARGIN_SECONDS = 1.0
 UNKNOWN_RETRY_AFTER_SECONDS = 0.25  # Another router may know the stream.
-RETRY_AFTER_SHARE = 1 / 3  # Callers honour a Retry-After up to this share of the time left.
 LOAD_WAIT_SECONDS = 1.0  # After the start, for the records in the store.
 
 
@@ -57,8 +57,8 @@
         )
         if known_from is KnownFrom.NOBODY:
             detail = "which software version began the stream is not known"
-            left = RETRY_AFTER_SHARE * max(0.0, call.deadline - time.monotonic())
-            retry_after = min(UNKNOWN_RETRY_AFTER_SECONDS, left)
+            time_left = max(0.0, call.deadline - time.monotonic())
+            retry_after = min(UNKNOWN_RETRY_AFTER_SECONDS, longest_retry_after(time_left))
             raise RequestError(Kind.STREAM_UNKNOWN, detail, Ran.NO, retry_after)
 
     async def find_version(self, call: Call) -> KnownFrom:
@@ -96,9 +96,9 @@
         }
 
     def apply_record(self, call: Call) -> StreamRecord | None:
-        """Set a call's service and version if this router knows the stream that it resumes.
+        """Set a call's service and version from the record of the stream that it resumes.
 
-        Returns the record of the stream.
+        Return the record, or None if this router doesn't know the stream.
         """
         streams = self.node.peer_sync.streams
         now = time.monotonic()
--- a/src/hickorylever/direct/slow_start.py
+++ b/src/hickorylever/direct/slow_start.py
@@ -1,14 +1,14 @@
 """Window of requests in flight at an endpoint that has just started or recovered.
 
-This answers two loads: the requests that all routers send at once to an endpoint that appears
-idle, and the endpoint that stays idle since it has no prompt parts cached. All routers' requests
+This prevents two faults: that all routers send requests at once to an endpoint that appears idle,
+and that an endpoint stays idle since it has no prompt parts cached. All routers' requests
 count against one window. It grows by one for each response whose first event came within the
 expected time, so that it doubles while all do, and is halved when one is late or fails. It ends
 when the endpoint holds no more than the load bound would let it have anyway.
 
-Each router counts the responses that it saw in time, and tells the others its count, as a sum of
-counts does not depend on the order in which datagrams arrive. A halving begins a new count. Times
-are monotonic seconds.
+Each router counts the responses that it saw in time and reports its count to the others, as a sum
+of counts does not depend on the order in which datagrams arrive. A halving begins a new count.
+Times are monotonic seconds.
 """
 
 from collections.abc import Iterable
@@ -18,13 +18,13 @@
 
 INITIAL_WINDOW = 4
 MIN_WINDOW = 1
-MIN_IN_TIME = 4  # Responses in time before a window may end; a quiet pool would end it at once.
+MIN_IN_TIME = 4  # Responses in time before a window may end; else a quiet pool ends it at once.
 IN_TIME_RATIO = 2.0  # A first event is in time up to this multiple of the expected time.
 IN_TIME_MARGIN_SECONDS = 0.1  # Added to it, for the network and for what peers sent meanwhile.
 RECOVERY_FAILURES = 2  # Failed connections in a row after which a response begins a window.
-RESTART_SECONDS = 5.0  # After its end, no window of the same incarnation begins.
-EVEN_SECONDS = 2.0  # Then a window is divided among the routers with requests only.
-START_RATIO = 0.5  # Windows don't apply where more endpoints than this share are starting.
+RESTART_SECONDS = 5.0  # From the end of a window to the next one of the same incarnation.
+EQUAL_SHARE_SECONDS = 2.0  # Then a window is divided among the routers with requests only.
+MAX_STARTING_RATIO = 0.5  # Windows don't apply where more endpoints than this share are starting.
 START_DISCOUNT_TOKENS = 2000.0  # Of the cost of an idle endpoint that is starting.
 
 
@@ -106,29 +106,31 @@
         return self.ended_at is not None and now - self.ended_at > RESTART_SECONDS
 
     def merge(self, router: str, other: "WindowState", now: float) -> None:
-        """Take over what another router knows.
+        """Merge the state that another router reports; the order of reports does not matter.
+
+        The higher generation and number of halvings replace the rest of the state.
 
         :param router: IP address of the other router.
         """
         if other.generation < self.generation:
             return
-        known = self.generation, self.halvings
-        told = other.generation, other.halvings
+        own = self.generation, self.halvings
+        reported = other.generation, other.halvings
         if other.generation > self.generation:
             self.began_at, self.ended_at = now, None
-        if told > known:
-            self.generation, self.halvings = told
+        if reported > own:
+            self.generation, self.halvings = reported
             self.base = other.base
             self.in_time.clear()
             self.halved_at = now
-        if told >= known:
+        if reported >= own:
             self.base = min(self.base, other.base)
             self.in_time[router] = max(other.in_time, self.in_time.get(router, 0))
         if other.ended and self.ended_at is None:
             self.ended_at = now
 
     def state(self) -> "WindowState":
-        """Return what the other routers need to know."""
+        """Return the state to report to the other routers."""
         return WindowState(
             self.generation,
             self.halvings,
@@ -140,9 +142,13 @@
 
 @dataclass(frozen=True, slots=True)
 class WindowState:
-    """What a router tells of a window.
+    """The state of a window as a router reports it.
 
-    :param in_time: responses in time that this router saw since the latest halving.
+    :param generation: number of the window among those of the endpoint's incarnation.
+    :param halvings: how often it was halved.
+    :param base: its size after the latest halving.
+    :param in_time: responses in time that the router saw since the latest halving.
+    :param ended: whether it has ended.
     """
 
     generation: int
@@ -153,7 +159,7 @@
 
 
 def is_in_time(seconds: float, expected: float) -> bool:
-    """Return whether a first event after `seconds` came within the expected time."""
+    """Return whether a first event after `seconds` is in time, given the expected seconds."""
     return seconds <= IN_TIME_RATIO * expected + IN_TIME_MARGIN_SECONDS
 
 
@@ -161,8 +167,8 @@
     """Return the requests that a router may have in flight within a window.
 
     Loads of other routers arrive late: without shares, all routers would send to an idle endpoint
-    at once. What is left of an equal division goes to the first routers in the rendezvous order of
-    the endpoint.
+    at once. The remainder of an equal division goes to the first routers in the rendezvous order
+    of the endpoint.
 
     :param key: hash of the endpoint's name.
     :param own: IP address of this router.
