Split long functions of the direct router, and name slow-start state plainly

Forwarder.attempt, Directory.apply, PeerSync.tick, StreamRecords.write and candidate_views did several jobs each; parts of them are functions now. The property Endpoint.starting returned a window, not a flag, and is active_slow_start. Behaviour is unchanged.

tests/test_wait_queue, test_where, test_stream_records, test_peer_sync, test_restarts, test_availability, test_slow_readers, test_direct and test_slow_start: 310 passed, 1 known red (test_restarts, without a gap).

--- a/src/hickorylever/commands/where.py
+++ b/src/hickorylever/commands/where.py
@@ -8,7 +8,7 @@
 
 from . import EXIT_FAILED, EXIT_USAGE, command
 
-TIMEOUT_SECONDS = 5.0
+TIMEOUT_SECONDS = 5.0  # For the whole exchange with the router.
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -130,7 +130,7 @@
             self.reject(error)
             self.remove(stored.name, now)
             return
-        known = self.objects.get(stored.name)
+        previous = self.objects.get(stored.name)
         endpoint = self.endpoints.get(entry.name)
         if endpoint is not None and self.is_outdated(stored, entry, endpoint.entry):
             endpoint.missing_since = None
@@ -139,24 +139,34 @@
         if endpoint is not None and endpoint.entry.version != entry.version:
             self.on_new_version(name_hash(entry.name), entry.started_ms)
         if endpoint is None or endpoint.entry.incarnation != entry.incarnation:
-            former = endpoint
-            endpoint = self.endpoints[entry.name] = self.create(entry, stored.position.era, now)
-            endpoint.warm_at = now + entry.warmup_left
-            # Holds until an answer of the new incarnation says otherwise. Without it, an endpoint
-            # that restarts gets a burst of requests where few others are left.
-            endpoint.rate_limit = former.rate_limit if former else None
-            self.cold_starts.replace(former, endpoint, now)
-            known = stored
-            self.on_new_endpoint(endpoint, now)
+            endpoint = self.add_incarnation(entry, endpoint, stored.position.era, now)
+            previous = stored
         endpoint.entry = entry
         endpoint.evacuated = entry.failure_domain in self.evacuated_domains
         endpoint.missing_since = None
-        if is_newer(stored, known):
+        if is_newer(stored, previous):
             self.cold_starts.record_entry(endpoint, now)
         if entry.draining and entry.started_ms:
             self.mark_leaving(LeavingUpdate(name_hash(entry.name), entry.started_ms), now)
             endpoint.leaving = True
 
+    def add_incarnation(
+        self, entry: EndpointEntry, former: Endpoint | None, era: int, now: float
+    ) -> Endpoint:
+        """Add an endpoint that has just become known or has started again, and return it.
+
+        :param former: its former incarnation, or None.
+        :param era: that of the position of its entry.
+        """
+        endpoint = self.endpoints[entry.name] = self.create(entry, era, now)
+        endpoint.warm_at = now + entry.warmup_left
+        # Holds until an answer of the new incarnation says otherwise. Without it, an endpoint
+        # that restarts gets a burst of requests where few others are left.
+        endpoint.rate_limit = former.rate_limit if former else None
+        self.cold_starts.replace(former, endpoint, now)
+        self.on_new_endpoint(endpoint, now)
+        return endpoint
+
     def update_cold_starts(self, now: float) -> None:
         """Give all endpoints the limits of their services."""
         for endpoint in self.endpoints.values():
@@ -300,9 +310,13 @@
         self.versions.observe(present, now)
 
 
-def is_newer(stored: StoredObject, known: StoredObject | None) -> bool:
-    """Return whether an object says something that is later than what is known of it.
+def is_newer(stored: StoredObject, previous: StoredObject | None) -> bool:
+    """Return whether an object is later than the previous one of its name, and differs from it.
 
     The same entry may be read again, in a list or from another router.
+
+    :param previous: None if the object has just become known.
     """
-    return known is None or (stored.position > known.position and stored.spec != known.spec)
+    if previous is None:
+        return True
+    return stored.position > previous.position and stored.spec != previous.spec
--- a/src/hickorylever/direct/endpoints.py
+++ b/src/hickorylever/direct/endpoints.py
@@ -121,7 +121,7 @@
         return DEFAULT_ESTIMATE if self.pace is None else self.pace.estimate(now)
 
     @property
-    def starting(self) -> SlowStart | None:
+    def active_slow_start(self) -> SlowStart | None:
         """Return the window of an endpoint that is starting or recovering, else None."""
         start = self.slow_start
         return start if start is not None and start.active else None
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -81,26 +81,11 @@
     async def attempt(self, call: Call, choice: Choice) -> Outcome:
         """Forward the call to one endpoint and record the outcome."""
         endpoint = choice.endpoint
-        engine = call.service.engine
         call.tried.add(endpoint.name)
         self.log_choice(call, choice)
         began = time.monotonic()
-        endpoint.add_request(choice.uncached, began)
-        self.placer.record_admitted(call, choice)
-        self.node.restarts.begin_attempt(endpoint, began)
-        if endpoint.rate_limit is not None:
-            self.node.peer_sync.limits.queue(endpoint)
-        peer_sync = self.node.peer_sync
-        pending_prefill = PendingPrefill(endpoint, choice.uncached, peer_sync)
-        peer_sync.announce_load(endpoint)
-        if engine and call.info.parts:
-            endpoint.prompt_cache.add(call.info.parts, engine.memory_tokens)
-            for part in shared_parts(call.info.parts):
-                peer_sync.outbox.queue_cached_part(endpoint.name, part.id, part.tokens, began)
-        watch = AttemptWatch(peer_sync.paces, call, endpoint, choice.uncached, began)
-        if call.stream is not None:
-            call.stream.pending_prefill = pending_prefill
-            call.stream.on_first_event = lambda: self.record_first_event(call, watch, attempt)
+        pending_prefill = self.record_start(call, choice, began)
+        watch = AttemptWatch(self.node.peer_sync.paces, call, endpoint, choice.uncached, began)
         attempt = Attempt(
             self.node.client,
             endpoint,
@@ -114,6 +99,9 @@
             lambda: self.node.quarantine.record_answer(call, time.monotonic()),
             lambda response: self.reserve_room(call, response),
         )
+        if call.stream is not None:
+            call.stream.pending_prefill = pending_prefill
+            call.stream.on_first_event = lambda: self.record_first_event(call, watch, attempt)
         try:
             outcome = await attempt.run()
         except BaseException:
@@ -133,6 +121,24 @@
         await check_endpoint(self.node, call, endpoint, outcome, began)
         return outcome
 
+    def record_start(self, call: Call, choice: Choice, now: float) -> PendingPrefill:
+        """Record that an attempt begins, and return the prefill that it adds to its endpoint."""
+        endpoint = choice.endpoint
+        engine = call.service.engine
+        peer_sync = self.node.peer_sync
+        endpoint.add_request(choice.uncached, now)
+        self.placer.record_admitted(call, choice)
+        self.node.restarts.begin_attempt(endpoint, now)
+        if endpoint.rate_limit is not None:
+            peer_sync.limits.queue(endpoint)
+        pending_prefill = PendingPrefill(endpoint, choice.uncached, peer_sync)
+        peer_sync.announce_load(endpoint)
+        if engine and call.info.parts:
+            endpoint.prompt_cache.add(call.info.parts, engine.memory_tokens)
+            for part in shared_parts(call.info.parts):
+                peer_sync.outbox.queue_cached_part(endpoint.name, part.id, part.tokens, now)
+        return pending_prefill
+
     def record_first_event(self, call: Call, watch: AttemptWatch, attempt: Attempt) -> None:
         """Record the first event of a stream."""
         opened_at = attempt.channel.opened_at
--- a/src/hickorylever/direct/pace_reports.py
+++ b/src/hickorylever/direct/pace_reports.py
@@ -107,7 +107,7 @@
         if sample is None or endpoint.pace is None:
             return
         endpoint.pace.record_first_event(sample, now)
-        if endpoint.starting is not None and not sample.queued:
+        if endpoint.active_slow_start is not None and not sample.queued:
             in_time = is_in_time(now - sample.sent_at, sample.expected)
             self.record_result(endpoint, sample.sent_at, in_time, now)
 
@@ -119,7 +119,7 @@
         known = rates.plain.samples > 0
         if not sample.queued:
             rates.plain.add((now - sample.sent_at) / stated)
-        if endpoint.starting is not None:
+        if endpoint.active_slow_start is not None:
             in_time = not known or is_in_time(now - sample.sent_at, expected)
             self.record_result(endpoint, sample.sent_at, in_time, now)
 
@@ -142,7 +142,7 @@
         :param sent_at: monotonic seconds at which the request was sent.
         :param in_time: whether the first event, or a plain response, was in time.
         """
-        start = endpoint.starting
+        start = endpoint.active_slow_start
         if start is None:
             return
         start.record_first_event(sent_at, in_time, now)
@@ -210,7 +210,7 @@
         self.repeated_at = now
         for service in self.services:
             for endpoint in self.node.directory.pool(service):
-                if (start := endpoint.starting) is not None:
+                if (start := endpoint.active_slow_start) is not None:
                     self.update_share(endpoint, start, now)
                     self.pending_windows.add(name_hash(endpoint.name))
 
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -158,6 +158,8 @@
     :param endpoint: hash of the endpoint's name.
     :param started_ms: start of the incarnation, as Unix time in milliseconds.
     :param in_time: responses in time that the sender saw since the latest halving.
+
+    The other fields are those of :class:`.slow_start.WindowState`.
     """
 
     endpoint: int
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -79,16 +79,11 @@
         self.node.budget.router_count = len(self.peers.by_address) + 1
         interval = FLUSH_INTERVAL_SECONDS + FLUSH_SECONDS_PER_PEER * len(alive)
         if self.outbox.due(now, interval):
-            updates = self.outbox.take(now)
-            room = MAX_UPDATES_PER_KIND - max(map(len, updates.values()))
-            if admitted := self.node.account_shares.take_reports(len(alive), now):
-                updates["admitted"] = admitted
-                room = max(0, room - len(admitted))
-            await self.broadcast(alive, **updates, **self.paces.take(now, room))
+            await self.broadcast(alive, **self.take_regular_updates(len(alive), now))
         if updates := self.take_urgent_updates(now):
             await self.broadcast(alive, **updates)
-        told = self.streams.take(self.node.resumption.uncertain_services(now), now)
-        for address, streams in told.items():
+        reports = self.streams.take(self.node.resumption.uncertain_services(now), now)
+        for address, streams in reports.items():
             await self.send(encode(self.datagram(streams=streams)), address)
         unreachable = self.peers.take_due_probes(now)
         if unreachable:
@@ -99,6 +94,20 @@
         await self.pulls.catch_up(now, alive)
         await self.caches.tick(now, alive)
 
+    def take_regular_updates(self, peer_count: int, now: float) -> dict[str, list]:
+        """Return the updates that are sent at the interval between datagrams, by field.
+
+        Paces and windows get the room that the others leave, so that a datagram fits a packet.
+
+        :param peer_count: number of live routers besides this one.
+        """
+        updates = self.outbox.take(now)
+        room = MAX_UPDATES_PER_KIND - max(map(len, updates.values()))
+        if admitted := self.node.account_shares.take_reports(peer_count, now):
+            updates["admitted"] = admitted
+            room = max(0, room - len(admitted))
+        return {**updates, **self.paces.take(now, room)}
+
     def take_urgent_updates(self, now: float) -> dict[str, list]:
         """Return the updates that don't wait for the interval between datagrams, by field."""
         updates = self.node.quarantine.take_updates(now)
--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -112,7 +112,7 @@
 
     def within_window(self) -> bool:
         """Return whether its slow-start window, if it has one, permits one more request."""
-        start = self.endpoint.starting
+        start = self.endpoint.active_slow_start
         return start is None or start.permits(self.requests, self.endpoint.running)
 
 
@@ -200,7 +200,7 @@
     only the load bound keeps from being chosen: a window must not lead to refusals then.
     """
     within = [entry for entry in available if entry.within_window()]
-    others = [entry for entry in eligible if entry.endpoint.starting is None]
+    others = [entry for entry in eligible if entry.endpoint.active_slow_start is None]
     if not within and any(entry.available(request) for entry in others):
         return available, allowed
     return within, [entry for entry in allowed if entry.within_window()] or allowed
--- a/src/hickorylever/direct/read_ahead.py
+++ b/src/hickorylever/direct/read_ahead.py
@@ -13,8 +13,12 @@
 class ReadAhead:
     """Holds what a caller has not taken yet, within the bounds of :class:`HeldBytes`.
 
+    :param exchange: the caller's request and response.
+    :param held: memory that all responses of this router take.
+    :param holder: the part of this response in it.
     :ivar blocks: bytes to send, in order.
     :ivar task: sends them; None while there are none.
+    :ivar progress: set when a block was sent or sending has ended.
     :ivar error: why the caller's connection failed.
     """
 
--- a/src/hickorylever/direct/restarts.py
+++ b/src/hickorylever/direct/restarts.py
@@ -2,9 +2,9 @@
 
 An endpoint that crashes and starts again under its name serves from its start on, but its new
 entry reaches the routers later. Until then its entry may name another software version than the
-one that serves, and a stream must neither go on there nor be recorded with that version. The load
-that this handles: requests that arrive within moments of a crash. An endpoint whose connections
-are refused, or break all at once, has ended. Its entry is doubted until one of its next process
+one that serves, and a stream must neither go on there nor be recorded with that version. This
+matters for requests that arrive within moments of a crash. An endpoint whose connections are
+refused, or all break at once, has ended. Its entry is doubted until one of its next process
 arrives, or until it has been reachable for so long that a new entry would have arrived.
 """
 
@@ -34,11 +34,12 @@
 
 
 class Restarts:
-    """The endpoints whose entries are doubted, by the hash of their name.
+    """The endpoints whose entries are doubted, and the attempts that show it.
 
-    :ivar reports: how many datagrams still report a doubt.
     :ivar active: when each attempt in flight at an endpoint began, by the name of the endpoint.
     :ivar breaks: when the latest attempt at an endpoint broke, by the name of the endpoint.
+    :ivar doubts: doubted entries, by the hash of the endpoint's name.
+    :ivar reports: how many datagrams still report a doubt.
     """
 
     def __init__(self):
@@ -47,8 +48,15 @@
         self.doubts: dict[int, Doubt] = {}
         self.reports: dict[EndedUpdate, int] = {}
 
+    def doubt(self, endpoint: Endpoint) -> Doubt | None:
+        """Return the latest doubt about an endpoint's entry, which may be settled, or None."""
+        return self.doubts.get(name_hash(endpoint.name)) if self.doubts else None
+
     def begin_attempt(self, endpoint: Endpoint, now: float) -> None:
-        """Record that an attempt begins."""
+        """Record that an attempt begins.
+
+        :param now: monotonic seconds, which identify the attempt when it ends.
+        """
         self.active.setdefault(endpoint.name, []).append(now)
 
     def end_attempt(self, endpoint: Endpoint, began: float) -> None:
@@ -101,13 +109,13 @@
 
         :param opened_at: monotonic seconds at which a connection was opened, or a request sent.
         """
-        doubt = self.doubts.get(name_hash(endpoint.name)) if self.doubts else None
+        doubt = self.doubt(endpoint)
         if doubt is not None and doubt.reachable_at is None and opened_at > doubt.since:
             doubt.reachable_at = opened_at
 
     def is_doubted(self, endpoint: Endpoint, now: float) -> bool:
         """Return whether an endpoint may have another version than its entry says."""
-        doubt = self.doubts.get(name_hash(endpoint.name)) if self.doubts else None
+        doubt = self.doubt(endpoint)
         if doubt is None:
             return False
         reachable = doubt.reachable_at is not None and now - doubt.reachable_at > SETTLE_SECONDS
--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -215,7 +215,7 @@
         restarts = self.node.restarts
         restarts.record_connection(endpoint, opened_at)
         now = time.monotonic()
-        doubt = restarts.doubts.get(name_hash(endpoint.name))
+        doubt = restarts.doubt(endpoint)
         return doubt is None or opened_at < doubt.since or not restarts.is_doubted(endpoint, now)
 
     def may_continue(self, call: Call) -> bool:
--- a/src/hickorylever/direct/status_servers.py
+++ b/src/hickorylever/direct/status_servers.py
@@ -83,7 +83,7 @@
                 labels = {"endpoint": endpoint.name}
                 metrics.pace.set(labels, endpoint.pace.pace(now))
                 metrics.pace_confidence.set(labels, endpoint.pace.confidence(now))
-                start = endpoint.starting
+                start = endpoint.active_slow_start
                 metrics.windows.set(labels, start.window if start else 0)
 
 
--- a/src/hickorylever/direct/stream_records.py
+++ b/src/hickorylever/direct/stream_records.py
@@ -3,8 +3,8 @@
 The two live routers with the lowest rank are the writers. The others report to them each stream
 that begins while its service may have several software versions. A writer keeps its records in
 segments: objects that are created once, never changed, and deleted when the time limits of all
-their streams have passed. The load that this handles: the number of calls depends on neither the
-number of routers nor that of streams, but only on the time in which streams begin.
+their streams have passed. The number of calls of the store depends on neither the number of
+routers nor that of streams, but only on the time in which streams begin.
 """
 
 import contextlib
@@ -29,7 +29,7 @@
 MAX_RECORDS_PER_SEGMENT = 8192  # At about 60 bytes each, half of the store's limit of 1 MB.
 MAX_SEGMENTS = 32  # Of one router; more are merged into one, so that lists stay short.
 DELETES_PER_WRITE = 2  # So that merged segments are not deleted in one burst.
-MAX_STORED_SECONDS = 602  # A little over `resumption.UNLIMITED_STREAM_SECONDS`.
+MAX_STORED_SECONDS = 602  # `resumption.UNLIMITED_STREAM_SECONDS` with margins for rounding up.
 SEGMENT_PREFIX = "streams-"
 
 
@@ -104,6 +104,8 @@
     :ivar writing: whether this router is a writer, as of the last check.
     :ivar writers: IP addresses of the writers, as of the last check.
     :ivar next_check: monotonic seconds of the next check.
+    :ivar number: of the latest segment that this router named.
+    :ivar era: latest known era of the store; 0 before the first.
     :ivar unconfirmed: name and keys of a segment that may have been written.
     :ivar listed: whether the segments have been listed since this router became a writer.
     :ivar loaded: set once the records were loaded after the start.
@@ -154,7 +156,7 @@
             return False
         if self.pending or self.unconfirmed:
             if not self.listed:
-                await self.list_again()
+                await self.list_segments()
             await self.write()
         await self.delete_discarded()
         return True
@@ -193,7 +195,7 @@
             self.listed = False
         self.era = era
 
-    async def list_again(self) -> None:
+    async def list_segments(self) -> None:
         """List the segments that were written before this router became a writer."""
         listing = await self.node.store.list_kind(self.node.codec.ROUTERS)
         await self.load(listing.objects, time.monotonic())
@@ -204,25 +206,16 @@
         A segment that may have been written already is written again under the same name.
         """
         now = time.monotonic()
-        address = self.node.settings.address
+        merged: list[str] = []
         if self.unconfirmed is None:
             merged = self.segments_to_merge()
             keys = [key for name in merged for key in self.segments[name].keys]
             keys += self.pending
             self.unconfirmed = self.next_name(), keys[:MAX_RECORDS_PER_SEGMENT]
-        else:
-            merged = []
         name, keys = self.unconfirmed
         updates = [update for key in keys if (update := self.table.update(key, now)) is not None]
         if updates:
-            spec = StoredSegment(address, [encode_stream(update) for update in updates])
-            with contextlib.suppress(Conflict):  # An earlier try has written it.
-                await self.node.store.create(self.node.codec.ROUTERS, name, spec)
-            written = tuple(update.key for update in updates)
-            lifetime = max(update.seconds_left for update in updates)
-            self.segments[name] = Segment(address, written, now + lifetime)
-            log(Event.STREAMS_STORED, name, streams=len(updates))
-            self.node.metrics.stream_segments.inc({"result": "written"})
+            await self.create_segment(name, updates, now)
         self.unconfirmed = None
         for key in keys:
             self.pending.pop(key, None)
@@ -230,6 +223,18 @@
             del self.segments[merged_name]
         self.discarded += merged
 
+    async def create_segment(self, name: str, updates: list[StreamUpdate], now: float) -> None:
+        """Create a segment in the store unless an earlier try has done so."""
+        address = self.node.settings.address
+        spec = StoredSegment(address, [encode_stream(update) for update in updates])
+        with contextlib.suppress(Conflict):
+            await self.node.store.create(self.node.codec.ROUTERS, name, spec)
+        keys = tuple(update.key for update in updates)
+        lifetime = max(update.seconds_left for update in updates)
+        self.segments[name] = Segment(address, keys, now + lifetime)
+        log(Event.STREAMS_STORED, name, streams=len(updates))
+        self.node.metrics.stream_segments.inc({"result": "written"})
+
     def segments_to_merge(self) -> list[str]:
         """Return the names of this router's segments if there are many and they fit into one."""
         address = self.node.settings.address
--- a/src/hickorylever/direct/wait_queue.py
+++ b/src/hickorylever/direct/wait_queue.py
@@ -33,7 +33,7 @@
 MIN_INTERVALS = 8  # Too few for an estimate below this.
 INTERVALS_LIFETIME_SECONDS = 10.0  # Intervals are ignored when the last placement is older.
 MIN_ELAPSED_SECONDS = 0.001  # Avoids division by zero.
-WITHIN_SHARE_RATIO = 0.6  # Of the longest Retry-After, which accounts within their share get.
+WITHIN_SHARE_RATIO = 0.6  # Of the longest Retry-After; accounts beyond their shares get more.
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +93,7 @@
 
     @property
     def last_useful_at(self) -> float:
-        """Return the latest time for which it is worth to wait for a known place."""
+        """Return the latest time at which a placement is still of use to the caller."""
         return min(self.on_time_until, self.wait_until)
 
     def is_late(self, now: float) -> bool:
@@ -116,7 +116,7 @@
     :ivar last_placed_by_priority: latest placement by priority.
     :ivar last_late_placed: latest placement of a request that was already late.
     :ivar next_retry_at: time at which the next refused caller is told to retry.
-    :ivar next_beyond_at: the same for callers of accounts beyond their shares.
+    :ivar next_beyond_share_at: the same for callers of accounts beyond their shares.
     :ivar shares: shares of the client accounts; None where there are no accounts.
     """
 
@@ -130,7 +130,7 @@
         self.last_placed_by_priority: dict[int, float] = {}
         self.last_late_placed = 0.0
         self.next_retry_at = 0.0
-        self.next_beyond_at = 0.0
+        self.next_beyond_share_at = 0.0
 
     def enqueue(self, parameters: QueueParameters, now: float) -> QueueEntry:
         """Add a request and return its entry."""
@@ -139,7 +139,7 @@
             wait = min(wait, DRAINING_WAIT_SECONDS)
         if not self.entries:
             self.busy_since = now
-        flow, work = parameters.flow, parameters.work
+        flow = parameters.flow
         if flow is not None and not any(other.flow is flow for other in self.entries):
             flow.join()
         entry = QueueEntry(
@@ -148,7 +148,7 @@
             parameters.on_time_until,
             now + wait,
             flow=flow,
-            work=work,
+            work=parameters.work,
         )
         self.entries.append(entry)
         return entry
@@ -274,14 +274,14 @@
         """
         step = 1.0 / max(1.0, self.placement_rate(now) or expected_rate)
         pause = min(MAX_RETRY_AFTER_SECONDS, len(self.entries) * step)
+        first = max(now + pause, earliest)
+        boundary = WITHIN_SHARE_RATIO * longest_retry_after(time_left)
         if within_share is False:
-            known = max(self.next_retry_at, self.next_beyond_at)
-            self.next_beyond_at = max(now + pause, earliest, known) + step
-            shortest = WITHIN_SHARE_RATIO * longest_retry_after(time_left)
-            return bounded_retry_after(max(shortest, self.next_beyond_at - now), time_left)
-        self.next_retry_at = max(now + pause, earliest, self.next_retry_at) + step
+            latest = max(self.next_retry_at, self.next_beyond_share_at)
+            self.next_beyond_share_at = max(first, latest) + step
+            return bounded_retry_after(max(boundary, self.next_beyond_share_at - now), time_left)
+        self.next_retry_at = max(first, self.next_retry_at) + step
         seconds = bounded_retry_after(self.next_retry_at - now, time_left)
         if within_share:
-            longest = WITHIN_SHARE_RATIO * longest_retry_after(time_left)
-            seconds = min(seconds, max(longest, earliest - now, MIN_RETRY_AFTER_SECONDS))
+            seconds = min(seconds, max(boundary, earliest - now, MIN_RETRY_AFTER_SECONDS))
         return seconds
--- a/src/hickorylever/direct/where.py
+++ b/src/hickorylever/direct/where.py
@@ -149,7 +149,7 @@
         :raises RequestError: if the route has none.
         """
         routes = self.node.routes
-        routes.choose_service(route, random.Random(0))
+        routes.choose_service(route, random.Random(0))  # Raises if no service has a weight.
         weights = {entry.service: entry.weight for entry in route.weighted_services}
         name = question.service or max(weights, key=weights.get)
         if name not in weights:
@@ -292,34 +292,57 @@
     allowed = within_load_bound(usable, request)[0] if usable else []
     total = max(request.prompt_tokens, sum(part.tokens for part in request.parts))
     mean = sum(entry.requests for entry in usable) / len(usable) if usable else 0.0
-
-    def view(candidate: Candidate) -> CandidateView:
-        endpoint = candidate.endpoint
+    views = []
+    for candidate in candidates:
+        ruled_out = "" if candidate in allowed else reason(candidate, request)
         if prompt:
             read = uncached_tokens(candidate, sources, total)
-            costs = {
-                "unread prompt": read * candidate.estimate.pace,
-                **base_cost_items(candidate, request),
-            }
-            costs["slow start"] = prompt_cost(candidate, read, request, mean) - sum(costs.values())
+            costs = prompt_cost_items(candidate, read, request, mean)
             source = source_for(candidate, sources)[0]
         else:
             costs, source = plain_cost_items(candidate, request), None
-        return CandidateView(
-            endpoint.name,
-            endpoint.entry.failure_domain,
-            endpoint.entry.version,
-            candidate.requests,
-            candidate.prefill,
-            candidate.cached_tokens,
-            source.name if source else "",
-            candidate.rank,
-            "" if candidate in allowed else reason(candidate, request),
-            sum(costs.values()),
-            {name: cost for name, cost in costs.items() if cost},
-        )
+        views.append(candidate_view(candidate, costs, source, ruled_out))
+    return views
+
 
-    return [view(candidate) for candidate in candidates]
+def prompt_cost_items(
+    candidate: Candidate, read: float, request: PlacementRequest, mean: float
+) -> dict[str, float]:
+    """Return the parts of the cost of a prompt at an endpoint, in prompt tokens, by their name.
+
+    :param read: prompt tokens that the endpoint would have to read.
+    :param mean: mean requests in flight of the usable endpoints.
+    """
+    costs = {
+        "unread prompt": read * candidate.estimate.pace,
+        **base_cost_items(candidate, request),
+    }
+    costs["slow start"] = prompt_cost(candidate, read, request, mean) - sum(costs.values())
+    return costs
+
+
+def candidate_view(
+    candidate: Candidate, costs: dict[str, float], source: Endpoint | None, ruled_out: str
+) -> CandidateView:
+    """Return the report on an endpoint.
+
+    :param source: endpoint from which it would copy cached parts, or None.
+    :param ruled_out: why the request does not go there; empty if it could.
+    """
+    endpoint = candidate.endpoint
+    return CandidateView(
+        endpoint.name,
+        endpoint.entry.failure_domain,
+        endpoint.entry.version,
+        candidate.requests,
+        candidate.prefill,
+        candidate.cached_tokens,
+        source.name if source else "",
+        candidate.rank,
+        ruled_out,
+        sum(costs.values()),
+        {name: cost for name, cost in costs.items() if cost},
+    )
 
 
 def reason(candidate: Candidate, request: PlacementRequest) -> str:
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -156,11 +156,11 @@
         endpoint.pause(1.0)
     info = dataclasses.replace(first.latest_info, pace=None, status=status)
     first.paces.record_head(endpoint, info, 2.0)
-    assert (endpoint.starting is not None) is begins
+    assert (endpoint.active_slow_start is not None) is begins
     updates = first.paces.take(2.0, 16)
     second.paces.apply("10.1.0.0", [], updates.get("windows", []), 2.1)
     other = second.directory.by_hash[name_hash(endpoint.name)]
-    assert (other.starting is not None) is begins
+    assert (other.active_slow_start is not None) is begins
 
 
 def test_reports_of_another_incarnation_or_with_absurd_counts_are_ignored():
