Compute slots and work of requests in one place each, name replicas of stream records

The slots of an endpoint were worked out in three places. A function and a parameter shared the name work, and routers that hold copies of a record were called keepers. Behaviour is unchanged.

--- a/src/hickorylever/commands/where.py
+++ b/src/hickorylever/commands/where.py
@@ -32,24 +32,15 @@
 @command("where", "ask a direct router where a request would go now, and why", add_arguments)
 def where(arguments: argparse.Namespace) -> int:
     """Print the router's report and return the exit code; a refusal is a report, too."""
-    from ..direct.where_report import Question, Report
+    from ..direct.where_report import Report
     from ..exceptions import ConnectionLost
     from ..platform.names import METRICS_PORT
 
-    question = Question(
-        arguments.host,
-        arguments.path,
-        arguments.account,
-        arguments.service,
-        arguments.version,
-        arguments.prompt,
-        arguments.prompt_tokens,
-        arguments.time_limit,
-    )
     address, _, port = arguments.router.partition(":")
     if not (port or str(METRICS_PORT)).isdecimal():
         return fail(f"{arguments.router!r} is not ADDRESS[:PORT]", EXIT_USAGE)
     try:
+        question = create_question(arguments)
         status, content = curio.run(ask, address, int(port or METRICS_PORT), question)
         if status == 400:
             return fail(msgspec.json.decode(content, type=dict[str, str])["error"], EXIT_USAGE)
@@ -67,6 +58,22 @@
     return 0
 
 
+def create_question(arguments: argparse.Namespace):
+    """Return the question that the arguments describe."""
+    from ..direct.where_report import Question
+
+    return Question(
+        arguments.host,
+        arguments.path,
+        arguments.account,
+        arguments.service,
+        arguments.version,
+        arguments.prompt,
+        arguments.prompt_tokens,
+        arguments.time_limit,
+    )
+
+
 def fail(message: str, code: int) -> int:
     """Print an error and return the exit code."""
     print(f"hickorylever: {message}", file=sys.stderr)
--- a/src/hickorylever/direct/capacity.py
+++ b/src/hickorylever/direct/capacity.py
@@ -49,6 +49,14 @@
 DEFAULT_ESTIMATE = Estimate()
 
 
+def slot_count(entry: EndpointEntry, engine: Engine | None) -> int:
+    """Return the requests that an endpoint can run concurrently; 0 when unknown.
+
+    :param engine: capacity of the service's engines; None for a plain service.
+    """
+    return entry.slots or (engine.slots if engine else 0)
+
+
 def backlog_seconds(
     slots: int, requests: int, prefill: float, estimate: Estimate = DEFAULT_ESTIMATE
 ) -> float:
@@ -103,7 +111,7 @@
     :param objective: seconds within which the response, or its first event, is on time.
     :param tokens: prompt tokens of the request that the endpoint would have to read.
     """
-    slots = entry.slots or (engine.slots if engine else 0)
+    slots = slot_count(entry, engine)
     if engine is None:
         return slots == 0 or requests < plain_requests_per_slot(estimate, objective) * slots
     if requests >= slots:
--- a/src/hickorylever/direct/pace_attempts.py
+++ b/src/hickorylever/direct/pace_attempts.py
@@ -2,6 +2,7 @@
 
 from .attempt import Result
 from .call import Call
+from .capacity import slot_count
 from .endpoints import Endpoint
 from .pace_reports import MISDIRECTED_STATUS, PaceReports
 
@@ -24,7 +25,7 @@
         self.endpoint = endpoint
         self.began = began
         self.engine = call.service.engine
-        slots = endpoint.entry.slots or (self.engine.slots if self.engine else 0)
+        slots = slot_count(endpoint.entry, self.engine)
         self.sample = paces.sample(endpoint, slots, uncached, began)
         self.requests = endpoint.load()[0]
         self.events_before = call.stream.event_count if call.stream else 0
@@ -51,13 +52,11 @@
         pace = self.endpoint.pace
         if self.sample is None or pace is None:
             return
-        if result is Result.ANSWERED:
-            if status < 300:
-                self.record_answer(now)
-        elif result is Result.EXPIRED:
-            if not self.has_event:
-                self.paces.record_failure(self.endpoint, self.sample, self.engine is not None, now)
-        elif result in FAILURES and status != MISDIRECTED_STATUS:
+        failed = result in FAILURES and status != MISDIRECTED_STATUS
+        timed_out = result is Result.EXPIRED and not self.has_event
+        if result is Result.ANSWERED and status < 300:
+            self.record_answer(now)
+        elif failed or timed_out:
             self.paces.record_failure(self.endpoint, self.sample, self.engine is not None, now)
 
     def record_answer(self, now: float) -> None:
--- a/src/hickorylever/direct/pace_reports.py
+++ b/src/hickorylever/direct/pace_reports.py
@@ -6,6 +6,7 @@
 """
 
 from ..events import Event, log
+from .capacity import slot_count
 from .endpoints import Endpoint
 from .hashes import name_hash
 from .pace import EndpointPace, FirstEventSample, ServiceRates
@@ -198,7 +199,7 @@
         for endpoint in self.node.directory.pool(service.name):
             estimate = endpoint.estimate(now)
             seconds = estimate.slot_seconds if service.engine else estimate.plain_seconds
-            slots = endpoint.entry.slots or (service.engine.slots if service.engine else 0)
+            slots = slot_count(endpoint.entry, service.engine)
             if seconds and endpoint.usable(now):
                 total += slots / (estimate.pace * seconds)
         return total / (len(self.node.peer_sync.peers.alive(now)) + 1)
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -49,14 +49,14 @@
         """Count a call in the work that its account asks for."""
         flow = self.flow(call)
         if flow is not None:
-            self.node.account_shares.offer(flow, work(call), time.monotonic())
+            self.node.account_shares.offer(flow, expected_work(call), time.monotonic())
 
     def record_admitted(self, call: Call, choice: Choice) -> None:
         """Count a call that is sent to an endpoint."""
         flow = self.flow(call)
         if flow is None:
             return
-        admitted = work(call, choice)
+        admitted = expected_work(call, choice)
         self.node.account_shares.admit(flow, admitted, time.monotonic())
         account = self.node.account_labels.label(call.account_name)
         self.node.metrics.admitted_work.add(
@@ -118,7 +118,6 @@
         """Queue the call and return an endpoint when it has capacity and the call is next.
 
         :param best: the best endpoint at this moment.
-
         :raises RequestError: if the wait is too long and the call has not run.
         """
         joined = time.monotonic()
@@ -183,7 +182,7 @@
             self.node.draining,
             expected,
             flow=self.flow(call),
-            work=work(call, best),
+            work=expected_work(call, best),
         )
 
     def cold_due_at(self, call: Call, queue: WaitQueue, queued: QueueEntry, now: float) -> float:
@@ -243,8 +242,8 @@
         )
 
 
-def work(call: Call, choice: Choice | None = None) -> float:
-    """Return the work of a call: unread prompt and output in tokens, 1 for a plain service.
+def expected_work(call: Call, choice: Choice | None = None) -> float:
+    """Return the expected work of a call: tokens of unread prompt and output; 1 if it is plain.
 
     :param choice: the endpoint whose cache determines what is unread; None for the whole prompt.
     """
--- a/src/hickorylever/direct/stream_reports.py
+++ b/src/hickorylever/direct/stream_reports.py
@@ -1,8 +1,8 @@
-"""What routers tell and ask each other of the versions that began streams.
+"""Reports and questions between routers about the versions that began streams.
 
-While a service has several versions, the router that passes on the first event of a stream tells
-a few others, which are chosen by the stream's key. A router that is asked to go on with a stream
-that it doesn't know asks these first, and then all.
+While a service has several versions, the router that passes on the first event of a stream reports
+it to a few others, which are chosen by the stream's key. A router that is asked to go on with a
+stream that it doesn't know asks these first, and then all.
 """
 
 import dataclasses
@@ -16,8 +16,8 @@
 from .stream_records import StreamRecords, other_writers
 from .streams import ANY_ENDPOINT, StreamRecord, StreamTable, StreamUpdate
 
-KEEPER_COUNT = 3  # Routers told of a stream, as some may end together with the one that tells.
-FIRST_ASKED_COUNT = 6  # The alive routers may have changed since the keepers were chosen.
+REPLICA_COUNT = 3  # Routers that a stream is reported to, as some may end with the reporting one.
+FIRST_ASKED_COUNT = 6  # The alive routers may have changed since the replicas were chosen.
 QUESTION_SECONDS = 0.05  # For the answers of one round.
 QUESTION_ROUNDS = 3
 EXTENSION_SECONDS = 2.0  # By which a time limit must grow for the stream to be stored again.
@@ -31,6 +31,18 @@
     )
 
 
+def needs_storing(record: StreamRecord, known: StreamRecord | None) -> bool:
+    """Return whether a reported stream must be stored, possibly again.
+
+    :param known: what this router knew of it, or None.
+    """
+    return (
+        known is None
+        or known.endpoint != record.endpoint
+        or known.expires_at + EXTENSION_SECONDS < record.expires_at
+    )
+
+
 class StreamReports:
     """Tells other routers of streams, and asks them.
 
@@ -41,7 +53,7 @@
     :ivar own: services of the streams whose first event this router passed on, by key.
     :ivar records: the records of streams in the store.
     :ivar unreported: services of streams that only this router knows, by key.
-    :ivar questions: set when another router tells of the stream, by key.
+    :ivar questions: set when another router reports the stream, by key.
     """
 
     def __init__(self, node, peers: PeerTable, rank: int):
@@ -64,7 +76,7 @@
         self.unreported.update(self.own)
 
     def take(self, services: set[str], now: float) -> dict[str, list[StreamUpdate]]:
-        """Remove and return the streams to tell others of, by the address of the router.
+        """Remove and return the streams to report to others, by the address of the router.
 
         :param services: services whose streams other routers must know.
         """
@@ -80,8 +92,8 @@
             del self.unreported[key]
             update = self.table.update(key, now)
             if update is not None:
-                keepers = rank_for_stream(key, alive)[:KEEPER_COUNT]
-                for address in writers.union(peer.address for peer in keepers):
+                replicas = rank_for_stream(key, alive)[:REPLICA_COUNT]
+                for address in writers.union(peer.address for peer in replicas):
                     taken.setdefault(address, []).append(update)
         return taken
 
@@ -114,7 +126,7 @@
         )
 
     async def apply(self, datagram: Datagram, now: float) -> None:
-        """Record the streams that another router tells of.
+        """Record the streams that another router reports.
 
         Those of an endpoint that has started again with another version are left out, as in
         :meth:`.StreamTable.forget_endpoint`.
@@ -127,11 +139,7 @@
             known = self.table.get(update.key, now)
             if known is not None and known.endpoint == ANY_ENDPOINT:
                 record = dataclasses.replace(record, endpoint=ANY_ENDPOINT)
-            if (
-                known is None
-                or known.endpoint != record.endpoint
-                or known.expires_at + EXTENSION_SECONDS < expires_at
-            ):
+            if needs_storing(record, known):
                 self.records.add([update.key])
             self.table.add(update.key, record)
             if update.key in self.questions:
