--- a/src/hickorylever/direct/placement.py
+++ b/src/hickorylever/direct/placement.py
@@ -14,7 +14,7 @@
 from .endpoints import Endpoint
 from .pool import Pool
 from .records import Engine, PromptPart
-from .slow_start import START_RATIO, start_discount
+from .slow_start import MAX_STARTING_RATIO, start_discount
 
 COPY_COST_RATIO = 0.3  # Cost of copying a cached token, relative to prefilling it.
 RUNNING_COST_TOKENS = 40.0  # For each running request, which slows down a new one.
@@ -113,7 +113,7 @@
 
     def within_window(self) -> bool:
         """Return whether its slow-start window, if it has one, permits one more request."""
-        start = self.endpoint.starting
+        start = self.endpoint.active_slow_start
         return start is None or start.permits(self.requests, self.endpoint.running)
 
 
@@ -209,7 +209,7 @@
     :param eligible: candidates that can serve the request, also beyond the load bound.
     """
     within = [entry for entry in available if entry.within_window()]
-    others = [entry for entry in eligible if entry.endpoint.starting is None]
+    others = [entry for entry in eligible if entry.endpoint.active_slow_start is None]
     if not within and any(entry.available(request) for entry in others):
         return available, allowed
     return within, [entry for entry in allowed if entry.within_window()] or allowed
@@ -236,7 +236,7 @@
     if not any(windows):
         return False
     starting = sum([window is not None and window.active for window in windows])
-    return 0 < starting <= START_RATIO * len(candidates)
+    return 0 < starting <= MAX_STARTING_RATIO * len(candidates)
 
 
 def within_multiple(candidates: list[Candidate], mean: float, request: PlacementRequest) -> bool:
