Split placement into candidates, load bound and costs, and compute each cost once

Cause: placement.py had grown to 455 lines with four jobs, and each cost was written twice: as a sum for placement and as named parts for the report on where a request would go. Change: candidates.py, load_bound.py and placement_cost.py. Costs are tuples with names beside them, which placement adds up and the report names. Constants of the reference placement in the tests moved with them; its formulas stay.

--- a/src/hickorylever/direct/cache_listing.py
+++ b/src/hickorylever/direct/cache_listing.py
@@ -110,12 +110,12 @@
             await self.node.peer_sync.broadcast(alive, cache_listings=self.take())
 
     async def send_reports(self, peer: Peer) -> None:
-        """Tell a router that was just heard which engines this one has listed."""
+        """Report the engines that this router has listed to one that was just heard."""
         if reports := self.plan.reports():
             await self.node.peer_sync.broadcast([peer], cache_listings=reports)
 
     async def announce(self, alive: list[Peer]) -> None:
-        """Tell the other routers once that this one knows the caches."""
+        """Announce to the other routers once that this one knows the caches."""
         if not self.announced:
             self.announced = True
             await self.node.peer_sync.broadcast(alive)
--- a/src/hickorylever/direct/pace_reports.py
+++ b/src/hickorylever/direct/pace_reports.py
@@ -9,9 +9,10 @@
 from .capacity import slot_count
 from .endpoints import Endpoint
 from .hashes import name_hash
+from .load_bound import load_limit
 from .pace import EndpointPace, FirstEventSample, ServiceRates
 from .peer_protocol import PaceUpdate, WindowUpdate
-from .placement import Choice, load_limit
+from .placement import Choice
 from .records import AnswerInfo, Service
 from .slow_start import (
     EQUAL_SHARE_SECONDS,
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -8,9 +8,10 @@
 from .account_shares import Flow
 from .availability import wait_until
 from .call import Call
+from .candidates import PlacementRequest
 from .cold_start import due_after
 from .evacuations import remaining_load_multiple
-from .placement import Choice, PlacementRequest, place
+from .placement import Choice, place
 from .pool import Pool
 from .timeouts import caller_idle_timeout
 from .wait_queue import QueueEntry, QueueParameters, WaitQueue
--- a/src/hickorylever/direct/stream_reports.py
+++ b/src/hickorylever/direct/stream_reports.py
@@ -44,7 +44,7 @@
 
 
 class StreamReports:
-    """Tells other routers of streams, and asks them.
+    """Reports streams to other routers, and asks them.
 
     :param node: the components of this router.
     :param peers: table of the other routers.
--- a/src/hickorylever/direct/where.py
+++ b/src/hickorylever/direct/where.py
@@ -14,20 +14,11 @@
 from ..http import Exchange
 from .availability import wait_until
 from .call import MAX_PARTS, Call
+from .candidates import Candidate, PlacementRequest, is_usable, mean_requests
 from .endpoints import Endpoint
-from .placement import (
-    Candidate,
-    Choice,
-    PlacementRequest,
-    base_cost_items,
-    copy_sources,
-    is_usable,
-    plain_cost_items,
-    prompt_cost,
-    source_for,
-    uncached_tokens,
-    within_load_bound,
-)
+from .load_bound import within_load_bound
+from .placement import Choice, copy_sources, source_for, uncached_tokens
+from .placement_cost import PLAIN_COSTS, PROMPT_COSTS, plain_costs, prompt_costs
 from .pool import Pool
 from .records import RequestInfo, RouteKind, Service
 from .router import DEFAULT_TIMEOUT_SECONDS, NOT_READY_RETRY_AFTER_SECONDS
@@ -279,48 +270,27 @@
     cached = [endpoint.prompt_cache.cached_prefix_tokens(request.parts) for endpoint in order]
     sources = copy_sources(order, cached, request.now) if prompt else {}
     candidates = [
-        Candidate(
-            endpoint,
-            *endpoint.load(),
-            cached[rank] if prompt else 0,
-            rank,
-            endpoint.estimate(request.now),
-        )
+        Candidate.of(endpoint, request.now, cached[rank] if prompt else 0, rank)
         for rank, endpoint in enumerate(order)
     ]
     usable = [entry for entry in candidates if is_usable(entry.endpoint, request)]
     allowed = within_load_bound(usable, request)[0] if usable else []
-    total = max(request.prompt_tokens, sum(part.tokens for part in request.parts))
-    mean = sum(entry.requests for entry in usable) / len(usable) if usable else 0.0
+    mean = mean_requests(usable) if usable else 0.0
     views = []
     for candidate in candidates:
         ruled_out = "" if candidate in allowed else reason(candidate, request)
         if prompt:
-            read = uncached_tokens(candidate, sources, total)
-            costs = prompt_cost_items(candidate, read, request, mean)
+            unread = uncached_tokens(candidate, sources, request.prompt_length)
+            items = prompt_costs(candidate, unread, request, mean)
+            costs = dict(zip(PROMPT_COSTS, items, strict=True))
             source = source_for(candidate, sources)[0]
         else:
-            costs, source = plain_cost_items(candidate, request), None
+            costs = dict(zip(PLAIN_COSTS, plain_costs(candidate, request), strict=True))
+            source = None
         views.append(candidate_view(candidate, costs, source, ruled_out))
     return views
 
 
-def prompt_cost_items(
-    candidate: Candidate, read: float, request: PlacementRequest, mean: float
-) -> dict[str, float]:
-    """Return the parts of the cost of a prompt at an endpoint, in prompt tokens, by their name.
-
-    :param read: prompt tokens that the endpoint would have to read.
-    :param mean: mean requests in flight of the usable endpoints.
-    """
-    costs = {
-        "unread prompt": read * candidate.estimate.pace,
-        **base_cost_items(candidate, request),
-    }
-    costs["slow start"] = prompt_cost(candidate, read, request, mean) - sum(costs.values())
-    return costs
-
-
 def candidate_view(
     candidate: Candidate, costs: dict[str, float], source: Endpoint | None, ruled_out: str
 ) -> CandidateView:
--- a/tests/fleet_simulation.py
+++ b/tests/fleet_simulation.py
@@ -9,11 +9,12 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from hickorylever.direct.candidates import PlacementRequest
 from hickorylever.direct.endpoints import Endpoint, PeerLoad
 from hickorylever.direct.hashes import name_hash
 from hickorylever.direct.outbox import Outbox
 from hickorylever.direct.peer_protocol import FLUSH_INTERVAL_SECONDS, FLUSH_SECONDS_PER_PEER
-from hickorylever.direct.placement import PlacementRequest, place
+from hickorylever.direct.placement import place
 from hickorylever.direct.pool import Pool
 from hickorylever.direct.records import EndpointEntry, Engine, PromptPart
 
--- a/tests/pace_play.py
+++ b/tests/pace_play.py
@@ -10,11 +10,12 @@
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
+from hickorylever.direct.candidates import PlacementRequest
 from hickorylever.direct.endpoints import Endpoint, PeerLoad
 from hickorylever.direct.hashes import name_hash
 from hickorylever.direct.outbox import Outbox
 from hickorylever.direct.pace_reports import PaceReports
-from hickorylever.direct.placement import COPY_COST_RATIO, PlacementRequest, place
+from hickorylever.direct.placement import COPY_COST_RATIO, place
 from hickorylever.direct.pool import Pool
 from hickorylever.direct.records import AnswerInfo, EndpointEntry, Engine, PromptPart
 
--- a/tests/reference_placement.py
+++ b/tests/reference_placement.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from hickorylever.direct import placement
+from hickorylever.direct import load_bound, placement, placement_cost
 from hickorylever.direct.capacity import has_capacity
 from hickorylever.direct.placement import Choice
 
@@ -24,8 +24,8 @@
 
 def within_load_bound(endpoints, request):
     mean = sum(endpoint.load()[0] for endpoint in endpoints) / len(endpoints)
-    multiple = 1.0 + placement.BOUND_EXCESS_RATIO * (request.load_multiple - 1.0)
-    limit = multiple * mean + placement.BOUND_SLACK_REQUESTS
+    multiple = 1.0 + load_bound.BOUND_EXCESS_RATIO * (request.load_multiple - 1.0)
+    limit = multiple * mean + load_bound.BOUND_SLACK_REQUESTS
     allowed = [e for e in endpoints if e.load()[0] + 1 <= limit] or endpoints
     return [e for e in allowed if has_room(e, request)] or allowed
 
@@ -57,10 +57,11 @@
     requests, prefill = endpoint.load()
     return (
         prefill
-        + placement.RUNNING_COST_TOKENS * requests
-        + placement.RANK_COST_TOKENS * min(rank, placement.MAX_RANK_STEPS)
-        + placement.REMOTE_COST_TOKENS * (endpoint.entry.failure_domain != request.failure_domain)
-        + placement.WARMUP_COST_TOKENS * (request.now < endpoint.warm_at)
-        + placement.FAILURE_COST_TOKENS * endpoint.failure_rate(request.now)
-        + placement.SILENCE_COST_TOKENS * endpoint.silent(request.now)
+        + placement_cost.RUNNING_COST_TOKENS * requests
+        + placement_cost.RANK_COST_TOKENS * min(rank, placement_cost.MAX_RANK_STEPS)
+        + placement_cost.REMOTE_COST_TOKENS
+        * (endpoint.entry.failure_domain != request.failure_domain)
+        + placement_cost.WARMUP_COST_TOKENS * (request.now < endpoint.warm_at)
+        + placement_cost.FAILURE_COST_TOKENS * endpoint.failure_rate(request.now)
+        + placement_cost.SILENCE_COST_TOKENS * endpoint.silent(request.now)
     )
--- a/tests/test_cold_placement.py
+++ b/tests/test_cold_placement.py
@@ -6,10 +6,11 @@
 
 import pytest
 
+from hickorylever.direct.candidates import PlacementRequest
 from hickorylever.direct.cold_start import ColdStart, cold_limit
 from hickorylever.direct.endpoints import Endpoint, PeerLoad
 from hickorylever.direct.membership import Membership
-from hickorylever.direct.placement import PlacementRequest, place
+from hickorylever.direct.placement import place
 from hickorylever.direct.pool import Pool
 from hickorylever.direct.records import EndpointEntry, Engine, PromptPart, Warmup
 from hickorylever.platform.standins.origin import most_in_a_second
--- a/tests/test_direct_placement.py
+++ b/tests/test_direct_placement.py
@@ -4,8 +4,9 @@
 import pytest
 from reference_placement import place_prompt
 
+from hickorylever.direct.candidates import PlacementRequest
 from hickorylever.direct.endpoints import Endpoint, PeerLoad
-from hickorylever.direct.placement import PlacementRequest, place
+from hickorylever.direct.placement import place
 from hickorylever.direct.pool import MAX_ORDERS, Pool
 from hickorylever.direct.records import EndpointEntry, Engine, PromptPart
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -6,7 +6,8 @@
 import pytest
 from pace_play import Load, Play, name_hash
 
-from hickorylever.direct.placement import Candidate, windows_apply
+from hickorylever.direct.candidates import Candidate
+from hickorylever.direct.load_bound import windows_apply
 from hickorylever.direct.slow_start import (
     INITIAL_WINDOW,
     MIN_WINDOW,
--- a/tests/test_where.py
+++ b/tests/test_where.py
@@ -8,11 +8,12 @@
 import curio
 import pytest
 from direct_harness import HOST, KEY, SITE, configuration, entry, quarantine_a_part, run_scenario
+from reference_placement import base_cost
 from test_direct_placement import PARTS, engine_request, plain_request, pool
 
 from hickorylever.cli import main
 from hickorylever.direct.endpoints import PeerLoad
-from hickorylever.direct.placement import Candidate, base_cost, base_cost_items, place
+from hickorylever.direct.placement import place
 from hickorylever.direct.records import PromptPart
 from hickorylever.direct.status_servers import MetricsServer
 from hickorylever.direct.wait_queue import QueueParameters, WaitQueue
@@ -263,7 +264,12 @@
 @pytest.mark.parametrize("seed", range(10))
 def test_the_breakdown_adds_up_to_the_cost(seed):
     request = engine_request()
-    for rank, endpoint in enumerate(random_pool(random.Random(seed))):
-        candidate = Candidate(endpoint, *endpoint.load(), 0, rank)
-        items = base_cost_items(candidate, request)
-        assert sum(items.values()) == pytest.approx(base_cost(candidate, request))
+    endpoints = random_pool(random.Random(seed))
+    by_name = {endpoint.name: endpoint for endpoint in endpoints}
+    views = candidate_views(endpoints, request)
+    assert len(views) == len(endpoints)
+    for view in views:
+        expected = base_cost(by_name[view.name], view.rank, request)
+        unread = view.costs.get("unread prompt", 0.0)
+        assert sum(view.costs.values()) == pytest.approx(unread + expected)
+        assert view.cost == pytest.approx(unread + expected)
