Compute rendezvous orders and equal shares in one module; skip cold limits where there are none

Cause: four modules had a rendezvous score of their own and two the same division of a total; the status 421 and the milliseconds of a second stood in several places. Each queued call listed the endpoints every 10 ms to see whether only cold ones are left, also where no service has a warm-up. Change: rendezvous.py; one constant each; Placer.cold_due_at returns at once without cold limits. The order of members in stream_reports, cache_plan and slow_start changes, that of the cold endpoints' shares does not.

--- a/src/hickorylever/direct/cache_plan.py
+++ b/src/hickorylever/direct/cache_plan.py
@@ -11,8 +11,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-import xxhash
-
+from . import rendezvous
 from .outbox import MAX_UPDATES_PER_KIND
 from .peer_protocol import CacheListingUpdate
 
@@ -92,7 +91,9 @@
         :param engines: hashes of their names.
         :param routers: addresses of the known routers.
         """
-        self.pending = {key: PendingEngine(score(key, self.own_address)) for key in engines}
+        self.pending = {
+            key: PendingEngine(rendezvous.score(key, self.own_address)) for key in engines
+        }
         self.begun_at = now
         self.divide(routers)
         for address, update in self.early:
@@ -108,7 +109,7 @@
             return
         for key, engine in self.pending.items():
             engine.earlier += [
-                address for address in new if score(key, address) > engine.own_score
+                address for address in new if rendezvous.score(key, address) < engine.own_score
             ]
 
     def record(self, address: str, update: CacheListingUpdate, now: float) -> None:
@@ -221,8 +222,3 @@
         for key in keys:
             if engine := self.pending.get(key):
                 engine.source_failed = True
-
-
-def score(key: int, address: str) -> int:
-    """Return a router's score in the rendezvous order of an engine; the highest is first."""
-    return xxhash.xxh3_64_intdigest(address.encode(), seed=key)
--- a/src/hickorylever/direct/cold_reports.py
+++ b/src/hickorylever/direct/cold_reports.py
@@ -6,10 +6,9 @@
 
 from .cold_start import ColdReason
 from .hashes import name_hash
-from .peer_protocol import ColdUpdate
+from .peer_protocol import MILLISECONDS_PER_SECOND, ColdUpdate
 
 MAX_COLD_UPDATES = 24  # In one datagram, so that it fits a packet.
-MILLISECONDS_PER_SECOND = 1000
 
 
 class ColdReports:
--- a/src/hickorylever/direct/cold_start.py
+++ b/src/hickorylever/direct/cold_start.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from . import rendezvous
 from .membership import Membership
 from .records import Service, Warmup
 
@@ -59,15 +60,6 @@
     return ColdLimit(warmup.seconds, max(1, per_window) if allowed >= 1.0 else 0)
 
 
-def share(per_window: int, rank: int, router_count: int) -> int:
-    """Return the requests of one router in `WINDOW_SECONDS`.
-
-    :param per_window: requests of all routers in that time.
-    :param rank: position of the router in the rendezvous order of the endpoint; 0 is first.
-    """
-    return per_window // router_count + (rank < per_window % router_count)
-
-
 @dataclass(slots=True)
 class ColdStart:
     """The share of one router in the limit of one endpoint. Times are monotonic seconds.
@@ -104,7 +96,7 @@
         requests = 0
         if membership.settled_at is not None:
             rank = membership.rank(self.key)
-            requests = share(self.limit.per_window, rank, membership.count)
+            requests = rendezvous.share(self.limit.per_window, rank, membership.count)
         if not requests:
             return math.inf, math.inf
         spacing = WINDOW_SECONDS / requests
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -19,7 +19,7 @@
 from .pool import shared_parts
 from .prefill import PendingPrefill
 from .read_ahead import ReadAhead
-from .records import ForwardingMetadata, RouteKind
+from .records import MISDIRECTED_STATUS, ForwardingMetadata, RouteKind
 from .stream import CallerStream
 from .timeouts import (
     ResponseTimeouts,
@@ -34,7 +34,12 @@
 ROOM_POLL_SECONDS = 0.02  # While the memory for responses is used up.
 BODY_COPIES = 2  # In memory while a response is sent: its body and the encoded response.
 MIN_RETRY_SECONDS = 0.05  # No retry starts with less time left.
-NOT_RUN_STATUSES = (408, 421, 429, 503)  # They tell callers that a request did not run.
+NOT_RUN_STATUSES = (
+    408,
+    MISDIRECTED_STATUS,
+    429,
+    503,
+)  # They tell callers that a request did not run.
 
 
 class Forwarder:
--- a/src/hickorylever/direct/membership.py
+++ b/src/hickorylever/direct/membership.py
@@ -10,9 +10,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-import xxhash
-
 from ..addresses import is_ipv4_address
+from . import rendezvous
 
 MAX_UNAWARE_ROUTERS = 1  # Routers that may not know this one, such as one that is gone.
 MEMBER_LIFETIME_SECONDS = 900.0  # Since the last datagram; a silent router may only be cut off.
@@ -161,12 +160,6 @@
         """Return how many routers precede this one in the rendezvous order of a key."""
         rank = self.ranks.get(key)
         if rank is None:
-            own = score(self.own_address, key)
-            rank = sum(score(address, key) < own for address in self.members)
+            rank = rendezvous.rank(key, self.own_address, self.members)
             self.ranks[key] = rank
         return rank
-
-
-def score(address: str, key: str) -> tuple[int, str]:
-    """Return what routers are ordered by for a key; the lowest is first."""
-    return xxhash.xxh3_64_intdigest(f"{address}/{key}".encode()), address
--- a/src/hickorylever/direct/observations.py
+++ b/src/hickorylever/direct/observations.py
@@ -9,7 +9,7 @@
 from .endpoints import Endpoint
 from .hashes import name_hash
 from .peer_protocol import LeavingUpdate
-from .records import AnswerInfo
+from .records import MISDIRECTED_STATUS, AnswerInfo
 
 
 class Observations:
@@ -28,7 +28,7 @@
         """
         node = self.node
         now = time.monotonic()
-        if info.status != 421:  # Another endpoint may have the address now.
+        if info.status != MISDIRECTED_STATUS:
             node.quarantine.record_alive(endpoint, sent_at)
             node.restarts.record_connection(endpoint, sent_at)
         if info.retry_after is not None:
@@ -74,7 +74,7 @@
             endpoint.pause(now)
         elif result is Result.NOT_RUN:
             call.rejections += 1
-            if outcome.status == 421:
+            if outcome.status == MISDIRECTED_STATUS:
                 endpoint.pause(now)
         else:
             call.attempts += 1
--- a/src/hickorylever/direct/pace_attempts.py
+++ b/src/hickorylever/direct/pace_attempts.py
@@ -4,7 +4,8 @@
 from .call import Call
 from .capacity import slot_count
 from .endpoints import Endpoint
-from .pace_reports import MISDIRECTED_STATUS, PaceReports
+from .pace_reports import PaceReports
+from .records import MISDIRECTED_STATUS
 
 FAILURES = (Result.FAILED, Result.LOST, Result.BROKEN, Result.NOT_RUN)
 MIN_EVENTS = 4  # Of a stream from which the time of a step is taken.
--- a/src/hickorylever/direct/pace_reports.py
+++ b/src/hickorylever/direct/pace_reports.py
@@ -11,9 +11,9 @@
 from .hashes import name_hash
 from .load_bound import load_limit
 from .pace import EndpointPace, FirstEventSample, ServiceRates
-from .peer_protocol import PaceUpdate, WindowUpdate
+from .peer_protocol import MILLISECONDS_PER_SECOND, PaceUpdate, WindowUpdate
 from .placement import Choice
-from .records import AnswerInfo, Service
+from .records import MISDIRECTED_STATUS, AnswerInfo, Service
 from .slow_start import (
     EQUAL_SHARE_SECONDS,
     RECOVERY_FAILURES,
@@ -28,8 +28,6 @@
 WINDOW_REPEAT_SECONDS = 1.0  # For datagrams that were lost, and routers that start.
 MAX_COUNT = 10_000  # Higher counts in a report are taken for faults of the sender.
 HUNDREDTHS = 100
-MILLISECONDS_PER_SECOND = 1000
-MISDIRECTED_STATUS = 421  # Another endpoint has the address and has sent the response.
 
 
 class PaceReports:
--- a/src/hickorylever/direct/peer_protocol.py
+++ b/src/hickorylever/direct/peer_protocol.py
@@ -11,6 +11,7 @@
 from .position import NOTHING_KNOWN, KnownState
 from .streams import StreamUpdate
 
+MILLISECONDS_PER_SECOND = 1000
 FLUSH_INTERVAL_SECONDS = 0.04  # Between two datagrams.
 FLUSH_SECONDS_PER_PEER = 0.006  # Added to the interval.
 
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -16,7 +16,14 @@
 from .limit_reports import LimitReports
 from .outbox import MAX_UPDATES_PER_KIND, Outbox
 from .pace_reports import PaceReports
-from .peer_protocol import FLUSH_INTERVAL_SECONDS, FLUSH_SECONDS_PER_PEER, Datagram, decode, encode
+from .peer_protocol import (
+    FLUSH_INTERVAL_SECONDS,
+    FLUSH_SECONDS_PER_PEER,
+    MILLISECONDS_PER_SECOND,
+    Datagram,
+    decode,
+    encode,
+)
 from .peer_table import Peer, PeerTable, watcher_rank
 from .records import PromptPart
 from .registration import Registration
@@ -26,7 +33,6 @@
 TICK_SECONDS = 0.02
 DATAGRAM_BUFFER_BYTES = 65536
 MAX_ADDRESSES_PER_DATAGRAM = 64
-MILLISECONDS_PER_SECOND = 1000
 DECODE_ERRORS = (msgspec.DecodeError, TypeError, ValueError)
 
 
--- a/src/hickorylever/direct/placer.py
+++ b/src/hickorylever/direct/placer.py
@@ -188,6 +188,8 @@
 
     def cold_due_at(self, call: Call, queue: WaitQueue, queued: QueueEntry, now: float) -> float:
         """Return when a queued call can be sent if only cold endpoints can take it, else 0."""
+        if not self.node.directory.cold_starts.limits:
+            return 0.0
         usable = [
             endpoint
             for endpoint in self.node.directory.endpoints_of_version(
--- a/src/hickorylever/direct/records.py
+++ b/src/hickorylever/direct/records.py
@@ -8,6 +8,8 @@
 
 from .position import Position
 
+MISDIRECTED_STATUS = 421  # Another endpoint has the address and has sent the response.
+
 
 class RouteKind(enum.StrEnum):
     """Which requests of a route may be retried.
--- a/src/hickorylever/direct/slow_start.py
+++ b/src/hickorylever/direct/slow_start.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-import xxhash
+from . import rendezvous
 
 INITIAL_WINDOW = 4
 MIN_WINDOW = 1
@@ -174,17 +174,8 @@
     :param own: IP address of this router.
     :param others: IP addresses of the other live routers.
     """
-
-    def score(address: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{key}\0{address}".encode())
-
-    own_score = score(own)
-    count, ahead = 1, 0
-    for address in others:
-        count += 1
-        ahead += score(address) > own_score
-    quotient, remainder = divmod(window, count)
-    return quotient + (ahead < remainder)
+    others = list(others)
+    return rendezvous.share(window, rendezvous.rank(key, own, others), len(others) + 1)
 
 
 def start_discount(window: int, requests: int, mean: float, tokens: float) -> float:
--- a/src/hickorylever/direct/stream_reports.py
+++ b/src/hickorylever/direct/stream_reports.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 
 import curio
-import xxhash
 
+from . import rendezvous
 from .peer_protocol import Datagram
 from .peer_table import Peer, PeerTable
 from .stream_records import StreamRecords, other_writers
@@ -26,9 +26,7 @@
 
 def rank_for_stream(key: int, peers: Iterable[Peer]) -> list[Peer]:
     """Return routers in the order in which they keep a stream, which all routers agree on."""
-    return sorted(
-        peers, key=lambda peer: xxhash.xxh3_64_intdigest(f"{key}/{peer.address}".encode())
-    )
+    return sorted(peers, key=lambda peer: rendezvous.score(key, peer.address))
 
 
 def needs_storing(record: StreamRecord, known: StreamRecord | None) -> bool:
--- a/src/hickorylever/platform/headers.py
+++ b/src/hickorylever/platform/headers.py
@@ -3,7 +3,13 @@
 import re
 
 from .. import problems
-from ..direct.records import AnswerInfo, ForwardingMetadata, PromptPart, RequestInfo
+from ..direct.records import (
+    MISDIRECTED_STATUS,
+    AnswerInfo,
+    ForwardingMetadata,
+    PromptPart,
+    RequestInfo,
+)
 from ..exceptions import Kind, RequestError
 from ..http import Headers, end_to_end, header
 from . import names
@@ -87,11 +93,12 @@
         status=status,
         request_id=header(fields, names.ATTEMPT_ID).decode("latin-1"),
         stamped=bool(header(fields, names.STAMP)),
-        not_run=status == 421 or bool(header(fields, names.NOT_RUN)),
+        not_run=status == MISDIRECTED_STATUS or bool(header(fields, names.NOT_RUN)),
         encoded=bool(header(fields, b"content-encoding")),
         running=int(load[1]) if load else None,
         waiting=int(load[2]) if load else None,
-        leaving=status != 421 and header(fields, names.LEAVING).strip() == names.LEAVING_VALUE,
+        leaving=status != MISDIRECTED_STATUS
+        and header(fields, names.LEAVING).strip() == names.LEAVING_VALUE,
         retry_after=read_decimal(header(fields, b"retry-after")) if status == 503 else None,
         rate_limit=read_decimal(header(fields, names.LIMIT)),
         warmup_left=read_milliseconds(header(fields, names.WARMUP)),
--- a/tests/test_cache_listing.py
+++ b/tests/test_cache_listing.py
@@ -10,8 +10,8 @@
 from test_peer_sync import NETWORK, Fleet
 from test_peer_sync import play as play_fleet
 
-from hickorylever.direct import cache_listing, cache_plan
-from hickorylever.direct.cache_plan import CachePlan, Stage, score
+from hickorylever.direct import cache_listing, cache_plan, rendezvous
+from hickorylever.direct.cache_plan import CachePlan, Stage
 from hickorylever.direct.peer_protocol import CacheListingUpdate
 from hickorylever.direct.prompt_cache import PromptCacheIndex
 from hickorylever.direct.records import PromptPart
@@ -309,7 +309,9 @@
 
 
 def test_the_order_differs_by_engine():
-    firsts = {max(ROUTERS, key=lambda address, key=key: score(key, address)) for key in range(50)}
+    firsts = {
+        min(ROUTERS, key=lambda name, key=key: rendezvous.score(key, name)) for key in range(50)
+    }
     assert firsts == set(ROUTERS)
 
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -13,10 +13,10 @@
     ColdStart,
     cold_limit,
     due_after,
-    share,
 )
 from hickorylever.direct.membership import Membership
 from hickorylever.direct.records import Warmup
+from hickorylever.direct.rendezvous import share
 from hickorylever.platform.standins.origin import most_in_a_second
 
 OVERAGE = 1.5
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -35,6 +35,7 @@
     "held_bytes",
     "outbox",
     "hashes",
+    "rendezvous",
     "peer_protocol",
     "peer_table",
     "streams",
