--- a/src/hickorylever/soak/callers.py
+++ b/src/hickorylever/soak/callers.py
@@ -10,12 +10,12 @@
 from ..exceptions import ConnectionLost
 from ..platform import names
 from ..platform.standins.origin import decode_events
+from .process import RouterProcess
 from .world import (
     API_KEY,
     CALLER_PORT,
     ROUTE_KINDS,
     VIRTUAL_HOST,
-    RouterProcess,
     SoakHarness,
     now,
     version_route,
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -7,6 +7,7 @@
 import curio
 
 from ..registry import Registry
+from .process import RouterProcess
 from .proxy import Proxy
 from .world import (
     DOMAINS,
@@ -15,7 +16,6 @@
     RESTART_SECONDS,
     WARMUP,
     LimitPeriod,
-    RouterProcess,
     SoakHarness,
     now,
 )
--- a/src/hickorylever/soak/world.py
+++ b/src/hickorylever/soak/world.py
@@ -1,12 +1,8 @@
 """Environment of a soak test: simulated store and endpoints, and real router processes."""
 
-import contextlib
 import dataclasses
 import functools
-import os
 import signal
-import subprocess
-import sys
 import tempfile
 import time
 from dataclasses import dataclass, field
@@ -27,13 +23,13 @@
     WeightedService,
 )
 from ..direct.settings import DirectSettings
-from ..exceptions import ConnectionLost
-from ..http import Client, listen
+from ..http import listen
 from ..platform import CONFIGURATION, ENDPOINTS, EVACUATIONS
-from ..platform.names import METRICS_PORT, READY_PATH
+from ..platform.names import METRICS_PORT
 from ..platform.standins import documents
 from ..platform.standins.origin import Origin
 from ..platform.standins.store import StandinStore
+from .process import READY_PORT, RouterProcess
 from .proxy import HOST, Proxy
 
 VIRTUAL_HOST = "soak.example"
@@ -42,10 +38,7 @@
 EVENTS_PER_STREAM = 8
 MAX_ATTEMPTS = 3
 CALLER_PORT = 18600
-READY_PORT = 18601
 PEER_PORT = 18602
-START_TIMEOUT_SECONDS = 30.0
-START_POLL_SECONDS = 0.05
 RESTART_SECONDS = 2.0  # After a crash of an endpoint.
 DRAIN_GRACE_SECONDS = 8.0  # Drain time of routers, and time from SIGTERM to SIGKILL.
 EVACUATION_SECONDS = 5.0  # Time after which an evacuated domain must get nothing new.
@@ -61,60 +54,6 @@
 }
 
 
-@dataclass(slots=True)
-class RouterProcess:
-    """Router process, which is ended and restarted only through this object.
-
-    :param log: file that the output of all its processes is appended to.
-    :param restarting: whether a fault is restarting the router.
-    :param start_count: number of times the process was started.
-    """
-
-    settings: DirectSettings
-    log: Path
-    process: subprocess.Popen | None = None
-    restarting: bool = False
-    start_count: int = 0
-
-    @property
-    def ip(self) -> str:
-        """Return the router's IP address."""
-        return self.settings.address
-
-    def start(self) -> None:
-        """Start the process if it is not running."""
-        if self.running:
-            return
-        self.start_count += 1
-        env = {**os.environ, "HICKORYLEVER_SETTINGS": self.settings.path}
-        command = [sys.executable, "-m", "hickorylever.direct"]
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen(command, env=env, stdout=log, stderr=log)
-
-    def signal(self, signal_number: signal.Signals) -> None:
-        """Send a signal to the process if it is running."""
-        if self.running:
-            self.process.send_signal(signal_number)
-
-    async def wait_until_serving(self) -> None:
-        """Wait until the process answers, has ended or has had `START_TIMEOUT_SECONDS`.
-
-        Callers connect before that, as it listens from its first moment on.
-        """
-        client = Client()
-        async with curio.ignore_after(START_TIMEOUT_SECONDS):
-            while self.running:
-                with contextlib.suppress(ConnectionLost):
-                    await client.fetch(self.ip, READY_PORT, "GET", READY_PATH)
-                    return
-                await curio.sleep(START_POLL_SECONDS)
-
-    @property
-    def running(self) -> bool:
-        """Return whether the process is running."""
-        return self.process is not None and self.process.poll() is None
-
-
 @dataclass(frozen=True, slots=True)
 class FaultPeriod:
     """Period of a fault in monotonic seconds."""
