Store the versions of every service

Cause: versions were stored only while a service had several. The model assumed that no version leaves before the store holds that there were two.

Change: the store names each version of each service. The first router that watches the store writes them, within 0.1 s. The model loses the assumption and gains three broken variants.

--- a/spec/streams.py
+++ b/spec/streams.py
@@ -6,9 +6,10 @@
 `stream_records` and `registration` do.
 
 Assumed: routers in contact hear at once that another one has learned of a change (their datagrams
-say so), and a version does not leave before the store holds that there were two. Routers wait
-before they begin streams at a version that is new to the service, until those in contact have
-learned of it and the others have noticed that they are cut off.
+say so). Routers wait before they begin streams at a version that is new to the service, until
+those in contact have learned of it, the others have noticed that they are cut off, and the store
+holds the version. Only at the first start of all do streams begin before the store holds one.
+Versions come and go at any moment, also while no router runs.
 """
 
 from typing import NamedTuple
@@ -19,6 +20,8 @@
 VERSIONS = (1, 2)
 MAX_CHANGES = 2
 NONE = frozenset()
+# Routers take a store without versions for one that has never had any.
+TRUSTING_VARIANTS = ("no_facts", "mixed_only", "trust_empty_store")
 
 
 class Router(NamedTuple):
@@ -52,7 +55,7 @@
 
     :param present: versions of the endpoints.
     :param revision: of the latest change of the endpoints.
-    :param facts: versions of a mixed service that the store holds.
+    :param facts: versions of the service that the store holds.
     :param telling: a datagram on its way: its receiver and the version, or None.
     :param written: versions that wrote events of the stream.
     :param changes_left: changes of the endpoints that may still happen.
@@ -115,7 +118,7 @@
     for version in VERSIONS:
         if version not in state.present:
             yield f"appear {version}", changed._replace(present=state.present | {version})
-        elif state.present - {version} and (state.facts >= state.present or variant == "no_facts"):
+        elif state.present - {version}:
             yield f"leave {version}", changed._replace(present=state.present - {version})
 
 
@@ -155,14 +158,16 @@
             if state.routers[other].contact:
                 learned = with_router(learned, other, heard=state.revision)
         yield f"learn {number}", learned
-    if not router.complete and is_current(state, number):
+    vouched = bool(state.facts) or variant in TRUSTING_VARIANTS
+    if not router.complete and is_current(state, number) and vouched:
         departed = router.departed | state.facts
         known = router.known if variant == "complete_before_load" else router.known or state.stored
         listed = with_router(state, number, departed=departed, complete=True, known=known)
         yield f"list {number}", listed
-    mixed = possible(router)
-    if len(mixed) > 1 and not state.facts >= mixed and variant != "no_facts":
-        yield f"store {number}", state._replace(facts=state.facts | mixed)
+    versions = possible(router)
+    stores = router.complete and (len(versions) > 1 or variant != "mixed_only")
+    if stores and not state.facts >= versions and variant != "no_facts":
+        yield f"store {number}", state._replace(facts=state.facts | versions)
 
 
 def settled(state: State, number: int, variant: str) -> frozenset:
@@ -172,7 +177,8 @@
         for router in (state.routers[number], *state.routers)
         if variant != "no_wait" and router.alive and router.contact
     ]
-    return state.present.intersection(state.routers[number].present, *known)
+    settled = state.present.intersection(state.routers[number].present, *known)
+    return settled & state.facts if state.facts and variant != "no_store_wait" else settled
 
 
 def stream_transitions(state: State, number: int, variant: str):
@@ -250,9 +256,9 @@
     """Return the model of a stream that is taken up.
 
     :param variant: ``any_version``, ``only_present``, ``no_contact``, ``no_completeness``,
-        ``no_facts``, ``no_gap``, ``no_wait``, ``told_at_dispatch``, ``stored_at_dispatch``,
-        ``stored_present`` or ``complete_before_load`` selects a broken protocol, which must
-        violate an invariant.
+        ``no_facts``, ``mixed_only``, ``trust_empty_store``, ``no_store_wait``, ``no_gap``,
+        ``no_wait``, ``told_at_dispatch``, ``stored_at_dispatch``, ``stored_present`` or
+        ``complete_before_load`` selects a broken protocol, which must violate an invariant.
     :param together: whether routers end together rather than alone.
     """
     initial = State(together=together, cuts_left=0 if variant and together else 1)
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -89,6 +89,7 @@
             ColdStarts(self.membership, self.report_cold),
             lambda endpoint, now: self.peer_sync.paces.adopt(endpoint, now),
         )
+        self.directory.versions.started_at = None if settings.first_start else time.monotonic()
         self.budget = SharedRetryBudget(
             settings.retry_ratio, settings.retry_allowance, settings.retry_window
         )
--- a/src/hickorylever/direct/peer_table.py
+++ b/src/hickorylever/direct/peer_table.py
@@ -152,15 +152,18 @@
     def take_expired(self, rank: int, now: float) -> list[str]:
         """Return the routers that expired since the last call.
 
-        The list is empty unless this router has the lowest rank of those alive, so that only one
-        router deletes their objects.
+        The list is empty unless this router is the first, so that only one router deletes their
+        objects.
         """
         expired, self.expired = self.expired, []
         return expired if self.is_first(rank, now) else []
 
     def is_first(self, rank: int, now: float) -> bool:
-        """Return whether this router has the lowest rank of those alive."""
-        return all(peer.rank > rank for peer in self.alive(now))
+        """Return whether this router has the lowest rank of those that watch the store.
+
+        Routers of a lower rank may be cut off from the store alone.
+        """
+        return all(peer.rank > rank for peer in self.alive(now) if peer.is_watching(now))
 
     def alive(self, now: float) -> list[Peer]:
         """Return the routers whose last datagram arrived within `ALIVE_TIMEOUT_SECONDS`."""
--- a/src/hickorylever/direct/registration.py
+++ b/src/hickorylever/direct/registration.py
@@ -1,7 +1,6 @@
 """What routers that start find in the store.
 
-These are the other routers, the causes in quarantine, and the software versions of services that
-have several.
+These are the other routers, the causes in quarantine, and the software versions of all services.
 """
 
 import contextlib
@@ -20,6 +19,7 @@
 from .versions import VersionUpdate
 
 REGISTER_RETRY_SECONDS = 1.0
+FACTS_POLL_SECONDS = 0.1  # Between checks whether facts have changed.
 DECODE_ERRORS = (msgspec.DecodeError, msgspec.ValidationError, KeyError, TypeError)
 
 
@@ -31,7 +31,8 @@
 
     :param node: the components of this router.
     :param peers: table that the routers found in the store are added to.
-    :param rank: rank of this router; the one with the lowest rank writes the facts.
+    :param rank: rank of this router; that with the lowest one of those that watch the store
+        writes the facts.
     :ivar era: of the store that this router was last registered in.
     :ivar stored: names of the facts' objects that this router found in the store or wrote there.
     :ivar known: names of the facts' objects that the store may hold, whoever wrote them.
@@ -46,9 +47,11 @@
         self.known: set[str] = set()
 
     async def run(self) -> None:
-        """Keep this router registered in the store until cancelled."""
+        """Keep this router registered in the store, and the facts stored, until cancelled."""
         await self.register()
-        await self.register_again()
+        async with curio.TaskGroup() as group:
+            await group.spawn(self.register_again)
+            await group.spawn(self.keep_facts)
 
     async def register(self) -> None:
         """Register this router's address in the store, then list the other routers once.
@@ -74,7 +77,7 @@
                 return
             except HickoryleverError as error:
                 log_failure(error)
-                await curio.sleep(REGISTER_RETRY_SECONDS * (1 + node.rng.random()))
+                await curio.sleep(self.retry_delay())
 
     def apply_facts(self, objects: Iterable[StoredObject]) -> None:
         """Apply the facts that the store holds.
@@ -84,15 +87,18 @@
         suspects = parse_facts(objects, SuspectUpdate)
         self.record_stored(suspects)
         self.node.quarantine.apply_suspects(list(suspects.values()), time.monotonic())
-        self.apply_versions(objects)
+        versions = self.apply_versions(objects)
+        self.node.directory.versions.inherited.update(update.service for update in versions)
 
-    def apply_versions(self, objects: Iterable[StoredObject]) -> None:
-        """Apply the versions that the store holds as :meth:`apply_facts` does."""
+    def apply_versions(self, objects: Iterable[StoredObject]) -> list[VersionUpdate]:
+        """Apply and return the versions that the store holds, as :meth:`apply_facts` does."""
         versions = parse_facts(objects, VersionUpdate)
         self.record_stored(versions)
+        updates = list(versions.values())
         history = self.node.directory.versions
-        history.add(versions.values(), time.monotonic())
+        history.add(updates, time.monotonic())
         history.complete = True
+        return updates
 
     def record_stored(self, names: Iterable[str]) -> None:
         """Record the names of facts' objects that the store holds."""
@@ -118,11 +124,11 @@
     async def register_again(self) -> None:
         """Register again whenever the store was restored, since the copy may lack the objects.
 
-        Changes of the facts are written to it as well.
+        The facts that were stored while this router was cut off are read as well.
         """
         node = self.node
         while True:
-            await curio.sleep(REGISTER_RETRY_SECONDS * (1 + node.rng.random()))
+            await curio.sleep(self.retry_delay())
             try:
                 if self.era != self.known_era():
                     self.stored.clear()
@@ -131,9 +137,22 @@
                     listing = await node.store.list_kind(node.codec.ROUTERS)
                     await node.peer_sync.streams.records.load(listing.objects, time.monotonic())
                     self.apply_versions(listing.objects)
+            except HickoryleverError as error:
+                log_failure(error)
+
+    async def keep_facts(self) -> None:
+        """Write changes of the facts to the store until cancelled."""
+        while True:
+            try:
                 await self.update_facts()
+                await curio.sleep(FACTS_POLL_SECONDS)
             except HickoryleverError as error:
                 log_failure(error)
+                await curio.sleep(self.retry_delay())
+
+    def retry_delay(self) -> float:
+        """Return the seconds until the next try, which differ between routers."""
+        return REGISTER_RETRY_SECONDS * (1 + self.node.rng.random())
 
     def missed_versions(self) -> bool:
         """Return whether versions of endpoints may have come and gone since the last list."""
@@ -151,12 +170,12 @@
         }
         versions = {
             version_object_name(*key): {"version": list(key)}
-            for key in node.directory.versions.mixed(now)
+            for key in node.directory.versions.all_possible(now)
         }
         return suspects | versions
 
     async def update_facts(self) -> None:
-        """Bring the objects of facts up to date if this router has the lowest rank.
+        """Bring the objects of facts up to date if this router is the one that writes them.
 
         Another one may have deleted the objects of facts that are past, or written those that this
         router has to delete.
@@ -164,14 +183,14 @@
         facts = self.facts()
         self.stored &= facts.keys()
         self.known |= facts.keys()
-        if self.peers.is_first(self.rank, time.monotonic()):
+        if self.node.peer_sync.watching() and self.peers.is_first(self.rank, time.monotonic()):
             await self.store_facts(facts)
 
     async def store_facts(self, facts: dict[str, dict[str, object]]) -> None:
         """Create the objects of facts and delete those of former ones."""
         node = self.node
         for name, spec in facts.items():
-            if name not in self.stored:
+            if name not in self.stored and self.may_store(spec):
                 with contextlib.suppress(Conflict):
                     await node.store.create(node.codec.ROUTERS, name, spec)
                 self.stored.add(name)
@@ -179,6 +198,17 @@
             await node.store.delete(node.codec.ROUTERS, name)
             self.known.discard(name)
 
+    def may_store(self, spec: dict[str, object]) -> bool:
+        """Return whether this router may create the object of a fact.
+
+        A service's versions are stored only by routers that know all of them, since those that
+        start take what they find for all there was.
+        """
+        if "version" not in spec:
+            return True
+        service, _ = spec["version"]
+        return self.node.directory.versions.knows_all(service, time.monotonic())
+
     async def delete(self, address: str) -> None:
         """Delete the store's object of a router that has expired."""
         try:
--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -46,6 +46,7 @@
         :raises RequestError: if they are not known.
         """
         known_from = await self.find_version(call)
+        now = time.monotonic()
         self.node.metrics.resumed.inc({"known_from": known_from.value})
         log(
             Event.STREAM_RESUMED,
@@ -54,6 +55,8 @@
             resumes=call.info.resumes,
             service=call.service.name,
             version=call.version or "",
+            possible=sorted(self.node.directory.versions.possible(call.service.name, now)),
+            complete=self.node.directory.versions.knows_all(call.service.name, now),
         )
         if known_from is KnownFrom.NOBODY:
             detail = "which software version began the stream is not known"
@@ -115,7 +118,7 @@
         now = time.monotonic()
         versions = self.node.directory.versions
         possible = versions.possible(service, now)
-        if len(possible) != 1 or not versions.complete or not self.is_current(now):
+        if len(possible) != 1 or not versions.knows_all(service, now) or not self.is_current(now):
             return None
         return next(iter(possible))
 
@@ -151,7 +154,9 @@
         versions = self.node.directory.versions
         if not versions.complete or not self.is_current(now):
             return set(self.node.directory.pools)
-        return {service for service, _ in versions.mixed(now)}
+        return versions.incomplete_services(now).union(
+            service for service, _ in versions.mixed(now)
+        )
 
     def unsettled_endpoints(self, call: Call) -> set[str]:
         """Return the names of the endpoints at which a new stream should not begin yet."""
--- a/src/hickorylever/direct/settings.py
+++ b/src/hickorylever/direct/settings.py
@@ -15,6 +15,7 @@
     :param ready_port: TCP port for the load balancer's readiness checks.
     :param peer_port: TCP and UDP port for other routers, the same on all VMs.
     :param metrics_port: TCP port that serves metrics.
+    :param first_start: whether no router has run before in this deployment.
     :param store: IP address and port of the platform's store.
     :param seeds: IP addresses of other routers; some may be outdated.
     :param memory_bytes: memory limit of the process.
@@ -46,6 +47,7 @@
     metrics_port: int
     store: tuple[str, int]
     seeds: tuple[str, ...] = ()
+    first_start: bool = False
     memory_bytes: int = 256 * 1024 * 1024
     max_descriptors: int = 1024
     link_mbps: float = 1000.0
--- a/src/hickorylever/direct/state_pulls.py
+++ b/src/hickorylever/direct/state_pulls.py
@@ -164,7 +164,9 @@
             node.peer_sync.caches.plan.finish()
         node.quarantine.apply_suspects(state.suspects, time.monotonic())
         node.directory.versions.add(state.versions, time.monotonic())
-        node.directory.versions.complete |= state.versions_complete
+        if state.versions_complete:
+            node.directory.versions.complete = True
+            node.directory.versions.started_at = None
         log(
             Event.STATE_PULLED,
             address,
@@ -222,7 +224,7 @@
             leaving_endpoints=directory.leaving_updates(),
             suspects=node.quarantine.suspect_updates(time.monotonic()),
             versions=directory.versions.updates(time.monotonic()),
-            versions_complete=directory.versions.complete,
+            versions_complete=directory.versions.knows_all_services(time.monotonic()),
             caches_known=complete and node.peer_sync.caches.plan.complete,
             evacuations=node.evacuations.state(),
         )
--- a/src/hickorylever/direct/versions.py
+++ b/src/hickorylever/direct/versions.py
@@ -1,9 +1,12 @@
 """Which software versions the endpoints of each service have had lately.
 
-A stream may go on only at the version that began it. Where a service can have had only one version
-while the stream ran, that one began it, whichever router sent it there.
+A stream may go on only at the version that began it. Where a service can have had only one
+version while the stream ran, that one began it, whichever router sent it there. All routers may
+end at once and start again after a release: what their predecessors knew is then only in the
+store, which names the versions of every service.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -29,8 +32,11 @@
     :ivar present: versions of the known endpoints, by service.
     :ivar appeared: when a version was first there beside others, by service and version.
     :ivar departed: when a version was last there, by service and version.
-    :ivar complete: whether this router has learned what there was before its start, and while it
-        was cut off.
+    :ivar complete: whether this router has learned what the others and the store know of the time
+        before its start, and while it was cut off.
+    :ivar started_at: when this router started, or None if it knows what there was before.
+    :ivar inherited: services of which the store named the versions at the start. Nobody may know
+        the versions that others had before.
     """
 
     def __init__(self):
@@ -38,6 +44,15 @@
         self.appeared: dict[tuple[str, str], float] = {}
         self.departed: dict[tuple[str, str], float] = {}
         self.complete = False
+        self.started_at: float | None = 0.0
+        self.inherited: set[str] = set()
+
+    def knows_all(self, service: str, now: float) -> bool:
+        """Return whether no other version than the known ones can have begun a stream."""
+        if not self.complete:
+            return False
+        known_before = self.started_at is None or service in self.inherited
+        return known_before or now - self.started_at > STREAM_LIFETIME_SECONDS
 
     def observe(self, present: dict[str, frozenset[str]], now: float) -> None:
         """Replace the versions of the known endpoints, by service."""
@@ -74,6 +89,26 @@
             if name == service and now - at <= STREAM_LIFETIME_SECONDS
         }
 
+    def incomplete_services(self, now: float) -> set[str]:
+        """Return the services that may have had unknown versions."""
+        return {service for service in self.present if not self.knows_all(service, now)}
+
+    def knows_all_services(self, now: float) -> bool:
+        """Return whether :meth:`knows_all` holds for all services."""
+        return self.complete and not self.incomplete_services(now)
+
+    def all_possible(self, now: float) -> list[tuple[str, str]]:
+        """Return the services with each of their possible versions."""
+        return [
+            (service, version)
+            for service in self.services()
+            for version in sorted(self.possible(service, now))
+        ]
+
+    def services(self) -> list[str]:
+        """Return the services that have or had versions, sorted."""
+        return sorted({*self.present, *(service for service, _ in self.departed)})
+
     def updates(self, now: float) -> list[VersionUpdate]:
         """Return the versions of all services, for routers that start."""
         ages = {key: now - at for key, at in self.departed.items()}
@@ -86,13 +121,9 @@
 
     def mixed(self, now: float) -> list[tuple[str, str]]:
         """Return the services with several possible versions, with each of these."""
-        services = {*self.present, *(service for service, _ in self.departed)}
-        return [
-            (service, version)
-            for service in sorted(services)
-            if len(versions := self.possible(service, now)) > 1
-            for version in sorted(versions)
-        ]
+        possible = self.all_possible(now)
+        counts = Counter(service for service, _ in possible)
+        return [(service, version) for service, version in possible if counts[service] > 1]
 
     def expire(self, now: float) -> None:
         """Forget the versions whose streams have all ended, and when settled ones appeared."""
--- a/src/hickorylever/platform/settings.py
+++ b/src/hickorylever/platform/settings.py
@@ -67,6 +67,7 @@
     listen: WireListen
     platform: WireStore
     seeds: list[str] = []
+    bootstrap: bool = False
     heartbeat_ms: float = 1200.0
     limits: WireLimits = WireLimits()
     bounds: WireBounds = WireBounds()
@@ -103,6 +104,7 @@
         metrics_port=names.METRICS_PORT,
         store=split_address(wire.platform.address),
         seeds=tuple(seed for seed in seeds if seed != wire.ip),
+        first_start=wire.bootstrap,
         memory_bytes=int(wire.limits.memory_mb * BYTES_PER_MEGABYTE),
         max_descriptors=wire.limits.max_fds,
         link_mbps=wire.limits.link_mbps,
--- a/src/hickorylever/platform/standins/documents.py
+++ b/src/hickorylever/platform/standins/documents.py
@@ -27,6 +27,7 @@
 zone = "{settings.failure_domain}"
 internal-ports = [{settings.peer_port}, {settings.peer_port}]
 seeds = {seeds}
+bootstrap = {first_start}
 [listen]
 frontend = "{settings.address}:{settings.port}"
 ready = "{settings.address}:{settings.ready_port}"
@@ -133,4 +134,7 @@
         template += f"evacuate-ms = {milliseconds(settings.evacuation_time)}\n"
     if settings.warmup_overage is not None:
         template += WARMUP_TEMPLATE
-    return template.format(settings=settings, seeds=seeds, store=f"{address}:{port}")
+    first_start = str(settings.first_start).lower()
+    return template.format(
+        settings=settings, seeds=seeds, first_start=first_start, store=f"{address}:{port}"
+    )
--- a/src/hickorylever/soak/world.py
+++ b/src/hickorylever/soak/world.py
@@ -142,6 +142,7 @@
             self.routers[-1].start()
         for router in self.routers:
             await router.wait_until_serving()
+            write_settings(dataclasses.replace(router.settings, first_start=False))
         return self
 
     async def __aexit__(self, *info) -> None:
@@ -186,8 +187,9 @@
             evacuation_time=EVACUATION_SECONDS,
             warmup_overage=WARMUP_OVERAGE,
             warmup_allowance=WARMUP_ALLOWANCE,
+            first_start=True,
         )
-        Path(settings.path).write_text(documents.encode_settings(settings), encoding="utf-8")
+        write_settings(settings)
         return RouterProcess(settings, directory / f"{ip}.log")
 
     async def start_endpoint(self, number: int) -> None:
@@ -308,6 +310,11 @@
         )
 
 
+def write_settings(settings: DirectSettings) -> None:
+    """Write the settings file of a router."""
+    Path(settings.path).write_text(documents.encode_settings(settings), encoding="utf-8")
+
+
 def failure_domain(number: int) -> str:
     """Return the failure domain of an endpoint."""
     return DOMAINS[number % len(DOMAINS)]
--- a/tests/direct_harness.py
+++ b/tests/direct_harness.py
@@ -94,6 +94,7 @@
     :param scripts: script of behaviours for each endpoint.
     :param versions: version of the software of each endpoint, which its events name; by default
         all have the same one, and events don't name it.
+    :ivar first_start: whether routers that start are the first ones of their deployment.
     """
 
     def __init__(self, *scripts, autostart=True, versions=None):
@@ -105,6 +106,7 @@
         self.tasks = []
         self.client = http.Client()
         self.autostart = autostart
+        self.first_start = True
         self.requests = 0
 
     async def __aenter__(self):
@@ -140,6 +142,7 @@
             metrics_port=0,
             store=(HOST, self.store_port),
             retry_allowance=100.0,
+            first_start=self.first_start,
         )
 
     async def start_router(self):
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -60,6 +60,7 @@
                 len(node.peer_sync.peers.alive(time.monotonic())) == others for node in self.nodes
             )
         )
+        self.first_start = False
 
 
 def play(scenario, count, fleet_class=Fleet, **more):
--- a/tests/test_spec_streams.py
+++ b/tests/test_spec_streams.py
@@ -23,6 +23,9 @@
         "no_contact",
         "no_completeness",
         "no_facts",
+        "mixed_only",
+        "trust_empty_store",
+        "no_store_wait",
         "no_gap",
         "no_wait",
         "told_at_dispatch",
@@ -35,6 +38,8 @@
 @pytest.mark.parametrize(
     ("variant", "invariant"),
     [
+        ("mixed_only", "one_version"),
+        ("trust_empty_store", "one_version"),
         ("stored_at_dispatch", "one_version"),
         ("stored_present", "one_version"),
         ("complete_before_load", "none_needlessly_rejected"),
--- a/tests/test_stream_fleet.py
+++ b/tests/test_stream_fleet.py
@@ -14,7 +14,15 @@
     quarantine_a_part,
     versions_in,
 )
-from stream_fleet import CALLER_PORT, V1_WELL, assert_rejected, assert_whole, kind, play
+from stream_fleet import (
+    CALLER_PORT,
+    V1_WELL,
+    assert_rejected,
+    assert_whole,
+    kind,
+    play,
+    stored_versions,
+)
 from test_peer_sync import NETWORK, TIMEOUT_SECONDS
 
 from hickorylever.direct import peer_sync, streams, versions
@@ -336,6 +344,7 @@
 def test_stream_of_an_only_version_goes_on_after_the_end_of_all_routers():
     async def scenario(fleet):
         first = await fleet.begin(fleet.nodes[0])
+        await fleet.until(lambda: stored_versions(fleet))
         await fleet.end(fleet.nodes[0])
         starting = await fleet.start(5)
         await fleet.until(lambda: starting.ready() and starting.directory.versions.complete)
