Let the server of the endless stand-in close its connection

Callers of tests saw: one test of endless bodies ended with FileNotFoundError in curio's kernel in 2 of 4 runs beside the change that follows.

Cause: the stand-in closed its socket while the task that waits for the caller's end still had it registered. The number of the descriptor was used again, and the kernel changed a registration that was gone. A check at each close showed six such closes a run, all from this function; routers have none in this run.

Change: it raises ConnectionLost, and its server resets the connection once no other task waits for it.

--- a/src/hickorylever/platform/standins/behaviours.py
+++ b/src/hickorylever/platform/standins/behaviours.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from ...exceptions import ConnectionLost
 from ...http import Exchange
 from .. import names
 from .origin import Origin, behaviours, encode_event, encode_head, wants_stream
@@ -286,15 +287,20 @@
 
 
 async def send_endlessly(exchange: Exchange, head: bytes, block: bytes = ENDLESS_BLOCK) -> None:
-    """Send a head and then the same block until the caller closes the connection."""
+    """Send a head and then the same block until the caller closes the connection.
+
+    The server resets the connection after this, as another task may still wait for its end.
+
+    :raises ConnectionLost: when the caller closes it.
+    """
     exchange.closing = True
     sock = exchange.channel.sock
     try:
         await sock.sendall(head)
         while True:
             await sock.sendall(block)
-    except OSError:
-        await exchange.channel.abort()
+    except OSError as error:
+        raise ConnectionLost(str(error)) from error
 
 
 @behaviours.register("endless_head")
