Wait for the version's object in the test of repeated registration

The test counts the calls that follow a restore of the store. Since a single version is stored too, its object is written again within 0.1 s of the era, and the count began before it (1 failure in one run of the whole suite on, 7 == 6). It now begins after it; no call may follow in 0.3 s, as before.

--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -206,6 +206,7 @@
         await fleet.store.restore(copy)
         await fleet.until(lambda: key in fleet.store.objects)
         await fleet.until(lambda: all(n.peer_sync.registration.era == 2 for n in fleet.nodes))
+        await fleet.until(lambda: any(n.peer_sync.registration.stored for n in fleet.nodes))
         writes = fleet.store.calls["POST"]
         await curio.sleep(0.3)
         assert fleet.store.calls["POST"] == writes
