Let other tasks run while a peer sends without end

Cause: the parser of events searched its whole buffer again for each chunk, and reading input that has arrived suspends no task, so that no timeout and no other task ran until the sender paused.

Change: the parser searches new bytes only and refuses a line without a field name after 256 bytes. A reader's turn ends after 16 parts of messages, in the one place where all messages are read, after 32 datagrams or 8 KiB of a stream. The number of chunks of a body and the size of decompressed content are bounded.

MAX_BODY_CHUNKS of requests stays; its own yield is replaced by that of the connection.

--- a/src/hickorylever/defaults.py
+++ b/src/hickorylever/defaults.py
@@ -50,7 +50,9 @@
 MAX_REFUSED_CONNECTIONS = 256  # Connections over the limit that get a response.
 LISTEN_BACKLOG = 1024
 MAX_BODY_CHUNKS = 16384
-BODY_CHUNKS_PER_YIELD = 256  # Other tasks run after this many chunks of one body.
+# Input after which a task lets others run, see :class:`.turns.Turns`.
+MESSAGE_PARTS_PER_TURN = 16  # Heads, chunks and ends of messages of one connection.
+DATAGRAMS_PER_TURN = 32
 MAX_JSON_DEPTH = 64
 MAX_TOKENS = 2**24
 LOAD_MULTIPLE = 1.25  # An endpoint may have this multiple of the mean load.
--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -19,6 +19,7 @@
 ENDPOINT_CONNECT_SECONDS = 0.3
 MAX_IDLE_SECONDS = 0.5  # Of a reused connection, for requests that may not be repeated.
 MAX_STALE_RESPONSES = 2
+MAX_PARSED_BYTES = 8 * 1024  # Of a stream at once, until other tasks run.
 BEGUN_EVENTS = 3  # With so many events, or all of them, a stream has begun without a crash.
 MAX_DISCARDED_BYTES = 64 * 1024  # Of a body that no caller gets.
 DISCARD_SECONDS = 0.2  # For the body of a rejection, whose head has said everything.
@@ -291,10 +292,14 @@
         idle_since = time.monotonic()
         while (chunk := await self.next_chunk(response, idle_since)) is not None:
             seen = parser.numbered_count
-            if events := parser.feed(chunk):
-                await self.stream.write(events)
-                self.stream.last_event_id = parser.last_id
+            for start in range(0, len(chunk), MAX_PARSED_BYTES):
+                if start:
+                    await curio.sleep(0)
+                if events := parser.feed(chunk[start : start + MAX_PARSED_BYTES]):
+                    await self.stream.write(events)
+                    self.stream.last_event_id = parser.last_id
             if parser.numbered_count > seen:
+                response.record_progress()
                 idle_since = self.endpoint.last_byte_at = time.monotonic()
             if parser.numbered_count >= BEGUN_EVENTS:
                 self.mark_begun()
--- a/src/hickorylever/direct/cache_listing.py
+++ b/src/hickorylever/direct/cache_listing.py
@@ -16,6 +16,7 @@
 from ..exceptions import ConnectionLost, ContentError, Kind, RequestError
 from ..http import Channel, Client, Exchange
 from .cache_plan import CachePlan, Stage
+from .compression import decompress
 from .endpoints import Endpoint
 from .hashes import name_hash
 from .outbox import MAX_UPDATES_PER_KIND, take_sends
@@ -33,7 +34,7 @@
 PULL_TIMEOUT_SECONDS = 3.0  # A slow link may have to serve all other routers.
 MAX_PULLED_PARTS = 1024  # Of each engine, so that all engines' parts pass a slow link quickly.
 MAX_HASH_DIGITS = 10  # Of a 32-bit number.
-DECODE_ERRORS = (msgspec.DecodeError, zlib.error)
+DECODE_ERRORS = (msgspec.DecodeError, ContentError)
 
 
 class CachedParts(msgspec.Struct, array_like=True):
@@ -235,7 +236,7 @@
                 )
             if status != 200:
                 raise ConnectionLost(f"status {status}")
-            caches = msgspec.msgpack.decode(zlib.decompress(body), type=list[CachedParts])
+            caches = msgspec.msgpack.decode(decompress(body), type=list[CachedParts])
             self.apply_pulled(address, caches)
         except (ConnectionLost, curio.TaskTimeout, *DECODE_ERRORS) as error:
             self.plan.record_failed_pull(keys)
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -6,8 +6,10 @@
 import msgspec
 from curio import socket
 
+from .. import defaults
 from ..events import Event, log, logger
 from ..http import listen
+from ..turns import Turns
 from .cache_listing import CacheListing
 from .cold_reports import ColdReports
 from .endpoints import PeerLoad
@@ -161,7 +163,9 @@
 
     async def receive(self) -> None:
         """Receive datagrams until cancelled; one that can't be processed is logged and dropped."""
+        turns = Turns(defaults.DATAGRAMS_PER_TURN)
         while True:
+            await turns.step()
             data, (address, _) = await self.sock.recvfrom(DATAGRAM_BUFFER_BYTES)
             try:
                 await self.handle_datagram(address, decode(data))
--- a/src/hickorylever/direct/sse.py
+++ b/src/hickorylever/direct/sse.py
@@ -6,21 +6,28 @@
 
 EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 EVENT_LINE = re.compile(rb"[A-Za-z0-9_-]*(?::[^\x00]*)?")  # A field, or a comment.
+FIELD_END = re.compile(rb"[:\r\n]")
 EVENT_ID = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
+EVENT_END_BYTES = 4
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_FIELD_NAME_BYTES = 256  # The standard names have up to 5.
+MIN_COUNTED_BYTES = 16  # Of an event without an id, as each costs as much time as many bytes.
 MAX_UNNUMBERED_BYTES = 64 * 1024  # Of comments and other events without an id in a row.
 
 
 class EventParser:
     """Splits a byte stream into complete events and checks that their ids are consecutive.
 
+    The work is proportional to the number of bytes, whatever pieces they arrive in.
+
     :param last_id: id of the last event that was relayed; events up to it are dropped.
+    :ivar buffer: bytes of the event that is not complete yet.
     :ivar unnumbered_bytes: bytes of the events without an id since the latest one with an id.
     :ivar numbered_count: number of events with an id, including dropped ones.
     """
 
     def __init__(self, last_id: str | None = None):
-        self.buffer = b""
+        self.buffer = bytearray()
         self.last_id = last_id
         self.unnumbered_bytes = 0
         self.numbered_count = 0
@@ -31,18 +38,30 @@
         :raises InconsistentResponse: if an event is too large or malformed, if an id was skipped,
             or if too many events have no id.
         """
+        searched = max(0, len(self.buffer) - EVENT_END_BYTES + 1)
         self.buffer += data
         events = []
         start = 0
-        for match in EVENT_END.finditer(self.buffer):
-            event = self.buffer[start : match.end()]
+        for match in EVENT_END.finditer(self.buffer, searched):
+            event = bytes(self.buffer[start : match.end()])
             start = match.end()
             if self.accept(event):
                 events.append(event)
-        self.buffer = self.buffer[start:]
+        del self.buffer[:start]
+        self.check_incomplete()
+        return events
+
+    def check_incomplete(self) -> None:
+        """Check that the bytes since the last event can still become one.
+
+        :raises InconsistentResponse: if they can't.
+        """
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise InconsistentResponse("an event exceeds the size limit")
-        return events
+        if len(self.buffer) > MAX_FIELD_NAME_BYTES and not FIELD_END.search(
+            self.buffer, 0, MAX_FIELD_NAME_BYTES
+        ):
+            raise InconsistentResponse("a line of an event is malformed")
 
     def accept(self, event: bytes) -> bool:
         """Return whether an event is new, and record its id.
@@ -54,7 +73,7 @@
             raise InconsistentResponse("a line of an event is malformed")
         match = EVENT_ID.search(event)
         if match is None:
-            self.unnumbered_bytes += len(event)
+            self.unnumbered_bytes += max(len(event), MIN_COUNTED_BYTES)
             if self.unnumbered_bytes > MAX_UNNUMBERED_BYTES:
                 raise InconsistentResponse("the events have no ids")
             return True
--- a/src/hickorylever/direct/state_pulls.py
+++ b/src/hickorylever/direct/state_pulls.py
@@ -17,6 +17,7 @@
 )
 from ..http import Client, Exchange, Server
 from .cache_listing import CACHES_PATH
+from .compression import decompress
 from .evacuations import EvacuationState
 from .peer_protocol import LeavingUpdate, SuspectUpdate
 from .peer_table import Peer
@@ -143,9 +144,9 @@
                 )
             if status != 200:
                 raise ConnectionLost(f"status {status}")
-            self.apply_state(address, msgspec.msgpack.decode(zlib.decompress(body), type=State))
+            self.apply_state(address, msgspec.msgpack.decode(decompress(body), type=State))
             self.synced = True
-        except (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError, zlib.error) as error:
+        except (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError, ContentError) as error:
             log(Event.SOURCE_FAILED, repr(error), peer=address)
         finally:
             self.pulling = False
--- a/src/hickorylever/gossip.py
+++ b/src/hickorylever/gossip.py
@@ -20,6 +20,7 @@
 from .packets import PacketKind, Phase, Update, member_id
 from .records import VM, Load, Member, MemberState
 from .registry import Registry
+from .turns import Turns
 
 Handler = Callable[..., Awaitable[None]]
 topics: Registry[Handler] = Registry("topic")
@@ -129,7 +130,9 @@
 
     async def receive(self) -> None:
         """Receive datagrams until cancelled; malformed ones are counted and dropped."""
+        turns = Turns(defaults.DATAGRAMS_PER_TURN)
         while True:
+            await turns.step()
             data, peer_address = await self.sock.recvfrom(2 * defaults.MAX_DATAGRAM_BYTES)
             try:
                 datagrams = self.swim.receive(data, self.env.clock())
--- a/src/hickorylever/http/channel.py
+++ b/src/hickorylever/http/channel.py
@@ -10,6 +10,7 @@
 
 from .. import defaults
 from ..exceptions import ConnectionLost
+from ..turns import Turns
 
 RESET_ON_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger with l_onoff=1, l_linger=0
 
@@ -43,6 +44,7 @@
     :ivar written_at: monotonic time at which the peer last accepted a block of output.
     :ivar eof_received: whether the peer has closed its sending side.
     :ivar idle_timeout: seconds after which the peer closes the connection if it is idle.
+    :ivar turns: lets other tasks run between the parts of messages.
     :ivar read_closed: whether this end has shut down its receiving side. An end of input then does
         not mean that the peer has closed the connection.
     """
@@ -64,6 +66,7 @@
         self.eof_received = False
         self.idle_timeout = math.inf
         self.read_closed = False
+        self.turns = Turns(defaults.MESSAGE_PARTS_PER_TURN)
 
     async def read(self) -> None:
         """Receive bytes from the peer and pass them to the parser.
@@ -83,6 +86,7 @@
         :raises ConnectionLost: if the connection fails.
         :raises h11.RemoteProtocolError: if the peer violates the protocol.
         """
+        await self.turns.step()
         while True:
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -16,6 +16,9 @@
 from .headers import Headers, header
 
 MAX_INFORMATIONAL_RESPONSES = 16  # Before the final response.
+# A body may have `defaults.MAX_BODY_CHUNKS` chunks, and one more for this size, as each chunk
+# costs as much time as many bytes.
+BYTES_PER_CHUNK = 256
 MAX_SHARED_RESPONSE_BYTES = 32 * 1024 * 1024  # Of response bodies that a client is reading.
 FAIR_RESPONSE_BYTES = 256 * 1024  # A body up to this size is read whatever the others take.
 KEEP_ALIVE_TIMEOUT = re.compile(rb"(?i)\btimeout=([0-9]{1,6})\b")
@@ -55,6 +58,8 @@
 
     :param buffers: counts the bodies that the client reads at the same time.
     :ivar complete: whether the body has been read to its end.
+    :ivar chunks: number of chunks since the latest progress.
+    :ivar size: bytes in these.
     """
 
     def __init__(self, channel: Channel, response: h11.Response, buffers: ReadBuffers):
@@ -63,13 +68,16 @@
         self.status = response.status_code
         self.headers = list(response.headers)
         self.complete = False
+        self.chunks = 0
+        self.size = 0
 
     async def read_bytes(self) -> bytes | None:
         """Return the next bytes of the body, or None at its end.
 
         No data is lost if the call is cancelled; the next call continues at the same position.
 
-        :raises ConnectionLost: if the connection fails before the end of the body.
+        :raises ConnectionLost: if the connection fails before the end of the body, or if too many
+            small chunks arrive without progress.
         """
         try:
             event = await self.channel.receive()
@@ -80,8 +88,16 @@
             return None
         if not isinstance(event, h11.Data):
             raise ConnectionLost("connection closed within the response body")
+        self.chunks += 1
+        self.size += len(event.data)
+        if self.chunks > defaults.MAX_BODY_CHUNKS + self.size // BYTES_PER_CHUNK:
+            raise ConnectionLost("the body has too many small chunks")
         return bytes(event.data)
 
+    def record_progress(self) -> None:
+        """Record that the chunks so far were of use, such as for an event of a stream."""
+        self.chunks = self.size = 0
+
     async def iter_bytes(self) -> AsyncIterator[bytes]:
         """Yield the body in blocks of bytes as they arrive.
 
--- a/src/hickorylever/http/exchange.py
+++ b/src/hickorylever/http/exchange.py
@@ -74,8 +74,6 @@
             chunks += 1
             if chunks > defaults.MAX_BODY_CHUNKS:
                 raise RequestError(Kind.BAD_REQUEST, "the request body has too many chunks")
-            if chunks % defaults.BODY_CHUNKS_PER_YIELD == 0:
-                await curio.sleep(0)
 
     def reserve_buffer(self, size: int) -> None:
         """Reserve buffer space until the exchange ends.
