Never send a request twice on one connection

Cause: a response was matched by the request's id. A request that a server had rejected was sent there once more on the same connection, with the same id, and the late copy of the first rejection passed for the answer to the second send.

Change: a request avoids the connections on which it was sent before; others use them and discard the copy by its id. A rejection that names no request counts only on a connection that carried no other. The list of an engine's cache, which names none either, is asked for on a new connection.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -84,6 +84,9 @@
     :param on_head: called with what the head of the response says.
     :param on_begun: called when the endpoint has written much of its answer.
     :param before_body: awaited before a complete body is read.
+    :param used_channels: connections on which the request was sent before, to which this attempt
+        adds its own. All attempts have the same request id, so that only the connection tells
+        which of them a response is meant for.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         on_head: Callable[[AnswerInfo], None] = lambda info: None,
         on_begun: Callable[[], None] = lambda: None,
         before_body: Callable[[ClientResponse], Awaitable[None]] | None = None,
+        used_channels: list[Channel] | None = None,
     ):
         self.client = client
         self.endpoint = endpoint
@@ -111,6 +115,7 @@
         self.on_head = on_head
         self.on_begun = on_begun
         self.before_body = before_body
+        self.used_channels = [] if used_channels is None else used_channels
         self.begun = False
         self.sent = False
         self.channel: Channel | None = None
@@ -168,11 +173,13 @@
             entry.port,
             max_idle=float("inf") if self.repeatable else MAX_IDLE_SECONDS,
             timeout=ENDPOINT_CONNECT_SECONDS,
+            avoid=self.used_channels,
         )
         if not self.endpoint.wants_requests(time.monotonic()):
             raise ConnectionLost("the endpoint wants no requests since it was chosen")
         upstream_request = self.upstream_request
         self.sent = True
+        self.used_channels.append(self.channel)
         await self.client.send_request(
             self.channel,
             upstream_request.method,
@@ -230,7 +237,8 @@
     async def matching_response(self) -> tuple[ClientResponse, AnswerInfo]:
         """Return the response to this request, discarding late responses to earlier ones.
 
-        :raises InconsistentResponse: if too many responses belong to other requests.
+        :raises InconsistentResponse: if too many responses belong to other requests, or if a
+            rejection may belong to another one.
         """
         for _ in range(MAX_STALE_RESPONSES + 1):
             response = await self.next_response()
@@ -239,7 +247,9 @@
             if info.request_id == self.upstream_request.request_id:
                 return response, info
             if info.not_run and not info.request_id:
-                return response, info
+                if self.channel.request_count == 1:
+                    return response, info
+                raise InconsistentResponse("a rejection names no request on a used connection")
             await self.discard(response)
         raise InconsistentResponse("the connection delivered only responses to other requests")
 
--- a/src/hickorylever/direct/cache_listing.py
+++ b/src/hickorylever/direct/cache_listing.py
@@ -174,7 +174,7 @@
         address, port = endpoint.entry.address, endpoint.entry.port
         try:
             async with curio.timeout_after(LISTING_TIMEOUT_SECONDS):
-                channel = await self.node.client.acquire(address, port)
+                channel = await self.node.client.acquire(address, port, fresh=True)
                 stage = Stage.FAILED
                 parts = await self.fetch_parts(endpoint, channel)
         except (ConnectionLost, ContentError, curio.TaskTimeout) as error:
@@ -185,7 +185,10 @@
         return Stage.LISTED
 
     async def fetch_parts(self, endpoint: Endpoint, channel: Channel) -> list[PromptPart]:
-        """Return the parts that an engine lists, over a connection that is kept for requests.
+        """Return the parts that an engine lists, over a new connection that is kept for requests.
+
+        The call names no request, so that on a used connection a late copy of an earlier response
+        could be taken for the list.
 
         :raises ConnectionLost: if the call fails.
         :raises ContentError: if the response is malformed.
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -103,6 +103,7 @@
             lambda info: self.observations.record_head(endpoint, info, began),
             lambda: self.node.quarantine.record_answer(call, time.monotonic()),
             lambda response: self.reserve_room(call, response),
+            call.channels,
         )
         if call.stream is not None:
             call.stream.pending_prefill = pending_prefill
--- a/src/hickorylever/http/channel.py
+++ b/src/hickorylever/http/channel.py
@@ -44,6 +44,7 @@
     :ivar written_at: monotonic time at which the peer last accepted a block of output.
     :ivar eof_received: whether the peer has closed its sending side.
     :ivar idle_timeout: seconds after which the peer closes the connection if it is idle.
+    :ivar request_count: requests that were sent on this connection.
     :ivar turns: lets other tasks run between the parts of messages.
     :ivar read_closed: whether this end has shut down its receiving side. An end of input then does
         not mean that the peer has closed the connection.
@@ -66,6 +67,7 @@
         self.eof_received = False
         self.idle_timeout = math.inf
         self.read_closed = False
+        self.request_count = 0
         self.turns = Turns(defaults.MESSAGE_PARTS_PER_TURN)
 
     async def read(self) -> None:
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -4,7 +4,7 @@
 import re
 import socket as stdsocket
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Collection
 
 import curio
 import h11
@@ -216,19 +216,23 @@
         fresh: bool = False,
         max_idle: float = math.inf,
         timeout: float = defaults.CONNECT_TIMEOUT_SECONDS,
+        avoid: Collection[Channel] = (),
     ) -> Channel:
         """Return an idle connection from the pool, or open a new one.
 
         :param fresh: always open a new connection.
         :param max_idle: seconds; connections that have been idle for longer are not used.
         :param timeout: seconds for opening a connection.
+        :param avoid: idle connections that are not used.
         :raises ConnectionLost: if no connection can be opened.
         """
         idle = self.idle.get((address, port), [])
-        while idle and not fresh:
-            if time.monotonic() - idle[-1].last_used_at > max_idle:
+        candidates = [] if fresh else [channel for channel in idle if channel not in avoid]
+        while candidates:
+            channel = candidates.pop()
+            if time.monotonic() - channel.last_used_at > max_idle:
                 break
-            channel = idle.pop()
+            idle.remove(channel)
             if self.is_usable(channel):
                 return channel
             await channel.close()
@@ -295,6 +299,7 @@
         :param host: value of the Host header.
         :raises ConnectionLost: if the connection fails.
         """
+        channel.request_count += 1
         fields = [(b"host", host.encode()), *headers]
         if body or method in ("POST", "PUT", "PATCH"):
             fields.append((b"content-length", b"%d" % len(body)))
--- a/src/hickorylever/platform/standins/behaviours.py
+++ b/src/hickorylever/platform/standins/behaviours.py
@@ -5,7 +5,7 @@
 import curio
 
 from ...exceptions import ConnectionLost
-from ...http import Exchange
+from ...http import Exchange, header
 from .. import names
 from .origin import Origin, behaviours, encode_event, encode_head, wants_stream
 
@@ -15,6 +15,12 @@
 ENDLESS_BLOCK = b"0123456789abcdef" * 1024
 
 
+def rejection_headers(exchange: Exchange) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a response that refuses a request without running it."""
+    request_id = header(exchange.headers, names.ATTEMPT_ID)
+    return [(names.ATTEMPT_ID, request_id), (names.NOT_RUN, b"1")]
+
+
 @behaviours.register("well")
 async def run_without_fault(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Run the request and send a complete response."""
@@ -41,20 +47,43 @@
 @behaviours.register("shed")
 async def shed(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Refuse the request without running it."""
-    await exchange.respond(503, [(names.NOT_RUN, b"1")])
+    await exchange.respond(503, rejection_headers(exchange))
 
 
 @behaviours.register("defer")
 async def defer(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Refuse the request without running it, and want no more for a while."""
-    await exchange.respond(503, [(names.NOT_RUN, b"1"), (b"retry-after", origin.retry_after)])
+    retry_after = (b"retry-after", origin.retry_after)
+    await exchange.respond(503, [*rejection_headers(exchange), retry_after])
+
+
+@behaviours.register("defer_twice")
+async def defer_and_duplicate(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Refuse as ``defer`` does, and prepare a duplicate of the response for ``late``."""
+    await defer(origin, exchange, body)
+    fields = [*rejection_headers(exchange), (b"content-length", b"0")]
+    origin.duplicate_response = exchange.channel, encode_head(503, fields)
+
+
+@behaviours.register("shed_unnamed")
+async def shed_unnamed(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Refuse the request without running it and without naming it."""
+    await exchange.respond(503, [(names.NOT_RUN, b"1")])
+
+
+@behaviours.register("shed_unnamed_twice")
+async def shed_unnamed_and_duplicate(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Refuse as ``shed_unnamed`` does, and prepare a duplicate for the behaviour ``late``."""
+    await shed_unnamed(origin, exchange, body)
+    fields = [(names.NOT_RUN, b"1"), (b"content-length", b"0")]
+    origin.duplicate_response = exchange.channel, encode_head(503, fields)
 
 
 @behaviours.register("shed_leaving")
 async def shed_as_leaving(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Refuse the request without running it, and say that the endpoint shuts down."""
     leaving = (names.LEAVING, names.LEAVING_VALUE)
-    await exchange.respond(503, [(names.NOT_RUN, b"1"), leaving])
+    await exchange.respond(503, [*rejection_headers(exchange), leaving])
 
 
 @behaviours.register("fail")
@@ -121,14 +150,19 @@
         return
     origin.record_run(exchange, body)
     await exchange.respond(200, origin.response_headers(exchange), origin.own_body(exchange))
-    origin.duplicate_response = origin.encode_response(exchange, b"stale")
+    duplicate = origin.encode_response(exchange, b"stale")
+    origin.duplicate_response = exchange.channel, duplicate
 
 
 @behaviours.register("late")
 async def send_duplicate_first(origin: Origin, exchange: Exchange, body: bytes) -> None:
-    """Send the duplicate response to an earlier request, then run this one."""
-    duplicate, origin.duplicate_response = origin.duplicate_response, b""
-    await exchange.channel.sock.sendall(duplicate)
+    """Send the duplicate response to an earlier request, then run this one.
+
+    Only a request on the connection of the earlier one gets it.
+    """
+    if origin.duplicate_response is not None and origin.duplicate_response[0] is exchange.channel:
+        await exchange.channel.sock.sendall(origin.duplicate_response[1])
+        origin.duplicate_response = None
     await run_without_fault(origin, exchange, body)
 
 
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -11,7 +11,7 @@
 import curio
 import msgspec
 
-from ...http import Exchange, Server, cancel_on_disconnect, header
+from ...http import Channel, Exchange, Server, cancel_on_disconnect, header
 from ...node import refuse
 from ...registry import Registry
 from .. import names
@@ -72,7 +72,8 @@
     :param limit: requests per second that each response names as the endpoint's limit.
     :param load: value of the header in which each response states the endpoint's load, if any.
     :param retry_after: seconds in the responses of the behaviour ``defer``.
-    :ivar duplicate_response: duplicate response that the behaviour ``late`` sends first.
+    :ivar duplicate_response: connection and content of a duplicate response that the behaviour
+        ``late`` sends first.
     :param crashing_parts: ids of prompt parts on which the endpoint crashes when it begins to
         write its answer.
     :param version: version of its software, which each event of a stream names.
@@ -99,7 +100,7 @@
     runs: list[Run] = field(default_factory=list)
     arrivals: int = 0
     stopped: int = 0
-    duplicate_response: bytes = b""
+    duplicate_response: tuple[Channel, bytes] | None = None
     crashing_parts: frozenset[str] = frozenset()
     version: str = ""
     cold_until: float | None = None
@@ -142,7 +143,9 @@
         body = await exchange.body()
         expected = header(exchange.headers, names.EXPECTED_ENDPOINT).decode()
         if expected not in ("", self.name):
-            await exchange.respond(421, [(names.ENDPOINT, self.name.encode())])
+            request_id = header(exchange.headers, names.ATTEMPT_ID)
+            fields = [(names.ENDPOINT, self.name.encode()), (names.ATTEMPT_ID, request_id)]
+            await exchange.respond(421, fields)
             return
         if exchange.path == names.CACHE_LIST_PATH:
             self.list_calls += 1
