Ask the store before a stream goes on at the only version

Cause: "one version only" rested on messages heard within 2.2 s, whose time was that of their reading. A router that stood still reads old datagrams and old answers first, and counted them as new. Answers of the store about the configuration counted as contact, too.

Change: the router asks the store for the versions before it continues a stream that it has no record of, at most once in 0.5 s, by a clock that runs while the VM is suspended. Without an answer, the former rule holds, but not within 4.4 s after a stall. Only answers about endpoints count as contact.

Tests changed: cut_off of the harness also stops pulls of state, through which a router that was cut off learned the new version; a test that shortens the settling time shortens the validity of another router's watch with it.

--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -11,6 +11,7 @@
 from ..http import listen
 from ..turns import Turns
 from .cache_listing import CacheListing
+from .clocks import StallDetector, boot_time
 from .cold_reports import ColdReports
 from .endpoints import PeerLoad
 from .evacuations import OwnWatch
@@ -60,6 +61,7 @@
         self.caches = CacheListing(node, self.peers)
         self.own_watch = OwnWatch(node.rng.random())
         self.paces = PaceReports(node)
+        self.stalls = StallDetector(boot_time())
         self.sock = None
 
     async def run(self) -> None:
@@ -82,6 +84,7 @@
 
     async def tick(self) -> None:
         """Send due datagrams, probe routers that are not alive, and pull missing state."""
+        self.stalls.tick(boot_time())
         now = time.monotonic()
         alive = self.peers.alive(now)
         self.node.budget.router_count = len(self.peers.by_address) + 1
--- a/src/hickorylever/direct/registration.py
+++ b/src/hickorylever/direct/registration.py
@@ -13,12 +13,17 @@
 
 from ..events import Event, log
 from ..exceptions import Conflict, HickoryleverError
+from .clocks import boot_time
 from .hashes import name_hash
 from .peer_protocol import SuspectUpdate
 from .records import StoredObject
 from .versions import VersionUpdate
 
 REGISTER_RETRY_SECONDS = 1.0
+# Validity of what the store said of versions. With `peer_table.WATCHING_LIFETIME_SECONDS`, after
+# which another router writes a new version to it, it must stay below `versions.SETTLE_SECONDS`.
+CONFIRMATION_SECONDS = 0.5
+CONFIRMATION_TIMEOUT_SECONDS = 0.3  # A caller waits for it.
 FACTS_POLL_SECONDS = 0.1  # Between checks whether facts have changed.
 DECODE_ERRORS = (msgspec.DecodeError, msgspec.ValidationError, KeyError, TypeError)
 
@@ -36,6 +41,10 @@
     :ivar era: of the store that this router was last registered in.
     :ivar stored: names of the facts' objects that this router found in the store or wrote there.
     :ivar known: names of the facts' objects that the store may hold, whoever wrote them.
+    :ivar asked_at: when the store was last asked to confirm the versions, by :func:`.boot_time`,
+        or None.
+    :ivar confirmed: whether it answered then.
+    :ivar confirming: held while it is asked.
     """
 
     def __init__(self, node, peers, rank: int):
@@ -45,6 +54,9 @@
         self.era = 0
         self.stored: set[str] = set()
         self.known: set[str] = set()
+        self.asked_at: float | None = None
+        self.confirmed = False
+        self.confirming = curio.Lock()
 
     async def run(self) -> None:
         """Keep this router registered in the store, and the facts stored, until cancelled."""
@@ -100,6 +112,38 @@
         history.complete = True
         return updates
 
+    async def confirm_versions(self) -> None:
+        """Learn from the store of versions that this router has missed, unless it just has.
+
+        Without it, a router that was cut off or stood still may believe that it is up to date.
+        """
+        node = self.node
+        async with self.confirming:
+            if self.asked_within(CONFIRMATION_SECONDS):
+                return
+            self.asked_at = boot_time()
+            self.confirmed = False
+            try:
+                async with curio.timeout_after(CONFIRMATION_TIMEOUT_SECONDS):
+                    listing = await node.store.list_kind(node.codec.ROUTERS)
+            except (HickoryleverError, curio.TaskTimeout) as error:
+                log(Event.STORE_LOST, repr(error), kind="versions", position="")
+                return
+            now = time.monotonic()
+            await node.peer_sync.streams.records.load(listing.objects, now)
+            versions = parse_facts(listing.objects, VersionUpdate)
+            self.record_stored(versions)
+            node.directory.versions.confirm(versions.values(), now)
+            self.confirmed = True
+
+    def asked_within(self, seconds: float) -> bool:
+        """Return whether the store was asked to confirm the versions lately."""
+        return self.asked_at is not None and boot_time() - self.asked_at <= seconds
+
+    def is_confirmed(self) -> bool:
+        """Return whether no stream can have begun at a version that this router doesn't know."""
+        return self.confirmed and self.asked_within(CONFIRMATION_SECONDS)
+
     def record_stored(self, names: Iterable[str]) -> None:
         """Record the names of facts' objects that the store holds."""
         self.stored.update(names)
--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -9,6 +9,7 @@
 from ..exceptions import Kind, Ran, RequestError
 from .availability import longest_retry_after
 from .call import Call
+from .clocks import boot_time
 from .crash_checks import check_idle
 from .endpoints import Endpoint
 from .hashes import name_hash
@@ -68,7 +69,8 @@
         """Set the service and the version of a caller's stream, and return how they are known."""
         streams = self.node.peer_sync.streams
         await self.wait_for_records()
-        if record := self.apply_record(call):
+        record = self.apply_record(call) or await self.confirm_record(call)
+        if record is not None:
             stored = record.known_by is KnownBy.STORE
             return KnownFrom.STORED_RECORD if stored else KnownFrom.OWN_RECORD
         call.version = self.only_version(call.service.name)
@@ -78,6 +80,18 @@
             await streams.ask(list(self.keys(call).values()), self.node.peer_sync.broadcast)
         return KnownFrom.OTHER_ROUTER if self.apply_record(call) else KnownFrom.NOBODY
 
+    async def confirm_record(self, call: Call) -> StreamRecord | None:
+        """Ask the store for versions and streams that this router has missed.
+
+        It is not asked where several versions are known already. Return the record of the stream
+        that a call resumes, if there is one now.
+        """
+        possible = self.node.directory.versions.possible(call.service.name, time.monotonic())
+        if len(possible) != 1:
+            return None
+        await self.node.peer_sync.registration.confirm_versions()
+        return self.apply_record(call)
+
     async def wait_for_records(self) -> None:
         """Wait until the records in the store are loaded, for a short time after the start.
 
@@ -118,10 +132,20 @@
         now = time.monotonic()
         versions = self.node.directory.versions
         possible = versions.possible(service, now)
-        if len(possible) != 1 or not versions.knows_all(service, now) or not self.is_current(now):
+        if len(possible) != 1 or not versions.knows_all(service, now):
+            return None
+        if not (self.node.peer_sync.registration.is_confirmed() or self.is_up_to_date(now)):
             return None
         return next(iter(possible))
 
+    def is_up_to_date(self, now: float) -> bool:
+        """Return whether :meth:`is_current` holds, and not because of messages that are old.
+
+        A router that stood still reads what arrived meanwhile as if it were new.
+        """
+        stalls = self.node.peer_sync.stalls
+        return self.is_current(now) and not stalls.stalled_within(2 * CONTACT_SECONDS, boot_time())
+
     def is_current(self, now: float) -> bool:
         """Return whether this router has learned of all changes of endpoints."""
         node = self.node
@@ -131,13 +155,13 @@
     def in_contact(self, now: float) -> bool:
         """Return whether the store or enough other routers were heard lately.
 
-        Answers about evacuations come often, also while those about endpoints stay out.
+        Answers about other objects may come while those about endpoints stay out.
         """
         node = self.node
-        heard_store = any(
+        heard_store = node.peer_sync.registration.is_confirmed() or any(
             watcher.heard_within(CONTACT_SECONDS, now)
             for watcher in node.store_watchers
-            if watcher.kind != node.codec.EVACUATIONS
+            if watcher.kind == node.codec.ENDPOINTS
         )
         return heard_store or node.peer_sync.peers.in_contact(now)
 
--- a/src/hickorylever/direct/versions.py
+++ b/src/hickorylever/direct/versions.py
@@ -62,6 +62,18 @@
             self.appeared |= {(service, version): now for version in after - before}
         self.present = present
 
+    def confirm(self, updates: Iterable[VersionUpdate], now: float) -> None:
+        """Add the versions that the store holds, which are all that there have been.
+
+        It does not say when they were last there. A router that has missed nothing knows this
+        itself.
+        """
+        known = set(self.all_possible(now)) if self.complete else ()
+        self.add(
+            [update for update in updates if (update.service, update.version) not in known], now
+        )
+        self.complete = True
+
     def add(self, updates: Iterable[VersionUpdate], now: float) -> None:
         """Add versions that another router knows of, or that the store holds."""
         for update in updates:
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -83,6 +83,7 @@
 
         node.peer_sync.send = lose
         node.peer_sync.handle_datagram = lose
+        node.peer_sync.pulls.start_pull = lose
         for watcher in node.store_watchers:
             watcher.on_listing = watcher.on_changes = lambda *_: None
             watcher.record_success = lambda: None
--- a/tests/test_stream_fleet.py
+++ b/tests/test_stream_fleet.py
@@ -78,6 +78,7 @@
     monkeypatch.setattr(versions, "SETTLE_SECONDS", 0.3)
     monkeypatch.setattr("hickorylever.direct.resumption.CONTACT_SECONDS", 0.2)
     monkeypatch.setattr("hickorylever.direct.peer_table.CONTACT_SECONDS", 0.2)
+    monkeypatch.setattr("hickorylever.direct.peer_table.WATCHING_LIFETIME_SECONDS", 0.1)
 
     async def scenario(fleet):
         cut, node = fleet.nodes
