Decode each object of the store by itself

Cause: the decoder reads through the raw objects of a page, so that half a character or deep nesting in one failed the whole response, the latter with a RecursionError that ended the watching task. Numbers had no bounds: a start of 400 digits was accepted, and no datagram can hold it.

Change: a response that can't be decoded as a whole is split into its objects, which are decoded one by one. DECODE_ERRORS covers nesting and text for all decoders of content from outside. Numbers and names of entries have bounds.

--- a/src/hickorylever/addresses.py
+++ b/src/hickorylever/addresses.py
@@ -9,7 +9,7 @@
     :raises ValueError: if the text is not of this form.
     """
     address, _, port = text.rpartition(":")
-    if not address:
+    if not address or not (port.isascii() and port.isdigit()):
         raise ValueError(f"{text!r} is not address:port")
     return address, int(port)
 
--- a/src/hickorylever/direct/cache_listing.py
+++ b/src/hickorylever/direct/cache_listing.py
@@ -12,6 +12,7 @@
 import curio
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..events import Event, log
 from ..exceptions import ConnectionLost, ContentError, Kind, RequestError
 from ..http import Channel, Client, Exchange
@@ -34,7 +35,6 @@
 PULL_TIMEOUT_SECONDS = 3.0  # A slow link may have to serve all other routers.
 MAX_PULLED_PARTS = 1024  # Of each engine, so that all engines' parts pass a slow link quickly.
 MAX_HASH_DIGITS = 10  # Of a 32-bit number.
-DECODE_ERRORS = (msgspec.DecodeError, ContentError)
 
 
 class CachedParts(msgspec.Struct, array_like=True):
@@ -241,7 +241,7 @@
                 raise ConnectionLost(f"status {status}")
             caches = msgspec.msgpack.decode(decompress(body), type=list[CachedParts])
             self.apply_pulled(address, caches)
-        except (ConnectionLost, curio.TaskTimeout, *DECODE_ERRORS) as error:
+        except (ConnectionLost, curio.TaskTimeout, ContentError, *DECODE_ERRORS) as error:
             self.plan.record_failed_pull(keys)
             log(Event.SOURCE_FAILED, repr(error), peer=address)
         finally:
--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -3,10 +3,10 @@
 import time
 
 import curio
-import msgspec
 from curio import socket
 
 from .. import defaults
+from ..decoding import DECODE_ERRORS
 from ..events import Event, log, logger
 from ..http import listen
 from ..turns import Turns
@@ -36,7 +36,7 @@
 TICK_SECONDS = 0.02
 DATAGRAM_BUFFER_BYTES = 65536
 MAX_ADDRESSES_PER_DATAGRAM = 64
-DECODE_ERRORS = (msgspec.DecodeError, TypeError, ValueError)
+DATAGRAM_ERRORS = (*DECODE_ERRORS, TypeError, ValueError)
 
 
 class PeerSync:
@@ -172,7 +172,7 @@
             data, (address, _) = await self.sock.recvfrom(DATAGRAM_BUFFER_BYTES)
             try:
                 await self.handle_datagram(address, decode(data))
-            except DECODE_ERRORS as error:
+            except DATAGRAM_ERRORS as error:
                 log(Event.NEWS_REJECTED, str(error), peer=address)
             except Exception:
                 fields = {"event": Event.INTERNAL_ERROR, "fields": {"peer": address}}
--- a/src/hickorylever/direct/registration.py
+++ b/src/hickorylever/direct/registration.py
@@ -11,6 +11,7 @@
 import curio
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..events import Event, log
 from ..exceptions import Conflict, HickoryleverError
 from .clocks import boot_time
@@ -25,7 +26,7 @@
 CONFIRMATION_SECONDS = 0.5
 CONFIRMATION_TIMEOUT_SECONDS = 0.3  # A caller waits for it.
 FACTS_POLL_SECONDS = 0.1  # Between checks whether facts have changed.
-DECODE_ERRORS = (msgspec.DecodeError, msgspec.ValidationError, KeyError, TypeError)
+FACT_ERRORS = (*DECODE_ERRORS, KeyError, TypeError)
 
 
 class Registration:
@@ -293,7 +294,7 @@
     """
     facts = {}
     for stored in objects:
-        with contextlib.suppress(*DECODE_ERRORS):
+        with contextlib.suppress(*FACT_ERRORS):
             values = msgspec.json.decode(stored.spec)[FACT_FIELDS[kind]]
             facts[stored.name] = msgspec.convert(
                 [*values[: len(kind.__struct_fields__) - 1], 0], kind
@@ -305,5 +306,5 @@
     """Return the IP address in a router's object, or an empty string when it is malformed."""
     try:
         return str(msgspec.json.decode(stored.spec)["address"])
-    except DECODE_ERRORS:
+    except FACT_ERRORS:
         return ""
--- a/src/hickorylever/direct/state_pulls.py
+++ b/src/hickorylever/direct/state_pulls.py
@@ -7,6 +7,7 @@
 import curio
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..events import Event, log
 from ..exceptions import (
     PROBLEM_TYPES,
@@ -146,7 +147,7 @@
                 raise ConnectionLost(f"status {status}")
             self.apply_state(address, msgspec.msgpack.decode(decompress(body), type=State))
             self.synced = True
-        except (ConnectionLost, curio.TaskTimeout, msgspec.DecodeError, ContentError) as error:
+        except (ConnectionLost, curio.TaskTimeout, ContentError, *DECODE_ERRORS) as error:
             log(Event.SOURCE_FAILED, repr(error), peer=address)
         finally:
             self.pulling = False
--- a/src/hickorylever/direct/stream_records.py
+++ b/src/hickorylever/direct/stream_records.py
@@ -16,6 +16,7 @@
 import curio
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..events import Event, log
 from ..exceptions import Conflict, HickoryleverError
 from .peer_table import Peer, PeerTable
@@ -279,7 +280,7 @@
                 continue
             try:
                 segment = msgspec.json.decode(stored.spec, type=StoredSegment)
-            except msgspec.DecodeError as error:
+            except DECODE_ERRORS as error:
                 log(Event.OBJECT_REJECTED, f"segment {stored.name!r}: {error}")
                 continue
             updates = decode_streams(segment)
@@ -307,7 +308,7 @@
     """Return the streams of a segment; malformed ones are left out."""
     updates = []
     for raw in segment.streams:
-        with contextlib.suppress(msgspec.DecodeError):
+        with contextlib.suppress(*DECODE_ERRORS):
             stored = msgspec.json.decode(raw, type=StoredStream)
             updates.append(
                 StreamUpdate(
--- a/src/hickorylever/direct/where.py
+++ b/src/hickorylever/direct/where.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..exceptions import ContentError, Kind, Ran, RequestError
 from ..http import Exchange
 from .availability import wait_until
@@ -67,7 +68,7 @@
             content = await exchange.body(MAX_QUESTION_BYTES)
             question = msgspec.json.decode(content, type=Question)
             report = await self.report(question)
-        except (msgspec.DecodeError, UnicodeDecodeError, ContentError) as error:
+        except (*DECODE_ERRORS, ContentError) as error:
             await exchange.respond(400, body=msgspec.json.encode({"error": str(error)}))
             return
         fields = [(b"content-type", b"application/json")]
--- a/src/hickorylever/platform/caches.py
+++ b/src/hickorylever/platform/caches.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
+from ..decoding import DECODE_ERRORS
 from ..direct.records import PromptPart
 from ..exceptions import ContentError
 
-DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 MAX_PART_TOKENS = 999_999_999  # As many digits as in the header with a prompt's parts.
 PartId = Annotated[str, msgspec.Meta(pattern=r"\A[0-9a-fA-F]{1,32}\Z")]
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_PART_TOKENS)]
--- a/src/hickorylever/platform/documents.py
+++ b/src/hickorylever/platform/documents.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..addresses import is_ipv4_address, split_address
+from ..decoding import DECODE_ERRORS
 from ..direct.position import Position
 from ..direct.records import (
     Account,
@@ -25,7 +26,6 @@
 SECONDS_PER_MILLISECOND = 0.001
 MAX_CACHED_ROUTES = 8192
 MAX_PORT = 65535
-MAX_DOMAIN_LENGTH = 253  # Characters in the name of a failure domain.
 
 ROUTE_KINDS = {
     "safe": RouteKind.IDEMPOTENT,
@@ -33,8 +33,15 @@
     "streaming": RouteKind.STREAM,
 }
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
-Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+MAX_COUNT = 2**31 - 1
+MAX_UNIX_MS = 2**53 - 1  # Other JSON decoders keep whole numbers up to this exactly.
+MAX_MILLISECONDS = 86_400_000.0
+MAX_NAME_LENGTH = 253
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
+UnixMilliseconds = Annotated[int, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 
 
 class Wire(msgspec.Struct, rename="kebab", frozen=True):
@@ -129,14 +136,14 @@
     `born` is its start as Unix time in ms, `version` that of its software.
     """
 
-    service: str
-    address: str
-    zone: str
-    version: str
+    service: Name
+    address: Name
+    zone: Name
+    version: Name
     max_batch_size: Count
-    state: str
+    state: Name
     warmup_left_ms: Milliseconds | None = None
-    born: int | None = None
+    born: UnixMilliseconds | None = None
 
 
 route_decoder = msgspec.json.Decoder(WireRoute)
@@ -151,7 +158,7 @@
     try:
         wire = msgspec.json.decode(spec, type=WireConfiguration)
         routes = tuple(decode_route(bytes(route)) for route in wire.routes)
-    except (msgspec.DecodeError, KeyError, ValueError) as error:
+    except (*DECODE_ERRORS, KeyError, ValueError) as error:
         raise ContentError(f"invalid configuration: {error}") from None
     limits = wire.limits
     accounts = None
@@ -217,10 +224,12 @@
 
     :raises ContentError: if a field is missing or invalid.
     """
+    if not is_endpoint_name(name):
+        raise ContentError(f"endpoint with the invalid name {name!r}")
     try:
         wire = msgspec.json.decode(spec, type=WireEndpoint)
         address, port = split_address(wire.address)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (*DECODE_ERRORS, ValueError) as error:
         raise ContentError(f"endpoint {name!r}: {error}") from None
     if not is_ipv4_address(address) or not 0 < port <= MAX_PORT:
         raise ContentError(f"endpoint {name!r}: invalid address {wire.address!r}")
@@ -241,6 +250,16 @@
     )
 
 
+def is_endpoint_name(name: str) -> bool:
+    """Return whether a name can be that of an endpoint, which requests carry in a header."""
+    return (
+        0 < len(name) <= MAX_NAME_LENGTH
+        and name.isascii()
+        and name.isprintable()
+        and " " not in name
+    )
+
+
 def decode_evacuation(name: str) -> str:
     """Return the failure domain that the object of an evacuation names.
 
@@ -248,6 +267,6 @@
 
     :raises ContentError: if the name can't be that of a failure domain.
     """
-    if not 0 < len(name) <= MAX_DOMAIN_LENGTH or not name.isprintable() or " " in name:
+    if not 0 < len(name) <= MAX_NAME_LENGTH or not name.isprintable() or " " in name:
         raise ContentError(f"evacuation of the invalid failure domain {name!r}")
     return name
--- a/src/hickorylever/platform/store.py
+++ b/src/hickorylever/platform/store.py
@@ -14,6 +14,7 @@
 from ..http import Client, Headers
 from . import names
 from .headers import read_era
+from .pages import WireChanges, WireListing, WireObject, decode_page
 
 CALL_TIMEOUT_SECONDS = 1.5
 MAX_LIST_PAGES = 200
@@ -21,42 +22,6 @@
 NO_EFFECT_STATUSES = (429, 503)  # The store rejects a call with these before it has any effect.
 
 
-class WireMeta(msgspec.Struct, rename="kebab"):
-    """Name of an object and the revision of its last change."""
-
-    name: str
-    revision: int = 0
-
-
-class WireObject(msgspec.Struct):
-    """A stored object. `spec` is written by its owner; its status is not read."""
-
-    metadata: WireMeta
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class WireListing(msgspec.Struct, rename="kebab"):
-    """A page of a list. `at` is the revision of the store."""
-
-    items: list[WireObject]
-    has_more: bool = False
-    at: int = 0
-
-
-class WireEvent(msgspec.Struct):
-    """A change of an object."""
-
-    object: WireObject
-    deleted: bool = False
-
-
-class WireChanges(msgspec.Struct):
-    """Response to a watch call: the changes up to the revision `at`."""
-
-    events: list[WireEvent]
-    at: int
-
-
 @dataclass(frozen=True, slots=True)
 class Reply:
     """Response of the store.
@@ -169,7 +134,7 @@
         target = self.target(kind)
         for _ in range(MAX_LIST_PAGES):
             reply = await self.call("list", "GET", target)
-            page = decode(reply.content, WireListing)
+            page = decode_page(reply.content, WireListing)
             position = position or Position(reply.era, page.at)
             if reply.era != position.era:
                 raise HistoryLost(f"{kind}: the store was restored while it was listed")
@@ -192,7 +157,7 @@
         reply = await self.call("watch", "GET", target, wait=wait)
         if reply.era != since.era:
             raise HistoryLost(f"{kind}: the store was restored during the watch")
-        changes = decode(reply.content, WireChanges)
+        changes = decode_page(reply.content, WireChanges)
         objects = [
             convert_object(event.object, reply.era, event.deleted) for event in changes.events
         ]
@@ -213,14 +178,3 @@
         :raises LostReply: if the call fails but may have taken effect.
         """
         await self.call("delete", "DELETE", self.target(kind, name))
-
-
-def decode(content: bytes, kind: type):
-    """Return a decoded response.
-
-    :raises PlatformError: if it is not valid JSON of the given type.
-    """
-    try:
-        return msgspec.json.decode(content, type=kind)
-    except msgspec.DecodeError as error:
-        raise PlatformError(f"invalid response from the store: {error}") from None
