Record and ask for streams of routes that are split between services

Change: streams of such routes are recorded and asked for like those of a service with two versions.

--- a/src/hickorylever/direct/resumption.py
+++ b/src/hickorylever/direct/resumption.py
@@ -14,6 +14,7 @@
 from .endpoints import Endpoint
 from .hashes import name_hash
 from .peer_table import CONTACT_SECONDS
+from .routes import used_services
 from .streams import KnownBy, StreamRecord, stream_key
 
 UNLIMITED_STREAM_SECONDS = 600.0  # For which a stream without a time limit is remembered.
@@ -73,7 +74,8 @@
         if record is not None:
             stored = record.known_by is KnownBy.STORE
             return KnownFrom.STORED_RECORD if stored else KnownFrom.OWN_RECORD
-        call.version = self.only_version(call.service.name)
+        if len(used_services(call.route)) == 1:
+            call.version = self.only_version(call.service.name)
         if call.version is not None:
             return KnownFrom.ONLY_VERSION
         if call.info.resumes:
@@ -87,7 +89,7 @@
         that a call resumes, if there is one now.
         """
         possible = self.node.directory.versions.possible(call.service.name, time.monotonic())
-        if len(possible) != 1:
+        if len(possible) != 1 or len(used_services(call.route)) != 1:
             return None
         await self.node.peer_sync.registration.confirm_versions()
         return self.apply_record(call)
@@ -107,9 +109,8 @@
     def keys(self, call: Call) -> dict[str, int]:
         """Return the keys of the stream that a call resumes, by the services of its route."""
         return {
-            weighted.service: stream_key(call.account_name, weighted.service, call.info.resumes)
-            for weighted in call.route.weighted_services
-            if weighted.weight > 0
+            service: stream_key(call.account_name, service, call.info.resumes)
+            for service in used_services(call.route)
         }
 
     def apply_record(self, call: Call) -> StreamRecord | None:
@@ -174,13 +175,16 @@
             self.node.directory.versions.complete = False
 
     def uncertain_services(self, now: float) -> set[str]:
-        """Return the services whose streams may have been begun by one of several versions."""
+        """Return the services whose streams may have been begun by one of several versions.
+
+        Other services that share a route are such versions, too.
+        """
         versions = self.node.directory.versions
         if not versions.complete or not self.is_current(now):
             return set(self.node.directory.pools)
-        return versions.incomplete_services(now).union(
-            service for service, _ in versions.mixed(now)
-        )
+        mixed = {service for service, _ in versions.mixed(now)}
+        split = self.node.routes.split_services if self.node.routes else ()
+        return versions.incomplete_services(now).union(mixed, split)
 
     def unsettled_endpoints(self, call: Call) -> set[str]:
         """Return the names of the endpoints at which a new stream should not begin yet."""
--- a/src/hickorylever/direct/routes.py
+++ b/src/hickorylever/direct/routes.py
@@ -7,7 +7,10 @@
 
 
 class RouteTable:
-    """Looks up the routes, services and client accounts of a configuration."""
+    """Looks up the routes, services and client accounts of a configuration.
+
+    :ivar split_services: names of the services that share a route for resumable streams.
+    """
 
     def __init__(self, configuration: Configuration):
         self.configuration = configuration
@@ -18,6 +21,13 @@
         self.services: dict[str, Service] = {
             service.name: service for service in configuration.services
         }
+        self.split_services: frozenset[str] = frozenset().union(
+            *(
+                names
+                for route in configuration.routes
+                if route.resumable and len(names := used_services(route)) > 1
+            )
+        )
         accounts = configuration.accounts
         self.requires_key = accounts is not None
         self.accounts: dict[str, Account] = {
@@ -64,3 +74,8 @@
     def service(self, name: str) -> Service:
         """Return a service by its name."""
         return self.services.get(name) or Service(name, "", 0)
+
+
+def used_services(route: Route) -> list[str]:
+    """Return the names of the services that requests of a route go to."""
+    return [weighted.service for weighted in route.weighted_services if weighted.weight > 0]
--- a/tests/test_stream_fleet.py
+++ b/tests/test_stream_fleet.py
@@ -12,6 +12,7 @@
     configuration,
     entry,
     quarantine_a_part,
+    route,
     versions_in,
 )
 from stream_fleet import (
@@ -123,6 +124,37 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("ended", [False, True])
+def test_a_stream_of_a_split_route_goes_on_at_the_service_that_began_it(ended):
+    """Each service has one version, and the router would take that of the service that it draws.
+
+    The router that began the stream may have ended.
+    """
+
+    async def scenario(fleet):
+        for number in (2, 3):
+            fleet.origins[number].version = "v2"
+            content = entry(fleet.ports[number], service="others", version="v2", born=2)
+            await fleet.store.put("servers", f"i-{number}", content)
+        backends = [{"service": "engines", "weight": 1}, {"service": "others", "weight": 1}]
+        split = route("resumable/stream", "streaming", None, resumable=True, backends=backends)
+        await fleet.store.put("config", "main", configuration(version=2, routes=[split]))
+        for node in fleet.nodes:
+            await fleet.until(lambda node=node: len(node.directory.pool("others")) == 2)
+            await fleet.until(lambda node=node: node.configuration_state.version == 2)
+        first_node, *others = fleet.nodes
+        first_node.rng.choices = lambda services, weights: [services[0]]
+        first = await fleet.begin(first_node)
+        if ended:
+            await curio.sleep(2 * peer_sync.TICK_SECONDS)
+            await fleet.end(first_node)
+        for node in others:
+            node.rng.choices = lambda services, weights: [services[1]]
+            assert_whole(first, await fleet.resume(node, first))
+
+    play(scenario, 3, names=("v1",) * 4)
+
+
 @pytest.mark.parametrize(
     "fields",
     [
