Tell other routers of endpoints that a list lacks

Cause: routers tell each other by positions that they know something later. A removal that a list shows has no position of its own, and raised none.

Change: the position of the list counts if an endpoint is missing in it.

Evidence: both cases of the new test wait in vain for the removal before."

--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -86,6 +86,9 @@
         A restored store lacks what was written after the copy was made. Endpoints that are missing
         from the first list of an era are therefore kept as after an outage.
 
+        The list does not say when a missing entry was removed. The position of the list counts, so
+        that other routers learn of the removal.
+
         :param keep_missing: whether endpoints missing from the list stay for
             `MISSING_GRACE_SECONDS`, since their entries may have expired during an outage of the
             store.
@@ -96,9 +99,11 @@
         present = {entry.name for entry in listing.objects}
         for entry in listing.objects:
             self.apply(entry, now)
-        for name in [name for name in self.endpoints if name not in present]:
+        missing = [name for name in self.endpoints if name not in present]
+        for name in missing:
             self.mark_missing(name, now, keep_missing or restored)
-        self.latest = max(self.latest, Position(listing.position.era, 0))
+        changed_at = listing.position if missing else Position(listing.position.era, 0)
+        self.latest = max(self.latest, changed_at)
         self.change_log.clear()
         self.change_log_start = self.latest
         self.rebuild_indexes(now)
--- a/tests/test_peer_sync.py
+++ b/tests/test_peer_sync.py
@@ -13,7 +13,8 @@
 from hickorylever.direct.node import Node, create_store_watchers
 from hickorylever.direct.outbox import Outbox
 from hickorylever.direct.peer_protocol import CrashUpdate
-from hickorylever.direct.records import PromptPart
+from hickorylever.direct.position import Position
+from hickorylever.direct.records import Listing, PromptPart
 from hickorylever.direct.registration import router_object_name
 
 PEER_PORT = 18473
@@ -128,6 +129,25 @@
     play(scenario, 3)
 
 
+@pytest.mark.parametrize("after_outage", [False, True])
+def test_a_removal_that_a_list_shows_reaches_the_other_routers(after_outage):
+    """The store lost its history; those that don't call it would send on to the endpoint."""
+
+    async def scenario(fleet):
+        isolated = await fleet.start(7, seeds=[f"{NETWORK}.1"], store_port=1)
+        await fleet.until(isolated.ready)
+        watcher = fleet.nodes[0]
+        objects = [stored for stored in watcher.directory.stored_objects() if stored.name == "i-0"]
+        await fleet.store.put("config", "main", configuration(version=8))
+        position = Position(watcher.directory.latest.era, fleet.store.revision)
+        fleet.store.objects.pop(("servers", "i-1"))
+        watcher.apply_endpoint_listing(Listing(tuple(objects), position), after_outage)
+        await fleet.until(lambda: "i-1" not in watcher.directory.endpoints)
+        await fleet.until(lambda: "i-1" not in isolated.directory.endpoints)
+
+    play(scenario, 1)
+
+
 def test_a_router_without_the_store_gets_changes_from_other_routers(monkeypatch):
     async def scenario(fleet):
         isolated = await fleet.start(7, seeds=[f"{NETWORK}.1"], store_port=1)
