Forget expired routers also while this router does not watch the store

Found by reading: since the first router that watches the store deletes the objects of expired ones, the others kept their list of them for ever, and one that began to watch later would have deleted the object of a router that had registered again. The list is taken at each tick, as before.

--- a/src/hickorylever/direct/peer_sync.py
+++ b/src/hickorylever/direct/peer_sync.py
@@ -100,7 +100,8 @@
         if unreachable:
             addresses = [peer.address for peer in alive][:MAX_ADDRESSES_PER_DATAGRAM]
             await self.broadcast(unreachable, answer_wanted=True, routers=addresses)
-        for address in self.peers.take_expired(self.rank, now) if self.watching() else ():
+        expired = self.peers.take_expired(self.rank, now)
+        for address in expired if self.watching() else ():
             await curio.spawn(self.registration.delete, address, daemon=True)
         await self.pulls.catch_up(now, alive)
         await self.caches.tick(now, alive)
