--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -9,10 +9,12 @@
 import curio
 import h11
 
+from ..events import Event, log
 from ..exceptions import ConnectionLost, InconsistentResponse, PeerRefused, PeerTimeout
 from ..http import Channel, Client, ClientResponse, header
 from .endpoints import Endpoint
 from .records import AnswerInfo
+from .sends import Send
 from .sse import EventParser
 from .timeouts import RETRY_CHECK_INTERVAL_SECONDS, ResponseTimeouts
 
@@ -84,9 +86,8 @@
     :param on_head: called with what the head of the response says.
     :param on_begun: called when the endpoint has written much of its answer.
     :param before_body: awaited before a complete body is read.
-    :param used_channels: connections on which the request was sent before, to which this attempt
-        adds its own. All attempts have the same request id, so that only the connection tells
-        which of them a response is meant for.
+    :param sends: earlier sends of the request, to which this attempt adds its own. All have the
+        same request id, so that only the connection tells which of them a response is meant for.
     """
 
     def __init__(
@@ -102,7 +103,7 @@
         on_head: Callable[[AnswerInfo], None] = lambda info: None,
         on_begun: Callable[[], None] = lambda: None,
         before_body: Callable[[ClientResponse], Awaitable[None]] | None = None,
-        used_channels: list[Channel] | None = None,
+        sends: list[Send] | None = None,
     ):
         self.client = client
         self.endpoint = endpoint
@@ -115,9 +116,9 @@
         self.on_head = on_head
         self.on_begun = on_begun
         self.before_body = before_body
-        self.used_channels = [] if used_channels is None else used_channels
+        self.sends = [] if sends is None else sends
+        self.send: Send | None = None
         self.begun = False
-        self.sent = False
         self.channel: Channel | None = None
 
     async def run(self) -> Outcome:
@@ -151,7 +152,7 @@
 
     def failure_result(self) -> Result:
         """Return the result of an attempt whose connection failed."""
-        if not self.sent:
+        if self.send is None:
             return Result.NOT_SENT
         return Result.BROKEN if self.stream is not None and self.stream.started else Result.LOST
 
@@ -173,13 +174,13 @@
             entry.port,
             max_idle=float("inf") if self.repeatable else MAX_IDLE_SECONDS,
             timeout=ENDPOINT_CONNECT_SECONDS,
-            avoid=self.used_channels,
+            avoid=[send.channel for send in self.sends],
         )
         if not self.endpoint.wants_requests(time.monotonic()):
             raise ConnectionLost("the endpoint wants no requests since it was chosen")
         upstream_request = self.upstream_request
-        self.sent = True
-        self.used_channels.append(self.channel)
+        self.send = Send(self.channel, self.channel.request_count + 1)
+        self.sends.append(self.send)
         await self.client.send_request(
             self.channel,
             upstream_request.method,
@@ -244,15 +245,29 @@
             response = await self.next_response()
             self.endpoint.last_byte_at = time.monotonic()
             info = self.read_answer(response.status, response.headers)
+            if info.not_run:
+                self.send.named = bool(info.request_id)
             if info.request_id == self.upstream_request.request_id:
                 return response, info
             if info.not_run and not info.request_id:
                 if self.channel.request_count == 1:
                     return response, info
                 raise InconsistentResponse("a rejection names no request on a used connection")
+            self.log_discarded(info)
             await self.discard(response)
         raise InconsistentResponse("the connection delivered only responses to other requests")
 
+    def log_discarded(self, info: AnswerInfo) -> None:
+        """Log a response to another request."""
+        log(
+            Event.RESPONSE_DISCARDED,
+            info.request_id,
+            request=self.upstream_request.request_id,
+            endpoint=self.endpoint.name,
+            status=info.status,
+            **self.send.log_fields(),
+        )
+
     async def next_response(self) -> ClientResponse:
         """Return the head of the next response.
 
--- a/src/hickorylever/direct/call.py
+++ b/src/hickorylever/direct/call.py
@@ -3,10 +3,11 @@
 from dataclasses import dataclass, field
 
 from ..exceptions import Ran
-from ..http import Channel, Exchange
+from ..http import Exchange
 from .hashes import hash_strings
 from .held_bytes import Holder
 from .records import Account, RequestInfo, Route, Service
+from .sends import Send
 from .stream import CallerStream
 
 MAX_PARTS = 16  # Of a prompt, that count as causes of crashes.
@@ -27,7 +28,7 @@
     :param version: software version of the endpoints at which a stream may go on; None for any.
     :param stream_key: key of the stream in the table of streams, once it has an event.
     :param holder: counts what is held for the caller; None for a call that is only described.
-    :param channels: connections on which the request was sent.
+    :param sends: sends of the request to endpoints, oldest first.
     :param attempt_results: endpoint, failure domain and result of each attempt, for the log.
     """
 
@@ -45,7 +46,7 @@
     rejections: int = 0
     queued_seconds: float = 0.0
     tried: set[str] = field(default_factory=set)
-    channels: list[Channel] = field(default_factory=list)
+    sends: list[Send] = field(default_factory=list)
     attempt_results: list[str] = field(default_factory=list)
     stream: CallerStream | None = None
     version: str | None = None
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -103,7 +103,7 @@
             lambda info: self.observations.record_head(endpoint, info, began),
             lambda: self.node.quarantine.record_answer(call, time.monotonic()),
             lambda response: self.reserve_room(call, response),
-            call.channels,
+            call.sends,
         )
         if call.stream is not None:
             call.stream.pending_prefill = pending_prefill
@@ -115,7 +115,7 @@
             call.attempt_results.append(
                 f"{endpoint.name}@{endpoint.entry.failure_domain}:abandoned"
             )
-            if attempt.sent:
+            if attempt.send is not None:
                 call.ran = Ran.UNKNOWN
             raise
         finally:
@@ -123,7 +123,8 @@
             self.node.restarts.end_attempt(endpoint, began)
             pending_prefill.complete()
         watch.record_outcome(outcome.result, outcome.status, time.monotonic())
-        self.observations.record_outcome(call, endpoint, outcome, time.monotonic() - began)
+        seconds = time.monotonic() - began
+        self.observations.record_outcome(call, endpoint, outcome, attempt.send, seconds)
         await check_endpoint(self.node, call, endpoint, outcome, began)
         return outcome
 
--- a/src/hickorylever/direct/observations.py
+++ b/src/hickorylever/direct/observations.py
@@ -10,6 +10,7 @@
 from .hashes import name_hash
 from .peer_protocol import LeavingUpdate
 from .records import MISDIRECTED_STATUS, AnswerInfo
+from .sends import Send
 
 
 class Observations:
@@ -59,9 +60,17 @@
             limits.queue(endpoint)
 
     def record_outcome(
-        self, call: Call, endpoint: Endpoint, outcome: Outcome, seconds: float
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        outcome: Outcome,
+        send: Send | None,
+        seconds: float,
     ) -> None:
-        """Record what an attempt showed about the endpoint and the request."""
+        """Record what an attempt showed about the endpoint and the request.
+
+        :param send: of the attempt; None if nothing was sent.
+        """
         now = time.monotonic()
         result = outcome.result
         call.attempt_results.append(
@@ -92,4 +101,5 @@
                 detail=outcome.detail,
                 status=outcome.status,
                 seconds=round(seconds, 3),
+                **(send.log_fields() if send else {"connection": 0}),
             )
--- a/src/hickorylever/http/channel.py
+++ b/src/hickorylever/http/channel.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection over a curio socket."""
 
 import contextlib
+import itertools
 import math
 import socket as stdsocket
 import time
@@ -15,6 +16,9 @@
 RESET_ON_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger with l_onoff=1, l_linger=0
 
 
+channel_numbers = itertools.count(1)
+
+
 def set_socket_options(raw: stdsocket.socket) -> None:
     """Disable Nagle's algorithm and let the kernel detect unreachable peers.
 
@@ -37,6 +41,7 @@
     :param role: ``h11.SERVER`` or ``h11.CLIENT``.
     :param max_head_bytes: bytes of an incoming request or response head.
     :param write_timeout: seconds that the peer may take to accept one block of output.
+    :ivar number: unique among the channels of this process, for logs.
     :ivar raw: the non-blocking socket below `sock`.
     :ivar protocol: the h11 state machine.
     :ivar opened_at: monotonic time in seconds.
@@ -57,6 +62,7 @@
         max_head_bytes: int = defaults.MAX_HEADER_BYTES,
         write_timeout: float = defaults.WRITE_TIMEOUT_SECONDS,
     ):
+        self.number = next(channel_numbers)
         self.sock = sock
         self.raw = sock._socket
         self.protocol = h11.Connection(role, max_incomplete_event_size=max_head_bytes)
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -3,6 +3,8 @@
 import pytest
 from direct_harness import RESUMABLE, run_scenario
 
+from hickorylever.events import Event
+
 UNSAFE = "/unsafe/x"
 PATHS = (UNSAFE, "/safe/x", "/stream/stream/x", RESUMABLE)
 DEFERRAL = b"0.02"  # Seconds after which the endpoints want requests again.
@@ -86,3 +88,19 @@
         assert [channel.request_count for channel in idle] == [1, 1]
 
     run_scenario(scenario, ("defer", "well"))
+
+
+def test_the_log_tells_the_sends_on_a_connection_apart(caplog):
+    """A rejection and a late copy of an answer looked the same in the log as any other."""
+
+    async def scenario(harness):
+        for status in (503, 200, 200):
+            assert (await harness.send_request(UNSAFE)).status == status
+
+    with caplog.at_level("INFO", logger="hickorylever"):
+        run_scenario(scenario, ("shed", "twice", "late"))
+    found = {record.event: record.fields for record in caplog.records}
+    rejected, discarded = found[Event.ATTEMPT_FAILED], found[Event.RESPONSE_DISCARDED]
+    assert (rejected["sends"], rejected["named"]) == (1, True)
+    assert discarded["sends"] == 3
+    assert discarded["connection"] == rejected["connection"] > 0
