Soak with endpoints that are full, reject early or late, and send answers once more

The soak saw nothing of the incident: its endpoints were never full, rejected nothing and sent no copies while a request came again.

--- a/src/hickorylever/commands/soak.py
+++ b/src/hickorylever/commands/soak.py
@@ -18,6 +18,16 @@
         "--seconds", type=float, default=8.0, help="duration of the faults for each seed"
     )
     parser.add_argument("--routers", type=int, default=3)
+    parser.add_argument("--endpoints", type=int, default=4, help="at least 2")
+    parser.add_argument(
+        "--faults", default="", metavar="NAMES", help="comma-separated; by default all"
+    )
+    parser.add_argument(
+        "--router-source",
+        default="",
+        metavar="DIR",
+        help="run the routers from another source tree, such as one of an earlier commit",
+    )
     parser.add_argument(
         "--keep", default="", metavar="DIR", help="directory for the logs of seeds that fail"
     )
@@ -26,13 +36,24 @@
 @command("soak", "run routers under random faults and check the guarantees", add_arguments)
 def soak(arguments: argparse.Namespace) -> int:
     """Run the soak test and return 1 if a guarantee was violated."""
-    from ..soak import run
+    from ..soak import Plan, faults, run
 
+    names = tuple(name for name in arguments.faults.split(",") if name)
+    for name in names:
+        faults[name]  # An unknown name is an error before anything runs.
     failed = 0
     if arguments.keep:
         Path(arguments.keep).mkdir(parents=True, exist_ok=True)
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
-        report = run(seed, arguments.seconds, arguments.routers)
+        plan = Plan(
+            seed,
+            arguments.seconds,
+            arguments.routers,
+            arguments.endpoints,
+            names,
+            arguments.router_source,
+        )
+        report = run(plan)
         print(report.summary(), flush=True)
         for line in report.violations[:MAX_PRINTED_VIOLATIONS]:
             print(f"  broken: {line}", flush=True)
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -15,6 +15,7 @@
 from ...node import refuse
 from ...registry import Registry
 from .. import names
+from .overload import Overload
 
 EVENT = re.compile(rb"id: (\d+)\ndata: piece \1\n(?:software-version: (\S+)\n)?\n")
 LISTING_BLOCK = b'["x","ab",1,"m"],' * 4096
@@ -85,6 +86,8 @@
         response states the rest; None for an endpoint that states nothing.
     :ivar cold_arrivals: monotonic times in seconds of the requests that it got while it was cold,
         without those that it answered with status 421.
+    :param overload: what it does beyond its capacity; None if it takes any number of requests.
+    :ivar running: requests that it runs now.
     :param on_crash: called when the endpoint crashes; by default it ends for good.
     :ivar crashed: set when the endpoint has ended.
     """
@@ -105,6 +108,8 @@
     version: str = ""
     cold_until: float | None = None
     cold_arrivals: list[float] = field(default_factory=list)
+    overload: Overload | None = None
+    running: int = 0
     on_crash: Callable[[], Awaitable[object]] | None = None
     cached: list[list[object]] = field(default_factory=list)
     listing: str = "well"
@@ -138,8 +143,14 @@
         await exchange.channel.abort()
 
     async def handle(self, exchange: Exchange) -> None:
-        """Respond to a request with the next behaviour of the script."""
+        """Reject a request, or run it and respond."""
         self.arrivals += 1
+        overload = self.overload
+        if overload is not None:
+            await overload.send_pending(exchange.channel)
+            if overload.is_full(self.running):
+                await overload.reject(exchange)
+                return
         body = await exchange.body()
         expected = header(exchange.headers, names.EXPECTED_ENDPOINT).decode()
         if expected not in ("", self.name):
@@ -156,11 +167,22 @@
         if self.crashing_parts.intersection(prompt_parts(exchange.headers)):
             await self.crash(exchange, body)
             return
+        self.running += 1
+        try:
+            await self.behave(exchange, body)
+        finally:
+            self.running -= 1
+
+    async def behave(self, exchange: Exchange, body: bytes) -> None:
+        """Respond to a request with the next behaviour of the script."""
         selected = self.script.pop(0) if len(self.script) > 1 else self.script[0]
         if selected in CANCELLED_ON_DISCONNECT:
             await cancel_on_disconnect(exchange, behaviours[selected], self, exchange, body)
         else:
             await behaviours[selected](self, exchange, body)
+        if self.overload is not None and selected == "well" and not wants_stream(exchange):
+            fields = self.response_headers(exchange)
+            await self.overload.copy(exchange, 200, fields, self.own_body(exchange))
 
     def record_run(self, exchange: Exchange, body: bytes) -> int:
         """Record that a request runs, and return the id of the first event of its stream."""
--- a/src/hickorylever/soak/__init__.py
+++ b/src/hickorylever/soak/__init__.py
@@ -1,5 +1,6 @@
 """Randomized soak test of router processes under injected faults."""
 
-from .run import Report, run
+from .faults import faults
+from .run import Plan, Report, run
 
-__all__ = ["Report", "run"]
+__all__ = ["Plan", "Report", "faults", "run"]
--- a/src/hickorylever/soak/checks.py
+++ b/src/hickorylever/soak/checks.py
@@ -38,7 +38,13 @@
 LIMIT_RATIO = 1.5
 LIMIT_EXCESS = 5
 LIMIT_REACTION_SECONDS = 3.0  # From the first answer that names a limit.
-OTHER_THAN_ROUTER_FAULTS = frozenset(faults) - {"kill", "kill_all", "pause", "stop"}
+OTHER_THAN_ROUTER_FAULTS = frozenset(faults) - {
+    "kill",
+    "kill_all",
+    "pause",
+    "stall",
+    "stop",
+}
 MIN_RESUMED_STREAMS = 12
 LOST_RATIO = 0.5
 # Without those that may keep all routers that are asked, and the store, from knowing a stream.
@@ -48,10 +54,11 @@
     "partition",
     "restore",
     "slow_store",
+    "stall",
     "store",
 }
 # Faults under which no router may hear the store, or a router that runs again hears nothing yet.
-HIDING_FAULTS = frozenset(("partition", "pause", "slow_store", "store"))
+HIDING_FAULTS = frozenset(("partition", "pause", "slow_store", "stall", "store"))
 DEADLINE_TOLERANCE_SECONDS = 0.5  # Time after its deadline by which a request must have ended.
 
 
@@ -336,7 +343,7 @@
 @checks.register("an end in time")
 def requests_end_by_deadline(harness: SoakHarness, traffic: TrafficLog) -> Iterator[str]:
     """A request ends by its deadline unless its router was stopped."""
-    router_faults = frozenset(name for name in ("pause", "kill", "kill_all"))
+    router_faults = frozenset(("pause", "stall", "kill", "kill_all"))
     for request in traffic.requests:
         duration = request.ended_at - request.started_at
         router_stopped = any(
--- a/src/hickorylever/soak/faults.py
+++ b/src/hickorylever/soak/faults.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from ..platform.standins.overload import Overload
 from ..registry import Registry
 from .process import RouterProcess
 from .proxy import Proxy
@@ -55,6 +56,13 @@
 VERSION_COUNT = 3
 ENTRY_DELAY_SECONDS = 0.3  # Between the start of an endpoint and its entry.
 LIMITS_PER_SECOND = (0.5, 2.0, 8.0)
+OVERLOAD_SECONDS = 5.0
+SLOT_COUNTS = (2, 6, 24)
+DEFERRING_PROBABILITY = 0.7
+COPY_PROBABILITIES = (0.0, 0.03, 0.1)
+EARLY_PROBABILITY = 0.2
+STALL_COUNT = 40
+STALL_SECONDS = (0.001, 0.2)
 
 
 async def restart(router: RouterProcess, signal_number: signal.Signals, pause: float) -> None:
@@ -115,6 +123,16 @@
     router.signal(signal.SIGCONT)
 
 
+@faults.register("stall")
+async def stall(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
+    """Suspend routers again and again for a moment, as on a machine that is busy."""
+    for _ in range(STALL_COUNT):
+        router = rng.choice(harness.routers)
+        router.signal(signal.SIGSTOP)
+        await curio.sleep(rng.uniform(*STALL_SECONDS))
+        router.signal(signal.SIGCONT)
+
+
 @faults.register("reload")
 async def reload(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
     """Make every router reload its settings."""
@@ -176,6 +194,28 @@
     origin.script = ["well"]
 
 
+@faults.register("overload")
+async def overload(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
+    """Let endpoints reject what is beyond their slots, and send some answers once more."""
+    overloads = []
+    for origin in harness.origins:
+        if origin.overload is not None:
+            continue
+        origin.overload = Overload(
+            random.Random(rng.random()),
+            rng.choice(SLOT_COUNTS),
+            rng.random() < DEFERRING_PROBABILITY,
+            rng.choice(COPY_PROBABILITIES),
+            EARLY_PROBABILITY,
+        )
+        overloads.append(origin)
+    await curio.sleep(OVERLOAD_SECONDS)
+    for origin in overloads:
+        harness.rejection_count += origin.overload.rejection_count
+        harness.copy_count += origin.overload.copy_count
+        origin.overload = None
+
+
 @faults.register("store")
 async def fail_store(harness: SoakHarness, rng: random.Random, seconds: float) -> None:
     """Make the store fail calls, hang, lose responses to writes or delay writes."""
--- a/src/hickorylever/soak/process.py
+++ b/src/hickorylever/soak/process.py
@@ -25,12 +25,14 @@
     """Router process, which is ended and restarted only through this object.
 
     :param log: file that the output of all its processes is appended to.
+    :param source: directory with the package that the process runs; empty for the installed one.
     :param restarting: whether a fault is restarting the router.
     :param start_count: number of times the process was started.
     """
 
     settings: DirectSettings
     log: Path
+    source: str = ""
     process: subprocess.Popen | None = None
     restarting: bool = False
     start_count: int = 0
@@ -46,6 +48,8 @@
             return
         self.start_count += 1
         env = {**os.environ, "HICKORYLEVER_SETTINGS": self.settings.path}
+        if self.source:
+            env["PYTHONPATH"] = self.source
         command = [sys.executable, "-m", "hickorylever.direct"]
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(command, env=env, stdout=log, stderr=log)
--- a/src/hickorylever/soak/world.py
+++ b/src/hickorylever/soak/world.py
@@ -81,6 +81,7 @@
 class SoakHarness:
     """Asynchronous context manager that runs the store, the endpoints and the routers.
 
+    :param router_source: directory with the package that routers run; empty for the installed one.
     :param origins: simulated endpoints.
     :param proxies: proxy in front of each endpoint.
     :param store_proxies: proxy in front of the store for each router.
@@ -98,10 +99,13 @@
     :param version: version of the latest configuration.
     :param crashing_part: prompt part that crashes endpoints now; empty for none.
     :param crashing_parts: all of them so far.
+    :param rejection_count: number of rejections by overloaded endpoints.
+    :param copy_count: number of answers that these sent once more.
     """
 
     router_count: int
     endpoint_count: int = 4
+    router_source: str = ""
     store: StandinStore = field(default_factory=StandinStore)
     origins: list[Origin] = field(default_factory=list)
     proxies: list[Proxy] = field(default_factory=list)
@@ -119,6 +123,8 @@
     version: int = 0
     crashing_part: str = ""
     crashing_parts: list[str] = field(default_factory=list)
+    rejection_count: int = 0
+    copy_count: int = 0
 
     async def __aenter__(self) -> "SoakHarness":
         self.tasks = []
@@ -136,9 +142,8 @@
         for number in range(1, self.router_count + 1):
             proxy = await self.start_proxy(store_port)
             self.store_proxies.append(proxy)
-            self.routers.append(
-                self.create_router(f"{self.network_prefix}.{number}", proxy.listen_port)
-            )
+            ip = f"{self.network_prefix}.{number}"
+            self.routers.append(self.create_router(ip, proxy.listen_port))
             self.routers[-1].start()
         for router in self.routers:
             await router.wait_until_serving()
@@ -190,7 +195,7 @@
             first_start=True,
         )
         write_settings(settings)
-        return RouterProcess(settings, directory / f"{ip}.log")
+        return RouterProcess(settings, directory / f"{ip}.log", self.router_source)
 
     async def start_endpoint(self, number: int) -> None:
         """Start an endpoint and write its entry to the store; one that starts again is cold."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
 
 
 def test_short_soak_finds_no_violation():
-    report = soak.run(seed=1, seconds=2.0, router_count=2)
+    report = soak.run(soak.Plan(seed=1, seconds=2.0, router_count=2))
     assert report.violations == []
     assert len(report.traffic.requests) > 20
 
