--- a/src/hickorylever/platform/standins/behaviours.py
+++ b/src/hickorylever/platform/standins/behaviours.py
@@ -1,5 +1,6 @@
 """Ways in which a simulated endpoint handles a request."""
 
+import functools
 from collections.abc import Callable
 
 import curio
@@ -100,6 +101,32 @@
     await exchange.respond(503, origin.response_headers(exchange), b"failed")
 
 
+async def run_and_respond(status: int, origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and respond with a status, without the header for "not run"."""
+    origin.record_run(exchange, body)
+    await exchange.respond(status, origin.response_headers(exchange), b"failed")
+
+
+for _status in (408, 421, 429):
+    behaviours.register(f"ran_{_status}")(functools.partial(run_and_respond, _status))
+
+
+@behaviours.register("other_server")
+async def reject_as_other(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Reject the request as a server does that has the address but another id."""
+    request_id = header(exchange.headers, names.ATTEMPT_ID)
+    await exchange.respond(421, [(names.ENDPOINT, b"i-other"), (names.ATTEMPT_ID, request_id)])
+
+
+@behaviours.register("contradictory")
+async def run_and_reject_as_other(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and respond with status 421, but under the id that was expected."""
+    origin.record_run(exchange, body)
+    request_id = header(exchange.headers, names.ATTEMPT_ID)
+    fields = [(names.ENDPOINT, origin.name.encode()), (names.ATTEMPT_ID, request_id)]
+    await exchange.respond(421, fields)
+
+
 @behaviours.register("reset")
 async def reset(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Run the request and reset the connection before the response."""
