Let what a caller is told follow from a proof for each send of its request

Callers saw: requests that had run refused with 408, 429 or 503, and requests that may run once run at a second server.

Cause: whether a request has run was concluded in five places from the result of the latest attempt, and a result from a status or an id. Class: a promise or a second send without a fact that proves it.

Change: every send is recorded before its first byte is written and counts as 'may have run' until a response that answers this very send rejects it. Whether a request may be sent again, what its caller is told and what is logged follow from these records. Two gates stand where it matters: a send that must not begin is refused, and the adapter sends no status that promises 'not run' for a request that may have run. 408 and 429 without the header become 502, as 503 did; 421 counts unless its server's stamp or id contradicts it; a request without an id has a connection of its own.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -10,11 +10,11 @@
 import h11
 
 from ..events import Event, log
-from ..exceptions import ConnectionLost, InconsistentResponse, PeerRefused, PeerTimeout
+from ..exceptions import ConnectionLost, InconsistentResponse, PeerRefused, PeerTimeout, Ran
 from ..http import Channel, Client, ClientResponse, header
 from .endpoints import Endpoint
-from .records import AnswerInfo
-from .sends import Send
+from .records import NOT_RUN_STATUSES, AnswerInfo
+from .sends import Match, Send, Sends
 from .sse import EventParser
 from .timeouts import RETRY_CHECK_INTERVAL_SECONDS, ResponseTimeouts
 
@@ -81,13 +81,11 @@
 
     :param stream: receives the head and the events of a streamed response.
     :param deadline: monotonic seconds.
-    :param repeatable: the request may run more than once.
     :param timeouts: response timeouts; None to wait until the deadline.
     :param on_head: called with what the head of the response says.
     :param on_begun: called when the endpoint has written much of its answer.
     :param before_body: awaited before a complete body is read.
-    :param sends: earlier sends of the request, to which this attempt adds its own. All have the
-        same request id, so that only the connection tells which of them a response is meant for.
+    :param sends: all sends of the request, to which this attempt adds its own.
     """
 
     def __init__(
@@ -98,12 +96,11 @@
         read_answer,
         stream,
         deadline: float,
-        repeatable: bool,
+        sends: Sends,
         timeouts: ResponseTimeouts | None = None,
         on_head: Callable[[AnswerInfo], None] = lambda info: None,
         on_begun: Callable[[], None] = lambda: None,
         before_body: Callable[[ClientResponse], Awaitable[None]] | None = None,
-        sends: list[Send] | None = None,
     ):
         self.client = client
         self.endpoint = endpoint
@@ -111,12 +108,11 @@
         self.read_answer = read_answer
         self.stream = stream
         self.deadline = deadline
-        self.repeatable = repeatable
+        self.sends = sends
         self.timeouts = timeouts
         self.on_head = on_head
         self.on_begun = on_begun
         self.before_body = before_body
-        self.sends = [] if sends is None else sends
         self.send: Send | None = None
         self.begun = False
         self.channel: Channel | None = None
@@ -172,15 +168,16 @@
         self.channel = await self.client.acquire(
             entry.address,
             entry.port,
-            max_idle=float("inf") if self.repeatable else MAX_IDLE_SECONDS,
+            # A response on a used connection that names no request may be one to another.
+            fresh=not self.upstream_request.request_id,
+            max_idle=float("inf") if self.sends.repeatable else MAX_IDLE_SECONDS,
             timeout=ENDPOINT_CONNECT_SECONDS,
-            avoid=[send.channel for send in self.sends],
+            avoid=self.sends.channels,
         )
         if not self.endpoint.wants_requests(time.monotonic()):
             raise ConnectionLost("the endpoint wants no requests since it was chosen")
         upstream_request = self.upstream_request
-        self.send = Send(self.channel, self.channel.request_count + 1)
-        self.sends.append(self.send)
+        self.send = self.sends.begin(upstream_request.request_id, self.endpoint.name, self.channel)
         await self.client.send_request(
             self.channel,
             upstream_request.method,
@@ -191,7 +188,7 @@
         )
         response, info = await self.matching_response()
         self.on_head(info)
-        if info.not_run:
+        if self.send.accept_rejection(info):
             await self.skip_body(response)
             return Outcome(Result.NOT_RUN, f"status {info.status}", info.status, info=info)
         if info.encoded or (info.status < 300 and not info.stamped):
@@ -209,7 +206,9 @@
         body = await response.body()
         if response.status < 300:
             self.mark_begun()
-        result = Result.ANSWERED if response.status < 500 else Result.FAILED
+        self.send.ran = Ran.YES
+        failed = response.status >= 500 or response.status in NOT_RUN_STATUSES
+        result = Result.FAILED if failed else Result.ANSWERED
         return Outcome(result, "", response.status, response.headers, body, info)
 
     def mark_begun(self) -> None:
@@ -245,13 +244,10 @@
             response = await self.next_response()
             self.endpoint.last_byte_at = time.monotonic()
             info = self.read_answer(response.status, response.headers)
-            if info.not_run:
-                self.send.named = bool(info.request_id)
-            if info.request_id == self.upstream_request.request_id:
+            match = self.send.match(info)
+            if match is Match.OWN:
                 return response, info
-            if info.not_run and not info.request_id:
-                if self.channel.request_count == 1:
-                    return response, info
+            if match is Match.AMBIGUOUS:
                 raise InconsistentResponse("a rejection names no request on a used connection")
             self.log_discarded(info)
             await self.discard(response)
@@ -330,6 +326,7 @@
                 self.mark_begun()
         check_end(response, parser)
         self.mark_begun()
+        self.send.ran = Ran.YES
         return Outcome(Result.ANSWERED, "", response.status, response.headers, info=info)
 
     async def next_chunk(self, response: ClientResponse, idle_since: float) -> bytes | None:
--- a/src/hickorylever/direct/call.py
+++ b/src/hickorylever/direct/call.py
@@ -7,7 +7,7 @@
 from .hashes import hash_strings
 from .held_bytes import Holder
 from .records import Account, RequestInfo, Route, Service
-from .sends import Send
+from .sends import Sends
 from .stream import CallerStream
 
 MAX_PARTS = 16  # Of a prompt, that count as causes of crashes.
@@ -20,7 +20,6 @@
     :param started_at: monotonic seconds.
     :param deadline: monotonic seconds; the earlier of the caller's and the route's.
     :param causes: what the request may crash endpoints with, see :mod:`.crashes`.
-    :param ran: what is known about whether the request was executed.
     :param attempts: attempts in which the request may have run.
     :param rejections: attempts that endpoints rejected without running the request.
     :param queued_seconds: seconds spent queued for an endpoint with capacity.
@@ -28,7 +27,7 @@
     :param version: software version of the endpoints at which a stream may go on; None for any.
     :param stream_key: key of the stream in the table of streams, once it has an event.
     :param holder: counts what is held for the caller; None for a call that is only described.
-    :param sends: sends of the request to endpoints, oldest first.
+    :ivar sends: sends of the request to endpoints.
     :param attempt_results: endpoint, failure domain and result of each attempt, for the log.
     """
 
@@ -41,24 +40,29 @@
     deadline: float
     body: bytes = b""
     causes: tuple[str, ...] = ()
-    ran: Ran = Ran.NO
     attempts: int = 0
     rejections: int = 0
     queued_seconds: float = 0.0
     tried: set[str] = field(default_factory=set)
-    sends: list[Send] = field(default_factory=list)
     attempt_results: list[str] = field(default_factory=list)
     stream: CallerStream | None = None
     version: str | None = None
     stream_key: int = 0
     holder: Holder | None = None
+    sends: Sends = field(init=False)
 
     def __post_init__(self):
+        self.sends = Sends(self.route.repeatable)
         if self.exchange is not None:
             channel = self.exchange.channel
             keys = ("service", self.service.name), ("account", self.account_name)
             self.holder = Holder(keys, channel.shut_down, lambda: channel.written_at)
 
+    @property
+    def ran(self) -> Ran:
+        """Return what is known about whether the request was executed."""
+        return self.sends.ran
+
     @property
     def account_name(self) -> str:
         """Return the name of the client account, or an empty string if there is none."""
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -19,7 +19,7 @@
 from .pool import shared_parts
 from .prefill import PendingPrefill
 from .read_ahead import ReadAhead
-from .records import MISDIRECTED_STATUS, ForwardingMetadata, RouteKind
+from .records import NOT_RUN_STATUSES, ForwardingMetadata, RouteKind
 from .stream import CallerStream
 from .timeouts import (
     ResponseTimeouts,
@@ -34,12 +34,6 @@
 ROOM_POLL_SECONDS = 0.02  # While the memory for responses is used up.
 BODY_COPIES = 2  # In memory while a response is sent: its body and the encoded response.
 MIN_RETRY_SECONDS = 0.05  # No retry starts with less time left.
-NOT_RUN_STATUSES = (
-    408,
-    MISDIRECTED_STATUS,
-    429,
-    503,
-)  # They tell callers that a request did not run.
 
 
 class Forwarder:
@@ -98,12 +92,11 @@
             self.node.codec.read_answer,
             call.stream,
             call.deadline,
-            call.route.repeatable,
+            call.sends,
             self.response_timeouts(call, endpoint, began),
             lambda info: self.observations.record_head(endpoint, info, began),
             lambda: self.node.quarantine.record_answer(call, time.monotonic()),
             lambda response: self.reserve_room(call, response),
-            call.sends,
         )
         if call.stream is not None:
             call.stream.pending_prefill = pending_prefill
@@ -115,8 +108,6 @@
             call.attempt_results.append(
                 f"{endpoint.name}@{endpoint.entry.failure_domain}:abandoned"
             )
-            if attempt.send is not None:
-                call.ran = Ran.UNKNOWN
             raise
         finally:
             endpoint.running -= 1
@@ -232,7 +223,7 @@
     def may_retry(self, call: Call, outcome: Outcome) -> bool:
         """Return whether a failed attempt may be followed by one on another endpoint."""
         now = time.monotonic()
-        if call.deadline - now < MIN_RETRY_SECONDS:
+        if call.deadline - now < MIN_RETRY_SECONDS or not call.sends.may_begin:
             return False
         if outcome.result is Result.NOT_SENT:
             return True
@@ -241,7 +232,7 @@
         if outcome.result is Result.NOT_RUN:
             if call.rejections > MAX_REJECTIONS:
                 return False
-        elif not call.route.repeatable or call.attempts >= call.route.max_attempts:
+        elif call.attempts >= call.route.max_attempts:
             return False
         if self.node.quarantine.refuses(call):
             return False
@@ -249,7 +240,6 @@
 
     async def send_response(self, call: Call, outcome: Outcome) -> None:
         """Send an endpoint's response to the caller."""
-        call.ran = Ran.YES
         if call.stream is not None and call.stream.started:
             await call.stream.flush()
             await call.exchange.end()
@@ -288,9 +278,9 @@
         if last.result is Result.FAILED and last.status not in NOT_RUN_STATUSES:
             await self.send_response(call, last)
             return
-        kind, ran = CALLER_ERRORS[last.result]
-        retry_after = self.retry_after(call) if ran is Ran.NO else None
-        raise RequestError(kind, last.detail, ran, retry_after)
+        returns = call.ran is Ran.NO and last.result is not Result.EXPIRED
+        retry_after = self.retry_after(call) if returns else None
+        raise RequestError(CALLER_ERRORS[last.result], last.detail, call.ran, retry_after)
 
     def retry_after(self, call: Call) -> float:
         """Return the seconds after which the caller of a refused call should retry."""
@@ -308,14 +298,14 @@
         return call.version is not None and bool(versions) and call.version not in versions
 
 
-# Error and execution state sent to the caller, by the final result.
+# Error sent to the caller, by the final result.
 CALLER_ERRORS = {
-    Result.NOT_SENT: (Kind.NO_ENDPOINT, Ran.NO),
-    Result.NOT_RUN: (Kind.OVERLOADED, Ran.NO),
-    Result.FAILED: (Kind.ENDPOINT_FAILED, Ran.YES),
-    Result.LOST: (Kind.ANSWER_LOST, Ran.UNKNOWN),
-    Result.BROKEN: (Kind.ANSWER_LOST, Ran.UNKNOWN),
-    Result.EXPIRED: (Kind.DEADLINE, Ran.UNKNOWN),
+    Result.NOT_SENT: Kind.NO_ENDPOINT,
+    Result.NOT_RUN: Kind.OVERLOADED,
+    Result.FAILED: Kind.ENDPOINT_FAILED,
+    Result.LOST: Kind.ANSWER_LOST,
+    Result.BROKEN: Kind.ANSWER_LOST,
+    Result.EXPIRED: Kind.DEADLINE,
 }
 
 
--- a/src/hickorylever/direct/observations.py
+++ b/src/hickorylever/direct/observations.py
@@ -3,7 +3,6 @@
 import time
 
 from ..events import Event, log
-from ..exceptions import Ran
 from .attempt import Outcome, Result
 from .call import Call
 from .endpoints import Endpoint
@@ -89,7 +88,6 @@
             call.attempts += 1
             failed = result not in (Result.ANSWERED, Result.EXPIRED)
             endpoint.record_answer(failed, now)
-            call.ran = Ran.YES if outcome.status else Ran.UNKNOWN
             if outcome.lost_early:
                 self.node.quarantine.record_loss(call, endpoint, now)
         if result is not Result.ANSWERED:
--- a/src/hickorylever/direct/records.py
+++ b/src/hickorylever/direct/records.py
@@ -9,6 +9,8 @@
 from .position import Position
 
 MISDIRECTED_STATUS = 421  # Another endpoint has the address and has sent the response.
+# They tell callers that a request has not run and never will.
+NOT_RUN_STATUSES = frozenset((408, MISDIRECTED_STATUS, 429, 503))
 
 
 class RouteKind(enum.StrEnum):
@@ -247,10 +249,11 @@
 
     :param request_id: id of the request that the answer belongs to.
     :param stamped: whether it carries the stamp that only the endpoint itself sets.
-    :param not_run: whether the endpoint states that it did not run the request.
+    :param not_run: whether the endpoint states that it did not run the request and never will.
     :param encoded: whether an intermediary encoded the body.
     :param running: requests that run at the endpoint, or None when not stated.
     :param waiting: requests that wait at the endpoint, or None when not stated.
+    :param endpoint: name of the endpoint that states that a request was meant for another one.
     :param leaving: whether the endpoint states that it is about to shut down.
     :param retry_after: time for which the endpoint wants no more requests from this router, or
         None when not stated.
@@ -267,6 +270,7 @@
     stamped: bool
     not_run: bool
     encoded: bool = False
+    endpoint: str = ""
     running: int | None = None
     waiting: int | None = None
     leaving: bool = False
--- a/src/hickorylever/direct/router.py
+++ b/src/hickorylever/direct/router.py
@@ -104,6 +104,8 @@
         try:
             await self.route_request(record)
         except RequestError as error:
+            if record.call is not None and record.call.ran is not Ran.NO:
+                error.ran = record.call.ran
             record.kind = error.kind.value
             record.detail = error.detail
             record.ran = error.ran
--- a/src/hickorylever/exceptions.py
+++ b/src/hickorylever/exceptions.py
@@ -172,6 +172,10 @@
     """Raised when the parts of a response are inconsistent or too large."""
 
 
+class SendRefused(HickoryleverError):  # noqa: N818
+    """Raised instead of sending a request that must not be sent."""
+
+
 class RequestError(HickoryleverError):
     """Raised to end a request with an error response.
 
--- a/src/hickorylever/platform/headers.py
+++ b/src/hickorylever/platform/headers.py
@@ -5,12 +5,13 @@
 from .. import problems
 from ..direct.records import (
     MISDIRECTED_STATUS,
+    NOT_RUN_STATUSES,
     AnswerInfo,
     ForwardingMetadata,
     PromptPart,
     RequestInfo,
 )
-from ..exceptions import Kind, RequestError
+from ..exceptions import Kind, Ran, RequestError
 from ..http import Headers, end_to_end, header
 from . import names
 
@@ -89,11 +90,14 @@
 def read_answer(status: int, fields: Headers) -> AnswerInfo:
     """Return the information in the status and headers of an endpoint's response."""
     load = LOAD.fullmatch(header(fields, names.LOAD).replace(b" ", b""))
+    stamped = bool(header(fields, names.STAMP))
+    misdirected = status == MISDIRECTED_STATUS and not stamped
     return AnswerInfo(
         status=status,
         request_id=header(fields, names.ATTEMPT_ID).decode("latin-1"),
-        stamped=bool(header(fields, names.STAMP)),
-        not_run=status == MISDIRECTED_STATUS or bool(header(fields, names.NOT_RUN)),
+        stamped=stamped,
+        not_run=misdirected or bool(header(fields, names.NOT_RUN)),
+        endpoint=header(fields, names.ENDPOINT).decode("latin-1"),
         encoded=bool(header(fields, b"content-encoding")),
         running=int(load[1]) if load else None,
         waiting=int(load[2]) if load else None,
@@ -134,10 +138,17 @@
 
 
 def refusal(error: RequestError) -> tuple[int, list[tuple[bytes, bytes]], bytes]:
-    """Return the status, headers and body of an error response of the router."""
+    """Return the status, headers and body of an error response of the router.
+
+    Statuses that promise that a request has not run are only sent if it has not.
+    """
+    status = problems.PROBLEM_TYPES[error.kind].status
+    if status in NOT_RUN_STATUSES and error.ran is not Ran.NO:
+        error = RequestError(Kind.ANSWER_LOST, error.detail, error.ran, error.retry_after)
+        status = problems.PROBLEM_TYPES[error.kind].status
     fields = [(b"content-type", problems.CONTENT_TYPE)]
     if error.kind is Kind.UNAUTHENTICATED:
         fields.append((b"www-authenticate", b"Bearer"))
     if error.retry_after is not None:
         fields.append((b"retry-after", b"%.3f" % error.retry_after))
-    return problems.PROBLEM_TYPES[error.kind].status, fields, problems.document(error)
+    return status, fields, problems.document(error)
