--- a/src/hickorylever/platform/standins/behaviours.py
+++ b/src/hickorylever/platform/standins/behaviours.py
@@ -8,7 +8,7 @@
 from ...exceptions import ConnectionLost
 from ...http import Exchange, header
 from .. import names
-from .origin import Origin, behaviours, encode_event, encode_head, wants_stream
+from .origin import FRAMINGS, Origin, behaviours, encode_event, encode_head, wants_stream
 
 SLOW_DELAY_SECONDS = 0.9
 DRIP_SECONDS = 0.05
@@ -94,6 +94,38 @@
     await exchange.respond(500, origin.response_headers(exchange), b"failed")
 
 
+async def fail_framed(framing: str, origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request, respond with status 500 in a framing, and close the connection."""
+    origin.record_run(exchange, body)
+    exchange.closing = True
+    more, content = FRAMINGS[framing](b"internal error\n\n")
+    head = encode_head(500, [*origin.response_headers(exchange), *more])
+    await exchange.channel.sock.sendall(head + content)
+    await exchange.channel.close_gracefully()
+
+
+for _framing in ("chunked", "unframed"):
+    behaviours.register(f"fail_{_framing}")(functools.partial(fail_framed, _framing))
+
+
+@behaviours.register("odd_type")
+async def respond_with_other_type(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request and respond with status 200 and a body that is no stream."""
+    origin.record_run(exchange, body)
+    fields = [*origin.response_headers(exchange), (b"content-type", b"application/json")]
+    await exchange.respond(200, fields, b'{"error": "internal"}')
+
+
+@behaviours.register("cut_head")
+async def stop_within_answer(origin: Origin, exchange: Exchange, body: bytes) -> None:
+    """Run the request, send the first `cut` bytes of the answer and close the connection."""
+    origin.record_run(exchange, body)
+    exchange.closing = True
+    head, content = origin.framed_answer(exchange)
+    await exchange.channel.sock.sendall((head + content)[: origin.cut])
+    await exchange.channel.close_gracefully()
+
+
 @behaviours.register("busy")
 async def busy(origin: Origin, exchange: Exchange, body: bytes) -> None:
     """Run the request and respond with status 503, without the header for "not run"."""
--- a/src/hickorylever/platform/standins/origin.py
+++ b/src/hickorylever/platform/standins/origin.py
@@ -75,6 +75,8 @@
     :param retry_after: seconds in the responses of the behaviour ``defer``.
     :ivar duplicate_response: connection and content of a duplicate response that the behaviour
         ``late`` sends first.
+    :param framing: how the behaviour ``cut_head`` delimits its answer, one of `FRAMINGS`.
+    :param cut: bytes of its answer that the behaviour ``cut_head`` sends.
     :param crashing_parts: ids of prompt parts on which the endpoint crashes when it begins to
         write its answer.
     :param version: version of its software, which each event of a stream names.
@@ -104,6 +106,8 @@
     arrivals: int = 0
     stopped: int = 0
     duplicate_response: tuple[Channel, bytes] | None = None
+    framing: str = "length"
+    cut: int = 0
     crashing_parts: frozenset[str] = frozenset()
     version: str = ""
     cold_until: float | None = None
@@ -226,6 +230,16 @@
         fields = self.response_headers(exchange)
         return encode_head(200, [*fields, (b"Content-Length", b"%d" % size)]) + body
 
+    def framed_answer(self, exchange: Exchange) -> tuple[bytes, bytes]:
+        """Return the encoded head and body of the answer to a request, framed by `framing`."""
+        fields = self.response_headers(exchange)
+        body = self.own_body(exchange)
+        if wants_stream(exchange):
+            fields.append((b"content-type", b"text/event-stream"))
+            body = b"".join(encode_event(n, self.version) for n in range(1, self.events + 1))
+        more, body = FRAMINGS[self.framing](body)
+        return encode_head(200, [*fields, *more]), body
+
     async def stream(self, exchange: Exchange, first: int, last: int) -> None:
         """Send events `first` to `last` of a stream."""
         await exchange.start(
@@ -276,6 +290,16 @@
 }
 
 
+FRAMINGS: dict[str, Callable[[bytes], tuple[list[tuple[bytes, bytes]], bytes]]] = {
+    "length": lambda body: ([(b"Content-Length", b"%d" % len(body))], body),
+    "chunked": lambda body: (
+        [(b"Transfer-Encoding", b"chunked")],
+        b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body),
+    ),
+    "unframed": lambda body: ([], body),
+}
+
+
 def most_in_a_second(times: Iterable[float]) -> int:
     """Return the largest number of times, in seconds, within any one second."""
     times = sorted(times)
