Say that a connection closes in answers that end after a stop began

Callers could send their next request on a connection that the router was about to close: whether it closes was decided when the request came. The new test failed before.

--- a/src/hickorylever/http/exchange.py
+++ b/src/hickorylever/http/exchange.py
@@ -12,7 +12,8 @@
 class Exchange:
     """A request that a server has received, and the response to it.
 
-    :param server: has the limits, and counts the buffered bytes of request bodies.
+    :param server: has the limits, says whether it drains, and counts the buffered bytes of request
+        bodies.
     :param head: head of the request.
     :param peer: IP address of the peer; empty if no request head is available.
     :ivar started: whether a response has been started.
@@ -94,9 +95,10 @@
     def complete_headers(self, headers: Headers) -> list[tuple[bytes, bytes]]:
         """Return response headers with the caller's request id and, if due, ``Connection: close``.
 
-        The connection is closed after a response that is sent before the request body was read.
+        The connection is closed after a response that is sent before the request body was read, or
+        while the server drains.
         """
-        self.closing = self.closing or self.has_unread_body
+        self.closing = self.closing or self.has_unread_body or self.server.draining
         result = list(headers)
         request_id = header(self.headers, b"x-request-id")
         if request_id:
--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -69,6 +69,22 @@
     run_scenario(scenario, ("well",), ("well",))
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
+def test_an_answer_that_ends_after_a_stop_began_says_that_the_connection_closes(path):
+    """A caller would send its next request while the router closes the connection."""
+
+    async def scenario(harness):
+        (origin,) = harness.origins
+        origin.pause = 0.05
+        caller = await curio.spawn(harness.send_request, path)
+        await harness.until(lambda: harness.runs)
+        harness.router.server.draining = True
+        response = await caller.join()
+        assert response.headers[b"connection"] == b"close"
+
+    run_scenario(scenario, ("well",))
+
+
 @pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
 def test_a_process_that_was_paused_sends_no_request_whose_time_is_over(path, monkeypatch):
     """The pause comes after the endpoint is chosen, with a connection at hand."""
