--- a/src/hickorylever/commands/soak.py
+++ b/src/hickorylever/commands/soak.py
@@ -1,6 +1,7 @@
 """The ``soak`` command, which runs a fleet under random faults."""
 
 import argparse
+import signal
 from pathlib import Path
 
 from . import EXIT_FAILED, command
@@ -33,9 +34,15 @@
     )
 
 
+def interrupt(*arguments: object) -> None:
+    """End the soak as Ctrl-C does, so that its router processes end with it."""
+    raise KeyboardInterrupt
+
+
 @command("soak", "run routers under random faults and check the guarantees", add_arguments)
 def soak(arguments: argparse.Namespace) -> int:
     """Run the soak test and return 1 if a guarantee was violated."""
+    signal.signal(signal.SIGTERM, interrupt)
     from ..soak import Plan, faults, run
 
     names = tuple(name for name in arguments.faults.split(",") if name)
