Refuse a request as not run when no descriptor is left for its connection

Callers of requests that may run once got 500, which they must not repeat, though nothing had been sent: the socket was created outside of what turns an error into 'not sent'. The new test failed before.

--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -165,7 +165,10 @@
     :raises PeerRefused: if the peer refuses the connection.
     :raises ConnectionLost: if the connection fails or times out.
     """
-    sock = socket.socket(stdsocket.AF_INET, stdsocket.SOCK_STREAM)
+    try:
+        sock = socket.socket(stdsocket.AF_INET, stdsocket.SOCK_STREAM)
+    except OSError as error:
+        raise ConnectionLost(f"no socket for {address}:{port}: {error!r}") from None
     try:
         await curio.timeout_after(timeout, sock.connect, (address, port))
     except ConnectionRefusedError as error:
--- a/tests/test_reported_failures.py
+++ b/tests/test_reported_failures.py
@@ -3,6 +3,7 @@
 docs/PLATFORM.md lists where each of them is tested, and what was found.
 """
 
+import errno
 import time
 
 import curio
@@ -69,6 +70,27 @@
     run_scenario(scenario, ("well",), ("well",))
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
+def test_a_request_without_a_descriptor_for_its_connection_is_refused_as_not_run(path):
+    """It was answered 500, which its caller may not repeat, although nothing had been sent."""
+
+    def fail(*arguments):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    async def scenario(harness):
+        caller = await http.connect("127.0.0.1", harness.port)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(http.client.socket, "socket", fail)
+            head = [b"POST %s HTTP/1.1" % path.encode(), b"Host: %s" % SITE.encode()]
+            head += [b"%s: %s" % field for field in harness.headers()]
+            await caller.sendall(b"\r\n".join([*head, b"Content-Length: 0", b"", b""]))
+            assert (await caller.recv(65536)).startswith(b"HTTP/1.1 503 ")
+        await caller.close()
+        assert not harness.runs
+
+    run_scenario(scenario, ("well",))
+
+
 @pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
 def test_an_answer_that_ends_after_a_stop_began_says_that_the_connection_closes(path):
     """A caller would send its next request while the router closes the connection."""
