--- a/tests/test_spec_sends.py
+++ b/tests/test_spec_sends.py
@@ -8,7 +8,7 @@
 from walks import follow
 
 from hickorylever.direct.records import NOT_RUN_STATUSES, AnswerInfo
-from hickorylever.direct.sends import Match, Sends
+from hickorylever.direct.sends import Match, Send, Sends
 from hickorylever.exceptions import Kind, Ran, RequestError
 from hickorylever.platform import refusal
 from spec.sends import (
@@ -151,15 +151,42 @@
         )
 
 
-def test_decisions_conform_to_the_model():
-    """A promise or a second send in the program that the model doesn't have."""
-    taken = follow(
+def walk(count):
+    return follow(
         sends().transitions,
         Implementation,
         State,
         lambda state: state,
         random.Random(7),
-        WALK_COUNT,
+        count,
         (3, 16),
     )
+
+
+def test_decisions_conform_to_the_model():
+    """A promise or a second send in the program that the model doesn't have."""
+    taken = walk(WALK_COUNT)
     assert taken >= {"send", "read", "respond", "copy", "give_up", "end", "leave", "lose"}
+
+
+def accept_any_status(send, info):
+    if info.status not in NOT_RUN_STATUSES:
+        return False
+    send.ran = Ran.NO
+    return True
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "replacement"),
+    [
+        (Sends, "may_begin", property(lambda self: True)),
+        (Sends, "ran", property(lambda self: Ran.NO)),
+        (Send, "match", lambda self, info: Match.OWN),
+        (Send, "accept_rejection", accept_any_status),
+    ],
+)
+def test_the_walks_find_broken_decisions(owner, name, replacement, monkeypatch):
+    """Walks that compare nothing would pass with any program."""
+    monkeypatch.setattr(owner, name, replacement)
+    with pytest.raises(AssertionError):
+        walk(WALK_COUNT)
