--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 import signal
+from collections import defaultdict
 
 import curio
 import pytest
@@ -92,15 +93,18 @@
             return harness, began[0], sent
 
     harness, began, sent = curio.run(main)
-    runs = {}
+    runs = defaultdict(list)  # Repeatable requests may have several.
     for run in sorted((run for origin in harness.origins for run in origin.runs), key=run_time):
-        runs.setdefault(run.request_id, run.time - began)
+        runs[run.request_id].append(run.time - began)
     cut = [request for request in sent if request.id in runs and not request.answered]
     allowed = [
         request
         for request in cut
-        if request.at <= LAST_SEND_SECONDS and runs[request.id] + work >= LAST_SIXTH_SECONDS
+        if request.at <= LAST_SEND_SECONDS and runs[request.id][-1] + work >= LAST_SIXTH_SECONDS
     ]
-    print(f"{len(sent)} sent, {len(cut)} cut, last began {max(runs.values()):.2f} s after SIGTERM")
+    last_begun = max(times[0] for times in runs.values())
+    print(f"{len(sent)} sent, last one begun {last_begun:.2f} s after SIGTERM; cut:")
+    for request in cut:
+        print(f"{request.id} sent at {request.at:.2f}, runs at {runs[request.id]}")
     assert [request for request in cut if request not in allowed] == []
-    assert 0.5 < max(runs.values()) <= LAST_SEND_SECONDS
+    assert 0.5 < last_begun <= LAST_SEND_SECONDS
