--- a/src/hickorylever/commands/soak.py
+++ b/src/hickorylever/commands/soak.py
@@ -7,6 +7,17 @@
 from . import EXIT_FAILED, command
 
 MAX_PRINTED_VIOLATIONS = 20  # For each seed.
+MIN_ENDPOINTS = 2  # Some faults take two.
+
+
+def endpoint_count(text: str) -> int:
+    """Return a number of endpoints.
+
+    :raises argparse.ArgumentTypeError: if it is no number or below `MIN_ENDPOINTS`.
+    """
+    if not text.isdecimal() or int(text) < MIN_ENDPOINTS:
+        raise argparse.ArgumentTypeError(f"{text!r} is not a number of {MIN_ENDPOINTS} or more")
+    return int(text)
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -19,7 +30,7 @@
         "--seconds", type=float, default=8.0, help="duration of the faults for each seed"
     )
     parser.add_argument("--routers", type=int, default=3)
-    parser.add_argument("--endpoints", type=int, default=4, help="at least 2")
+    parser.add_argument("--endpoints", type=endpoint_count, default=4, help="at least 2")
     parser.add_argument(
         "--faults", default="", metavar="NAMES", help="comma-separated; by default all"
     )
--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -81,11 +81,11 @@
 
     :param stream: receives the head and the events of a streamed response.
     :param deadline: monotonic seconds.
+    :param sends: all sends of the request, to which this attempt adds its own.
     :param timeouts: response timeouts; None to wait until the deadline.
     :param on_head: called with what the head of the response says.
     :param on_begun: called when the endpoint has written much of its answer.
     :param before_body: awaited before a complete body is read.
-    :param sends: all sends of the request, to which this attempt adds its own.
     """
 
     def __init__(
@@ -248,7 +248,7 @@
             if match is Match.OWN:
                 return response, info
             if match is Match.AMBIGUOUS:
-                raise InconsistentResponse("a rejection names no request on a used connection")
+                raise InconsistentResponse("a response names no request on a used connection")
             self.log_discarded(info)
             await self.discard(response)
         raise InconsistentResponse("the connection delivered only responses to other requests")
--- a/src/hickorylever/platform/standins/behaviours.py
+++ b/src/hickorylever/platform/standins/behaviours.py
@@ -7,7 +7,8 @@
 
 from ...http import Exchange, header
 from .. import names
-from .origin import FRAMINGS, Origin, behaviours, encode_event, encode_head, wants_stream
+from .encoding import encode_head
+from .origin import FRAMINGS, Origin, behaviours, encode_event, wants_stream
 
 SLOW_DELAY_SECONDS = 0.9
 DRIP_SECONDS = 0.05
@@ -60,7 +61,7 @@
     """Refuse as ``defer`` does, and prepare a duplicate of the response for ``late``."""
     await defer(origin, exchange, body)
     fields = [*rejection_headers(exchange), (b"content-length", b"0")]
-    origin.duplicate_response = exchange.channel, encode_head(503, fields)
+    origin.duplicate_response = exchange.channel(503, fields)
 
 
 @behaviours.register("shed_unnamed")
@@ -74,7 +75,7 @@
     """Refuse as ``shed_unnamed`` does, and prepare a duplicate for the behaviour ``late``."""
     await shed_unnamed(origin, exchange, body)
     fields = [(names.NOT_RUN, b"1"), (b"content-length", b"0")]
-    origin.duplicate_response = exchange.channel, encode_head(503, fields)
+    origin.duplicate_response = exchange.channel(503, fields)
 
 
 @behaviours.register("shed_leaving")
--- a/src/hickorylever/platform/standins/endless.py
+++ b/src/hickorylever/platform/standins/endless.py
@@ -3,7 +3,8 @@
 from ...exceptions import ConnectionLost
 from ...http import Exchange
 from .. import names
-from .origin import Origin, behaviours, encode_head
+from .encoding import encode_head
+from .origin import Origin, behaviours
 
 INFORMATIONAL_BLOCK = b"HTTP/1.1 100 Continue\r\n\r\n" * 512
 ENDLESS_BLOCK = b"0123456789abcdef" * 1024
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 import h11
 import pytest
 
-from hickorylever import soak
+from hickorylever import cli, soak
 from hickorylever.http import connect, listen
 from hickorylever.http.channel import Channel
 from hickorylever.platform import names
@@ -315,3 +315,11 @@
 def test_faults_are_registered_and_documented():
     assert {"kill", "pause", "stop", "partition", "silence", "store", "configure"} <= set(faults)
     assert all(faults[name].__doc__ for name in faults)
+
+
+@pytest.mark.parametrize("arguments", [["--endpoints", "1"], ["--endpoints", "x"]])
+def test_too_few_endpoints_are_an_error_before_anything_runs(arguments, capsys):
+    """A soak without endpoints ran for half a minute and blamed the routers."""
+    with pytest.raises(SystemExit):
+        cli.main(["soak", *arguments])
+    assert "is not a number of 2 or more" in capsys.readouterr().err
