--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -703,6 +703,16 @@
     answers: list = field(default_factory=list)
 
     async def __aenter__(self):
+        """Start everything and wait until all routers are ready."""
+        self.routers = []
+        try:
+            await self.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def start(self):
         """Start everything and wait until all routers are ready."""
         self.folder = tempfile.TemporaryDirectory(prefix="review-2-")
         self.prefix = free_prefix()
@@ -749,7 +759,6 @@
             router.start(first=True)
         if not await self.wait_until_ready():
             raise RuntimeError("the routers did not become ready")
-        return self
 
     async def __aexit__(self, *info):
         """End all processes that were started."""
@@ -763,6 +772,8 @@
     def record_logs(self):
         """Add the warnings and errors of the routers' logs to the record."""
         for router in self.routers:
+            if not router.log.exists():
+                continue
             for line in router.log.read_text(encoding="utf-8", errors="replace").splitlines():
                 if '"level":"warning"' in line or '"level":"error"' in line:
                     self.record.write(f"log of router {router.number}: {line[:400]}")
