Let a router claim to know only what a list, an answer or changes have shown

Cause: one position stood for "I know of this change" and "I know everything up to here", and four places raised it. A router that started took over the latest position of another one, but let its empty log of changes begin at the newest entry. One that stood still asked it for the changes between the two, got none, and took over the position.

Change: `change_log.ChangeLog` makes all claims. `as_of` rises with a whole list, a whole answer or an uninterrupted run of changes only, a log begins at the last whole list or answer, and an answer names from where to where it is complete. It follows that no answer without a change can cover one.

Related paths in the same change, as they raise the same position: an answer that was long under way replaces nothing later; a change that a later page of a list already holds is left out, so that it removes no later incarnation; a list announces no more than its position; removals name the era of the list that shows them.

--- a/src/hickorylever/direct/directory.py
+++ b/src/hickorylever/direct/directory.py
@@ -1,9 +1,9 @@
 """The endpoints that a router knows, by name and by service."""
 
-from collections import deque
 from collections.abc import Iterable
 
 from ..exceptions import ContentError
+from .change_log import ChangeLog, entries_digest
 from .cold_start import ColdStarts
 from .departures import Departures
 from .endpoints import Endpoint
@@ -12,12 +12,11 @@
 from .peer_protocol import LeavingUpdate
 from .pool import Pool
 from .position import UNKNOWN, Position
-from .records import EndpointEntry, Listing, PromptPart, StoredObject
+from .records import EndpointEntry, EntriesAnswer, Listing, PromptPart, StoredObject
 from .versions import VersionHistory
 
 MISSING_GRACE_SECONDS = 2.0  # Time to write an entry again that the store lost or let expire.
 REVIVAL_MARGIN_SECONDS = 1.0  # Added to the time after which the store removes an entry.
-CHANGE_LOG_LENGTH = 256
 
 
 class Directory:
@@ -35,9 +34,8 @@
     :ivar pools: endpoints by service, sorted by name.
     :ivar by_hash: endpoints by the hash of their name.
     :ivar objects: objects of the store that the entries were decoded from, by name.
-    :ivar latest: latest known position of an entry or of the removal of one.
-    :ivar change_log: latest changes, oldest first.
-    :ivar change_log_start: position after which `change_log` is complete.
+    :ivar log: latest changes, and the positions up to which they are known.
+    :ivar digest: of the entries, without missing ones. Routers that know the same have the same.
     :ivar departures: endpoints that have left or are about to.
     :ivar versions: versions of the endpoints' software.
     :ivar evacuated_domains: failure domains whose endpoints get nothing new.
@@ -62,13 +60,17 @@
         self.pools: dict[str, Pool] = {}
         self.by_hash: dict[int, Endpoint] = {}
         self.objects: dict[str, StoredObject] = {}
-        self.latest = UNKNOWN
-        self.change_log: deque[StoredObject] = deque(maxlen=CHANGE_LOG_LENGTH)
-        self.change_log_start = UNKNOWN
+        self.log = ChangeLog()
+        self.digest = entries_digest(())
         self.departures = Departures()
         self.versions = VersionHistory()
         self.evacuated_domains: frozenset[str] = frozenset()
 
+    @property
+    def latest(self) -> Position:
+        """Return the position of the latest known change of an entry or removal of one."""
+        return self.log.latest
+
     def pool(self, service: str) -> Pool:
         """Return the endpoints of a service, sorted by name."""
         return self.pools.get(service) or Pool()
@@ -86,54 +88,86 @@
         A restored store lacks what was written after the copy was made. Endpoints that are missing
         from the first list of an era are therefore kept as after an outage.
 
-        The list does not say when a missing entry was removed. The position of the list counts, so
-        that other routers learn of the removal.
+        The list does not say when a missing entry was removed. The position of the list is
+        announced, so that other routers learn of the removal.
 
         :param keep_missing: whether endpoints missing from the list stay for
             `MISSING_GRACE_SECONDS`, since their entries may have expired during an outage of the
             store.
         """
-        if listing.position < self.latest:
+        position = listing.position
+        if position < self.log.as_of:
             return
-        restored = listing.position.era > self.latest.era
+        restored = position.era > self.log.as_of.era
         present = {entry.name for entry in listing.objects}
         for entry in listing.objects:
             self.apply(entry, now)
         missing = [name for name in self.endpoints if name not in present]
         for name in missing:
-            self.mark_missing(name, now, keep_missing or restored)
-        changed_at = listing.position if missing else Position(listing.position.era, 0)
-        self.latest = max(self.latest, changed_at)
-        self.change_log.clear()
-        self.change_log_start = self.latest
+            self.mark_missing(name, now, keep_missing or restored, position.era)
         self.rebuild_indexes(now)
+        self.log.restart(position, self.digest)
+        newest = max((entry.position for entry in listing.objects), default=UNKNOWN)
+        changed_at = position if missing else max(newest, Position(position.era, 0))
+        self.log.announce(min(changed_at, position))
 
     def apply_changes(
         self, objects: Iterable[StoredObject], position: Position, now: float
     ) -> None:
-        """Apply changes, oldest first, unless they are of an earlier era.
+        """Apply changes, oldest first, unless all of them are known.
 
+        :param objects: all changes between a position that is known and `position`.
         :param position: of the store after the changes.
         """
-        if position.era < self.latest.era:
+        if position <= self.log.as_of:
             return
-        for entry in objects:
-            self.append_change(entry)
-            if entry.deleted:
-                self.remove(entry.name, now)
+        changes = [change for change in objects if change.position > self.log.as_of]
+        for change in changes:
+            if self.is_superseded(change):
+                continue
+            if change.deleted:
+                self.remove(change.name, now, change.position.era)
             else:
-                self.apply(entry, now)
-        self.latest = max(self.latest, position)
+                self.apply(change, now)
         self.rebuild_indexes(now)
+        self.log.extend(changes, position)
+
+    def apply_answer(self, answer: EntriesAnswer, now: float) -> None:
+        """Apply what another router knows, unless this router knows as much.
+
+        One that announces a later change, or has other entries, and knows an earlier state of the
+        store has missed a removal. This router then announces its own state as the latest change.
+        """
+        if answer.as_of <= self.log.as_of:
+            agreed = answer.digest in (None, self.digest)
+            self.log.announce(min(answer.latest, self.log.as_of) if agreed else self.log.as_of)
+            return
+        if answer.complete:
+            listing = Listing(answer.objects, answer.as_of)
+            self.apply_listing(listing, now, keep_missing=True)
+        else:
+            if answer.since > self.log.as_of:
+                if answer.asked_digest != self.digest:
+                    return  # What was asked about has changed meanwhile.
+                self.log.restart(answer.since, self.digest)
+            self.apply_changes(answer.objects, answer.as_of, now)
+        self.log.announce(min(answer.latest, answer.as_of))
+
+    def is_superseded(self, change: StoredObject) -> bool:
+        """Return whether a later state of a change's object is known.
+
+        A list of several pages may hold entries that are later than its position.
+        """
+        known = self.objects.get(change.name)
+        return known is not None and change.position < known.position
 
     def apply(self, stored: StoredObject, now: float) -> None:
         """Add or update one endpoint; one whose entry can't be decoded is removed."""
-        self.latest = max(self.latest, stored.position)
         try:
             entry = self.decode(stored.name, stored.spec)
         except ContentError as error:
             self.reject(error)
-            self.remove(stored.name, now)
+            self.remove(stored.name, now, stored.position.era)
             return
         previous = self.objects.get(stored.name)
         endpoint = self.endpoints.get(entry.name)
@@ -152,7 +186,8 @@
         if is_newer(stored, previous):
             self.cold_starts.record_entry(endpoint, now)
         if entry.draining and entry.started_ms:
-            self.mark_leaving(LeavingUpdate(name_hash(entry.name), entry.started_ms), now)
+            key = name_hash(entry.name)
+            self.departures.record_leaving(key, entry.started_ms, stored.position.era, now)
             endpoint.leaving = True
 
     def add_incarnation(
@@ -205,7 +240,7 @@
         endpoint = self.by_hash.get(update.endpoint)
         if endpoint is not None and endpoint.entry.started_ms == update.started_ms:
             endpoint.leaving = True
-        self.departures.record_leaving(update.endpoint, update.started_ms, self.latest.era, now)
+        self.departures.record_leaving(update.endpoint, update.started_ms, self.log.as_of.era, now)
 
     def leaving_updates(self) -> list[LeavingUpdate]:
         """Return the endpoints that said that they shut down, for other routers."""
@@ -217,10 +252,12 @@
         for endpoint in self.endpoints.values():
             endpoint.evacuated = endpoint.entry.failure_domain in domains
 
-    def mark_missing(self, name: str, now: float, keep_missing: bool) -> None:
+    def mark_missing(self, name: str, now: float, keep_missing: bool, era: int) -> None:
         """Remove an endpoint that a list lacks, or mark it as missing when `keep_missing`.
 
         One that is already missing stays until `MISSING_GRACE_SECONDS` have passed.
+
+        :param era: of the list.
         """
         endpoint = self.endpoints[name]
         if endpoint.missing_since is not None:
@@ -228,27 +265,18 @@
         if keep_missing:
             endpoint.missing_since = now
         else:
-            self.remove(name, now)
+            self.remove(name, now, era)
+
+    def remove(self, name: str, now: float, era: int) -> None:
+        """Remove an endpoint.
 
-    def remove(self, name: str, now: float) -> None:
-        """Remove an endpoint."""
+        :param era: of the store in which its entry is gone.
+        """
         endpoint = self.endpoints.pop(name, None)
         self.objects.pop(name, None)
         if endpoint is not None:
             started_ms = endpoint.entry.started_ms
-            self.departures.record_removal(name_hash(name), started_ms, self.latest.era, now)
-
-    def append_change(self, entry: StoredObject) -> None:
-        """Append a change to the log for other routers."""
-        if len(self.change_log) == CHANGE_LOG_LENGTH:
-            self.change_log_start = self.change_log[0].position
-        self.change_log.append(entry)
-
-    def changes_since(self, position: Position) -> list[StoredObject] | None:
-        """Return the changes after a position, or None when the log doesn't reach that far."""
-        if position < self.change_log_start:
-            return None
-        return [entry for entry in self.change_log if entry.position > position]
+            self.departures.record_removal(name_hash(name), started_ms, era, now)
 
     def cached_parts(self) -> dict[str, dict[str, int]]:
         """Return the size in tokens of recently cached prompt parts, by endpoint and part."""
@@ -294,12 +322,12 @@
             and now - endpoint.missing_since >= MISSING_GRACE_SECONDS
         ]
         for name in overdue:
-            self.remove(name, now)
+            self.remove(name, now, self.log.as_of.era)
         if overdue:
             self.rebuild_indexes(now)
 
     def rebuild_indexes(self, now: float) -> None:
-        """Rebuild the indexes by service and by hash."""
+        """Rebuild the indexes by service and by hash, and the digest."""
         by_service: dict[str, list[Endpoint]] = {}
         for endpoint in self.endpoints.values():
             by_service.setdefault(endpoint.entry.service, []).append(endpoint)
@@ -313,6 +341,7 @@
             for service, pool in self.pools.items()
         }
         self.versions.observe(present, now)
+        self.digest = entries_digest(self.stored_objects())
 
 
 def is_newer(stored: StoredObject, previous: StoredObject | None) -> bool:
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -24,7 +24,7 @@
 from .peer_sync import PeerSync
 from .position import NO_CONFIGURATION, ConfigurationState, Decision, KnownState, Position, decide
 from .quarantine import Quarantine
-from .records import Changes, Configuration, Listing, StoredObject
+from .records import Changes, Configuration, EntriesAnswer, Listing, StoredObject
 from .restarts import Restarts
 from .resumption import Resumption
 from .routes import RouteTable
@@ -138,7 +138,11 @@
         """Return how much of the store's state this router knows."""
         state = self.configuration_state
         return KnownState(
-            state.seen, state.version, self.directory.latest, self.evacuations.latest
+            state.seen,
+            state.version,
+            self.directory.latest,
+            self.evacuations.latest,
+            self.directory.digest if self.endpoints_listed else None,
         )
 
     def lacks(self, other: KnownState) -> bool:
@@ -242,21 +246,10 @@
         self.directory.apply_listing(listing, time.monotonic(), keep_missing)
         self.endpoints_listed = True
 
-    def apply_peer_endpoints(self, objects, latest: Position, complete: bool) -> None:
-        """Apply endpoints from another router unless this router's are as recent.
-
-        :param latest: latest position that the other router knows.
-        :param complete: whether `objects` holds all endpoints rather than changes.
-        """
-        now = time.monotonic()
-        if latest <= self.directory.latest and self.endpoints_listed:
-            return
-        if complete:
-            self.directory.apply_listing(Listing(tuple(objects), latest), now, keep_missing=True)
-            self.endpoints_listed = True
-        else:
-            self.directory.apply_changes(objects, latest, now)
-        self.directory.latest = max(self.directory.latest, latest)
+    def apply_peer_endpoints(self, answer: EntriesAnswer) -> None:
+        """Apply what another router knows of endpoints."""
+        self.directory.apply_answer(answer, time.monotonic())
+        self.endpoints_listed = self.endpoints_listed or answer.complete
 
     def apply_endpoint_changes(self, changes: Changes) -> None:
         """Apply changes of endpoints."""
--- a/src/hickorylever/direct/position.py
+++ b/src/hickorylever/direct/position.py
@@ -46,15 +46,17 @@
 
     :param configuration: latest known position of the configuration's object.
     :param version: of the configuration in force; 0 for none.
-    :param endpoints: latest known position of an endpoint's entry.
+    :param endpoints: position of the latest known change of an endpoint's entry.
     :param evacuations: position of the latest known change of an evacuation; `UNKNOWN` where the
         router doesn't know them or doesn't use them.
+    :param endpoints_digest: of the endpoints' entries, or None if the router doesn't say.
     """
 
     configuration: Position = UNKNOWN
     version: int = 0
     endpoints: Position = UNKNOWN
     evacuations: Position = UNKNOWN
+    endpoints_digest: int | None = None
 
     @property
     def configuration_order(self) -> tuple[Position, int]:
--- a/src/hickorylever/direct/records.py
+++ b/src/hickorylever/direct/records.py
@@ -6,7 +6,7 @@
 import enum
 from dataclasses import dataclass
 
-from .position import Position
+from .position import UNKNOWN, Position
 
 MISDIRECTED_STATUS = 421  # Another endpoint has the address and has sent the response.
 # They tell callers that a request has not run and never will.
@@ -310,3 +310,26 @@
 
     objects: tuple[StoredObject, ...]
     position: Position
+
+
+@dataclass(frozen=True, slots=True)
+class EntriesAnswer:
+    """What another router says of the endpoints' entries.
+
+    :param objects: all entries, or the changes after `since`, oldest first.
+    :param complete: whether `objects` holds all entries.
+    :param as_of: position up to which the other router knows all changes.
+    :param latest: position that it announces.
+    :param since: position of the entries that the changes start from. Where it is later than the
+        position that was asked about, the entries at both are the same.
+    :param digest: of the entries that the other router knows, or None if it doesn't say.
+    :param asked_digest: of the entries that this router knew when it asked.
+    """
+
+    objects: tuple[StoredObject, ...]
+    complete: bool
+    as_of: Position
+    latest: Position
+    since: Position = UNKNOWN
+    digest: int | None = None
+    asked_digest: int | None = None
--- a/src/hickorylever/direct/state_pulls.py
+++ b/src/hickorylever/direct/state_pulls.py
@@ -2,7 +2,8 @@
 
 import time
 import zlib
-from urllib.parse import parse_qs
+from dataclasses import dataclass
+from urllib.parse import parse_qs, urlencode
 
 import curio
 import msgspec
@@ -23,7 +24,7 @@
 from .peer_protocol import LeavingUpdate, SuspectUpdate
 from .peer_table import Peer
 from .position import NOTHING_KNOWN, UNKNOWN, KnownState, Position, parse_position
-from .records import StoredObject
+from .records import EntriesAnswer, StoredObject
 from .versions import VersionUpdate
 
 STATE_PATH = "/state"
@@ -32,27 +33,62 @@
 STATE_PULL_INTERVAL_SECONDS = 0.1  # Between the starts of two pulls.
 
 
-def state_target(known: KnownState) -> str:
-    """Return the request target that asks for what a router lacks."""
-    query = f"configuration={known.configuration}&version={known.version}"
-    return f"{STATE_PATH}?{query}&endpoints={known.endpoints}&evacuations={known.evacuations}"
+@dataclass(frozen=True, slots=True)
+class StateQuestion:
+    """What a router that asks for state knows.
 
+    :param as_of: position up to which it knows all changes of endpoints' entries.
+    """
+
+    known: KnownState
+    as_of: Position
+
+    def target(self) -> str:
+        """Return the request target that asks for what the router lacks."""
+        known = self.known
+        query = {
+            "configuration": known.configuration,
+            "version": known.version,
+            "endpoints": known.endpoints,
+            "evacuations": known.evacuations,
+            "as-of": self.as_of,
+        }
+        if known.endpoints_digest is not None:
+            query["digest"] = known.endpoints_digest
+        return f"{STATE_PATH}?{urlencode(query)}"
+
+
+NOTHING_ASKED = StateQuestion(NOTHING_KNOWN, UNKNOWN)
 
-def parse_known_state(query: str) -> KnownState:
-    """Return the state that a request target's query describes.
+
+def parse_question(query: str) -> StateQuestion:
+    """Return the question that a request target's query describes.
+
+    Routers of earlier releases name no `as-of`; it is then the latest change that they know.
 
     :raises ContentError: if the query is malformed.
     """
     values = {key: entries[0] for key, entries in parse_qs(query).items()}
-    version = values.get("version", "")
-    if not version.isdecimal():
-        raise ContentError(f"invalid version {version!r}")
-    return KnownState(
+    endpoints = values.get("endpoints", "")
+    digest = values.get("digest")
+    known = KnownState(
         parse_position(values.get("configuration", "")),
-        int(version),
-        parse_position(values.get("endpoints", "")),
+        parse_number(values.get("version", "")),
+        parse_position(endpoints),
         parse_position(values.get("evacuations", str(UNKNOWN))),
+        None if digest is None else parse_number(digest),
     )
+    return StateQuestion(known, parse_position(values.get("as-of", endpoints)))
+
+
+def parse_number(text: str) -> int:
+    """Return the natural number that a string describes.
+
+    :raises ContentError: if it is malformed.
+    """
+    if not text.isdecimal():
+        raise ContentError(f"invalid number {text!r}")
+    return int(text)
 
 
 class State(msgspec.Struct, array_like=True):
@@ -61,7 +97,7 @@
     :param configuration: the operator's object, or None when the asking router has it.
     :param configuration_seen: latest known position of that object.
     :param endpoints: all entries, or the changes that the asking router lacks.
-    :param latest: latest known position of an entry or of the removal of one.
+    :param latest: position of the latest known change of an entry or removal of one.
     :param complete: whether `endpoints` holds all entries.
     :param cached_parts: size in tokens of each prompt part that an endpoint has cached, by
         endpoint and part; only sent with all entries, to a router that starts.
@@ -72,6 +108,10 @@
     :param caches_known: whether `cached_parts` holds what engines had cached before the sender
         started, too.
     :param evacuations: what the sender knows of evacuations; None for nothing.
+    :param as_of: position up to which the sender knows all changes of entries; None, from a router
+        of an earlier release, stands for `latest`.
+    :param since: position of the entries that the changes start from.
+    :param digest: of the sender's entries.
     """
 
     configuration: StoredObject | None
@@ -86,6 +126,21 @@
     versions_complete: bool = False
     caches_known: bool = False
     evacuations: EvacuationState | None = None
+    as_of: Position | None = None
+    since: Position = UNKNOWN
+    digest: int | None = None
+
+    def entries(self, asked: StateQuestion) -> EntriesAnswer:
+        """Return what the sender says of endpoints' entries, as an answer to a question."""
+        return EntriesAnswer(
+            tuple(self.endpoints),
+            self.complete,
+            self.latest if self.as_of is None else self.as_of,
+            self.latest,
+            self.since,
+            self.digest,
+            asked.known.endpoints_digest,
+        )
 
 
 class StatePulls:
@@ -115,12 +170,10 @@
 
     async def catch_up(self, now: float, alive: list[Peer]) -> None:
         """Pull the store's state from a router with later positions than this one's."""
-        node = self.node
         if alive and not self.synced and now >= self.next_pull:
-            await self.start_pull(alive, NOTHING_KNOWN)
+            await self.start_pull(alive, NOTHING_ASKED)
             return
-        known = node.known_state()
-        ahead = [peer for peer in alive if node.lacks(peer.known)]
+        ahead = [peer for peer in alive if self.node.lacks(peer.known)]
         if not ahead:
             self.behind_since = None
             return
@@ -129,36 +182,41 @@
         delay = STATE_PULL_DELAY_SECONDS if self.watching() else 0.0
         if now - self.behind_since < delay or now < self.next_pull:
             return
-        await self.start_pull(ahead, known)
+        await self.start_pull(ahead, self.question())
+
+    def question(self) -> StateQuestion:
+        """Return the question for what this router lacks."""
+        return StateQuestion(self.node.known_state(), self.node.directory.log.as_of)
 
     def choose_peer(self, peers: list[Peer]) -> str:
         """Return the address of a random router, preferring those of the same failure domain."""
         near = [peer for peer in peers if peer.domain_hash == self.domain_hash]
         return self.node.rng.choice(near or peers).address
 
-    async def pull(self, address: str, known: KnownState) -> None:
-        """Fetch the state of a router that is later than the known one."""
+    async def pull(self, address: str, question: StateQuestion) -> None:
+        """Fetch the state of another router, and apply what is later."""
         try:
             async with curio.timeout_after(STATE_PULL_TIMEOUT_SECONDS):
                 status, _, body = await self.client.fetch(
-                    address, self.node.settings.peer_port, "GET", state_target(known)
+                    address, self.node.settings.peer_port, "GET", question.target()
                 )
             if status != 200:
                 raise ConnectionLost(f"status {status}")
-            self.apply_state(address, msgspec.msgpack.decode(decompress(body), type=State))
+            state = msgspec.msgpack.decode(decompress(body), type=State)
+            self.apply_state(address, state, question)
             self.synced = True
         except (ConnectionLost, curio.TaskTimeout, ContentError, *DECODE_ERRORS) as error:
             log(Event.SOURCE_FAILED, repr(error), peer=address)
         finally:
             self.pulling = False
 
-    def apply_state(self, address: str, state: State) -> None:
+    def apply_state(self, address: str, state: State, asked: StateQuestion) -> None:
         """Apply the parts of another router's state that are later than this router's."""
         node = self.node
         node.evacuations.apply_state(state.evacuations)
         if state.configuration is not None:
             node.apply_stored_configuration(state.configuration, state.configuration_seen)
-        node.apply_peer_endpoints(state.endpoints, state.latest, state.complete)
+        node.apply_peer_endpoints(state.entries(asked))
         for update in state.leaving_endpoints:
             node.directory.mark_leaving(update, time.monotonic())
         node.directory.add_cached_parts(state.cached_parts)
@@ -176,6 +234,9 @@
             endpoints=len(state.endpoints),
             newest=str(state.latest),
             complete=state.complete,
+            asked=str(asked.as_of),
+            since=str(state.since),
+            as_of=str(state.as_of),
         )
 
     async def handle(self, exchange: Exchange) -> None:
@@ -192,10 +253,10 @@
         if not self.node.endpoints_listed:
             raise RequestError(Kind.NOT_READY)
         try:
-            known = parse_known_state(exchange.query)
+            question = parse_question(exchange.query)
         except ContentError as error:
             raise RequestError(Kind.BAD_REQUEST, str(error)) from None
-        state = self.state(known)
+        state = self.state(question)
         content = msgspec.msgpack.encode(state)
         if state.configuration is not None:
             content = self.compress_state(content)
@@ -203,23 +264,22 @@
             content = zlib.compress(content, 1)
         await exchange.respond(200, body=content)
 
-    def state(self, known: KnownState) -> State:
-        """Return the state that another router lacks.
-
-        :param known: what the other router has.
-        """
+    def state(self, question: StateQuestion) -> State:
+        """Return the state that another router lacks."""
         node = self.node
         directory = node.directory
         stored = node.stored_configuration
-        if node.configuration_state.order <= known.configuration_order:
+        if node.configuration_state.order <= question.known.configuration_order:
             stored = None
-        starting = known.endpoints == UNKNOWN
-        changes = None if starting else directory.changes_since(known.endpoints)
-        complete = changes is None
+        lacking = None
+        if question.as_of != UNKNOWN:
+            digest = question.known.endpoints_digest
+            lacking = directory.log.changes_since(question.as_of, digest)
+        complete = lacking is None
         return State(
             configuration=stored,
             configuration_seen=node.configuration_state.seen,
-            endpoints=directory.stored_objects() if complete else changes,
+            endpoints=directory.stored_objects() if complete else list(lacking.changes),
             latest=directory.latest,
             complete=complete,
             cached_parts=directory.cached_parts() if complete else {},
@@ -229,6 +289,9 @@
             versions_complete=directory.versions.knows_all_services(time.monotonic()),
             caches_known=complete and node.peer_sync.caches.plan.complete,
             evacuations=node.evacuations.state(),
+            as_of=directory.log.as_of,
+            since=UNKNOWN if complete else lacking.since,
+            digest=directory.digest,
         )
 
     def compress_state(self, content: bytes) -> bytes:
@@ -241,7 +304,7 @@
             self.compressed_state = key, zlib.compress(content)
         return self.compressed_state[1]
 
-    async def start_pull(self, peers: list[Peer], known: KnownState) -> None:
+    async def start_pull(self, peers: list[Peer], question: StateQuestion) -> None:
         """Start a pull in its own task unless one is running.
 
         A separate task keeps the pull from delaying datagrams.
@@ -250,7 +313,7 @@
         if not self.pulling:
             self.pulling = True
             address = self.choose_peer(peers)
-            await curio.spawn(self.pull, address, known, daemon=True)
+            await curio.spawn(self.pull, address, question, daemon=True)
 
 
 async def respond_error(exchange: Exchange, error: RequestError) -> None:
--- a/tests/test_store_watcher.py
+++ b/tests/test_store_watcher.py
@@ -4,7 +4,7 @@
 from direct_harness import WELL, configuration, entry, run_scenario
 
 from hickorylever.direct.position import Position
-from hickorylever.direct.records import StoredObject
+from hickorylever.direct.records import EntriesAnswer, StoredObject
 
 
 @pytest.mark.parametrize("status", [503, 429, 500])
@@ -79,7 +79,8 @@
 def test_an_older_list_from_another_router_changes_nothing(revision):
     async def scenario(harness):
         node = harness.node
-        node.apply_peer_endpoints([], Position(0, revision), complete=True)
+        position = Position(0, revision)
+        node.apply_peer_endpoints(EntriesAnswer((), True, position, position))
         node.directory.expire(1e9)
         assert len(node.directory.pool("engines")) == 2
 
