Let routers that know the same change and other entries ask each other

What callers would see: a machine that stood still, or was cut off, while an entry was removed goes on sending to that server when all machines that saw the removal have ended.

Cause: only changes are announced, so a router that starts and lists the store announces its newest entry; so does one that keeps a removed entry that was not the newest. Nobody is ahead, and nobody asks.

Routers with the same latest change and other entries ask each other after 1 s and at most once a second; the later `as_of` prevails. Announcing each list instead would make all routers pull at each start.

--- a/src/hickorylever/direct/position.py
+++ b/src/hickorylever/direct/position.py
@@ -70,10 +70,23 @@
             or other.endpoints > self.endpoints
         )
 
+    def contradicts(self, other: "KnownState") -> bool:
+        """Return whether another router has other entries as of the same latest change.
+
+        One of the two has then missed a removal.
+        """
+        same_change = self.endpoints == other.endpoints
+        return same_change and differ(self.endpoints_digest, other.endpoints_digest)
+
 
 NOTHING_KNOWN = KnownState()
 
 
+def differ(one: int | None, other: int | None) -> bool:
+    """Return whether two digests are known and differ."""
+    return one is not None and other is not None and one != other
+
+
 class Decision(enum.Enum):
     """What to do with a configuration that the store or another router offers.
 
--- a/src/hickorylever/direct/state_pulls.py
+++ b/src/hickorylever/direct/state_pulls.py
@@ -31,6 +31,7 @@
 STATE_PULL_TIMEOUT_SECONDS = 1.0
 STATE_PULL_DELAY_SECONDS = 0.5  # Gives this router's own watch time to deliver the change.
 STATE_PULL_INTERVAL_SECONDS = 0.1  # Between the starts of two pulls.
+CONTRADICTION_SECONDS = 1.0  # Until, and between, pulls from routers that contradict this one.
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,6 +151,8 @@
     :param domain_hash: hash of the name of its failure domain.
     :param watching: returns whether this router watches the store.
     :ivar behind_since: since when another router has been ahead in monotonic seconds, or None.
+    :ivar contradicted_since: since when routers as recent as this one have had other entries, or
+        since the latest pull from one of them, in monotonic seconds; None if none has.
     :ivar next_pull: earliest start of the next pull in monotonic seconds.
     :ivar synced: whether a pull has succeeded since the start.
     :ivar pulling: whether a pull is running.
@@ -162,6 +165,7 @@
         self.client = Client()
         self.server = Server(self.handle, respond_error)
         self.behind_since: float | None = None
+        self.contradicted_since: float | None = None
         self.next_pull = 0.0
         self.synced = False
         self.pulling = False
@@ -176,6 +180,7 @@
         ahead = [peer for peer in alive if self.node.lacks(peer.known)]
         if not ahead:
             self.behind_since = None
+            await self.settle_contradictions(now, alive)
             return
         if self.behind_since is None:
             self.behind_since = now
@@ -184,6 +189,20 @@
             return
         await self.start_pull(ahead, self.question())
 
+    async def settle_contradictions(self, now: float, alive: list[Peer]) -> None:
+        """Pull from a router whose entries differ although it names the same latest change.
+
+        The one that knows the later state of the store then prevails.
+        """
+        known = self.node.known_state()
+        others = [peer for peer in alive if known.contradicts(peer.known)]
+        if not others or self.contradicted_since is None:
+            self.contradicted_since = now if others else None
+            return
+        if now - self.contradicted_since >= CONTRADICTION_SECONDS and now >= self.next_pull:
+            self.contradicted_since = now
+            await self.start_pull(others, self.question())
+
     def question(self) -> StateQuestion:
         """Return the question for what this router lacks."""
         return StateQuestion(self.node.known_state(), self.node.directory.log.as_of)
--- a/tests/test_change_log.py
+++ b/tests/test_change_log.py
@@ -57,7 +57,7 @@
 
 def lacks(one, other):
     """Return whether a router asks another one, having heard what it knows."""
-    return known(one).is_behind(known(other))
+    return known(one).is_behind(known(other)) or known(one).contradicts(known(other))
 
 
 def settle(*directories):
@@ -90,7 +90,12 @@
     return started
 
 
-@pytest.mark.parametrize("start", [started_from_another])
+def started_from_the_store():
+    """Return a router that started after the removal and listed the store."""
+    return listed(REMOVED_AT + 1, new=5)
+
+
+@pytest.mark.parametrize("start", [started_from_another, started_from_the_store])
 def test_a_router_that_started_tells_one_that_stood_still_of_a_removal(start):
     """The log of one that started held no removal but claimed to reach back before it."""
     behind, started = stalled(), start()
@@ -98,6 +103,14 @@
     assert endpoint_names(behind) == endpoint_names(started) == ["new"]
 
 
+def test_a_removal_is_passed_on_by_a_router_that_has_missed_it():
+    """Both later positions and other entries must spread from router to router."""
+    first, second, started = stalled(), stalled(), started_from_the_store()
+    assert settle(second, started)
+    assert settle(first, second)
+    assert endpoint_names(first) == ["new"]
+
+
 def test_a_list_without_news_makes_no_router_ask():
     """All routers would pull from each other whenever one of them starts."""
     watching, started = listed(10, a=4, b=5), listed(30, a=4, b=5)
--- a/tests/test_missed_removals.py
+++ b/tests/test_missed_removals.py
@@ -5,7 +5,7 @@
 import pytest
 from test_peer_sync import NETWORK, play
 
-from hickorylever.direct import directory
+from hickorylever.direct import directory, state_pulls
 
 STARTED = 8
 
@@ -14,13 +14,14 @@
     """Stand in for what a router that stands still doesn't do."""
 
 
-@pytest.mark.parametrize("knows_from", ["another router"])
+@pytest.mark.parametrize("knows_from", ["another router", "the store"])
 def test_a_router_that_stood_still_learns_of_a_removal_from_one_that_started(
     knows_from, monkeypatch
 ):
     """Review, case 9: it asked one that claimed to know the change but had no log of it."""
 
     monkeypatch.setattr(directory, "MISSING_GRACE_SECONDS", 0.2)
+    monkeypatch.setattr(state_pulls, "CONTRADICTION_SECONDS", 0.1, raising=False)
 
     async def scenario(fleet):
         (watching,) = fleet.nodes
