Let routers that differ on evacuations as of the same change ask each other

What callers would see: a router that stood still while an evacuation ended keeps the domain out of service, for as long as no evacuation changes.

Only changes are announced. If all routers that saw the end have ended, and a later evacuation is the latest change of both, the one that stood still and one that has listed the store since announce the same position, and neither asks.

Change: datagrams carry a digest of the evacuated domains, as for entries; routers that differ ask each other, and the later `as_of` prevails, as it did already for answers.

--- a/src/hickorylever/direct/change_log.py
+++ b/src/hickorylever/direct/change_log.py
@@ -8,12 +8,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from .hashes import hash_strings
+from .hashes import digest
 from .position import UNKNOWN, Position
 from .records import StoredObject
 
 CHANGE_LOG_LENGTH = 256
-DIGEST_MASK = 0xFFFFFFFF
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,5 +89,4 @@
 
 def entries_digest(objects: Iterable[StoredObject]) -> int:
     """Return a 32-bit digest of the names and positions of entries."""
-    items = sorted(f"{stored.name} {stored.position}" for stored in objects)
-    return hash_strings(items).intdigest() & DIGEST_MASK
+    return digest(f"{stored.name} {stored.position}" for stored in objects)
--- a/src/hickorylever/direct/evacuation_control.py
+++ b/src/hickorylever/direct/evacuation_control.py
@@ -19,11 +19,13 @@
 
     :param node: the components of this router.
     :ivar evacuations: the evacuated domains, or None where the settings don't enable evacuations.
+    :ivar digest: of the evacuated domains, for other routers; None if they aren't known.
     """
 
     def __init__(self, node):
         self.node = node
         self.evacuations: Evacuations | None = None
+        self.digest: int | None = None
         if node.settings.evacuation_time is not None:
             self.evacuations = Evacuations(node.codec.decode_evacuation, node.reject)
 
@@ -93,6 +95,7 @@
 
     def put_in_force(self) -> None:
         """Put the known evacuations in force, and log those that have begun or ended."""
+        self.digest = self.evacuations.digest()
         directory = self.node.directory
         before, domains = directory.evacuated_domains, self.evacuations.domains
         if before == domains:
--- a/src/hickorylever/direct/evacuations.py
+++ b/src/hickorylever/direct/evacuations.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..exceptions import ContentError
+from .hashes import digest
 from .position import UNKNOWN, Position
 from .records import Changes, Listing
 
@@ -162,6 +163,10 @@
         """Return the evacuated domains whose object the store has."""
         return {domain for domain, since in self.missing_since.items() if since is None}
 
+    def digest(self) -> int | None:
+        """Return a digest of the domains that the store has, or None if they aren't known."""
+        return digest(self.present()) if self.listed else None
+
     def expire(self, now: float) -> None:
         """End evacuations that a restored store has lacked for `MISSING_GRACE_SECONDS`."""
         self.missing_since = {
--- a/src/hickorylever/direct/hashes.py
+++ b/src/hickorylever/direct/hashes.py
@@ -4,10 +4,17 @@
 
 import xxhash
 
+HASH_MASK = 0xFFFFFFFF  # Half of a hash, to keep datagrams short.
+
 
 def name_hash(name: str) -> int:
     """Return the 32-bit hash that identifies a name in datagrams."""
-    return xxhash.xxh3_64_intdigest(name.encode()) & 0xFFFFFFFF
+    return xxhash.xxh3_64_intdigest(name.encode()) & HASH_MASK
+
+
+def digest(strings: Iterable[str]) -> int:
+    """Return a 32-bit digest of strings, whatever their order."""
+    return hash_strings(sorted(strings)).intdigest() & HASH_MASK
 
 
 def hash_strings(strings: Iterable[str]) -> xxhash.xxh3_64:
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -143,6 +143,7 @@
             self.directory.latest,
             self.evacuations.latest,
             self.directory.digest if self.endpoints_listed else None,
+            self.evacuations.digest,
         )
 
     def lacks(self, other: KnownState) -> bool:
--- a/src/hickorylever/direct/position.py
+++ b/src/hickorylever/direct/position.py
@@ -50,6 +50,7 @@
     :param evacuations: position of the latest known change of an evacuation; `UNKNOWN` where the
         router doesn't know them or doesn't use them.
     :param endpoints_digest: of the endpoints' entries, or None if the router doesn't say.
+    :param evacuations_digest: of the evacuated domains, or None if the router doesn't say.
     """
 
     configuration: Position = UNKNOWN
@@ -57,6 +58,7 @@
     endpoints: Position = UNKNOWN
     evacuations: Position = UNKNOWN
     endpoints_digest: int | None = None
+    evacuations_digest: int | None = None
 
     @property
     def configuration_order(self) -> tuple[Position, int]:
@@ -71,12 +73,23 @@
         )
 
     def contradicts(self, other: "KnownState") -> bool:
-        """Return whether another router has other entries as of the same latest change.
+        """Return whether another router has other objects as of the same latest change.
 
         One of the two has then missed a removal.
         """
-        same_change = self.endpoints == other.endpoints
-        return same_change and differ(self.endpoints_digest, other.endpoints_digest)
+        pairs = (
+            (self.endpoints, other.endpoints, self.endpoints_digest, other.endpoints_digest),
+            (
+                self.evacuations,
+                other.evacuations,
+                self.evacuations_digest,
+                other.evacuations_digest,
+            ),
+        )
+        return any(
+            latest == other_latest and differ(digest, other_digest)
+            for latest, other_latest, digest, other_digest in pairs
+        )
 
 
 NOTHING_KNOWN = KnownState()
--- a/src/hickorylever/direct/state_pulls.py
+++ b/src/hickorylever/direct/state_pulls.py
@@ -151,7 +151,7 @@
     :param domain_hash: hash of the name of its failure domain.
     :param watching: returns whether this router watches the store.
     :ivar behind_since: since when another router has been ahead in monotonic seconds, or None.
-    :ivar contradicted_since: since when routers as recent as this one have had other entries, or
+    :ivar contradicted_since: since when routers as recent as this one have had other objects, or
         since the latest pull from one of them, in monotonic seconds; None if none has.
     :ivar next_pull: earliest start of the next pull in monotonic seconds.
     :ivar synced: whether a pull has succeeded since the start.
@@ -190,7 +190,7 @@
         await self.start_pull(ahead, self.question())
 
     async def settle_contradictions(self, now: float, alive: list[Peer]) -> None:
-        """Pull from a router whose entries differ although it names the same latest change.
+        """Pull from a router whose entries or evacuations differ as of the same latest change.
 
         The one that knows the later state of the store then prevails.
         """
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -7,9 +7,11 @@
 import pytest
 from direct_harness import RESUMABLE, DirectHarness, configuration, entry, run_scenario
 from test_direct_placement import PARTS, engine_request, plain_request, pool
+from test_missed_removals import nothing
 from test_peer_sync import NETWORK, Fleet, play
 
 from hickorylever import platform
+from hickorylever.direct import state_pulls
 from hickorylever.direct.availability import retry_after, wait_until
 from hickorylever.direct.evacuations import (
     MISSING_GRACE_SECONDS,
@@ -445,6 +447,31 @@
     play_evacuating(scenario, 2)
 
 
+def test_a_router_that_stood_still_learns_of_an_end_from_one_that_started(monkeypatch):
+    """All that saw the end are gone, and a later evacuation is the latest change of both."""
+    monkeypatch.setattr(state_pulls, "CONTRADICTION_SECONDS", 0.1, raising=False)
+
+    async def scenario(fleet):
+        still = await fleet.start(7, seeds=[f"{NETWORK}.1"], store_port=1)
+        await fleet.until(still.ready)
+        for domain in "ab":
+            await fleet.store.put("evacuations", domain, {})
+        await until_all(fleet, fleet.nodes, "ab")
+        with monkeypatch.context() as stands_still:
+            stands_still.setattr(still.peer_sync.pulls, "catch_up", nothing)
+            await fleet.store.remove("evacuations", "a")
+            await until_all(fleet, fleet.nodes[:1], "b")
+            started = await fleet.start(8)
+            await fleet.until(started.ready)
+            monkeypatch.setattr(fleet.nodes[0].peer_sync, "send", nothing)
+            for node in (still, started):
+                node.peer_sync.peers.by_address.pop(f"{NETWORK}.1", None)
+            still.peer_sync.peers.add_addresses([f"{NETWORK}.9"], time.monotonic())
+        await until_all(fleet, (still, started), "b")
+
+    play_evacuating(scenario, 1)
+
+
 @pytest.mark.parametrize("present", [True, False])
 def test_a_restore_at_routers_with_and_without_the_store(present):
     async def scenario(fleet):
--- a/tests/test_peer_table.py
+++ b/tests/test_peer_table.py
@@ -58,7 +58,7 @@
         outbox.queue_cached_part(f"i-{number}", "0123456789ab", 10000, 0.0)
         outbox.queue_leaving(LeavingUpdate(name_hash(f"i-{number}"), 2**41))
     latest = Position(100, 2**31)
-    known = KnownState(latest, 0, latest, latest, 2**32 - 1)
+    known = KnownState(latest, 0, latest, latest, 2**32 - 1, 2**32 - 1)
     admitted = [AdmittedUpdate(2**32 - 1, 10**9)] * MAX_ADMITTED_UPDATES
     datagram = Datagram(2**41, known, **outbox.take(0.0), admitted=admitted)
     assert len(encode(datagram)) < 1400
