Count a complete response as it arrives, not as its head announces

Cause: the memory for a complete response was reserved whole at its head. A reservation has no owner that could end it early, so what one server announced, all others waited for.

Change: only bytes that have arrived count. Responses are read side by side while each can still get what it may need, in the order of what they lack (the banker's algorithm), so that the bound holds and no two responses wait for each other. A response may take 0.8 of the bound at most; one that announces more, or more than 16 MiB, is rejected at its head. Responses without a Content-Length count in full now; they could exceed the bound by 16 MiB each.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -85,7 +85,7 @@
     :param timeouts: response timeouts; None to wait until the deadline.
     :param on_head: called with what the head of the response says.
     :param on_begun: called when the endpoint has written much of its answer.
-    :param before_body: awaited before a complete body is read.
+    :param read_body: reads a complete body.
     """
 
     def __init__(
@@ -100,7 +100,7 @@
         timeouts: ResponseTimeouts | None = None,
         on_head: Callable[[AnswerInfo], None] = lambda info: None,
         on_begun: Callable[[], None] = lambda: None,
-        before_body: Callable[[ClientResponse], Awaitable[None]] | None = None,
+        read_body: Callable[[ClientResponse], Awaitable[bytes]] = ClientResponse.body,
     ):
         self.client = client
         self.endpoint = endpoint
@@ -112,7 +112,7 @@
         self.timeouts = timeouts
         self.on_head = on_head
         self.on_begun = on_begun
-        self.before_body = before_body
+        self.read_body = read_body
         self.send: Send | None = None
         self.begun = False
         self.channel: Channel | None = None
@@ -201,9 +201,7 @@
             raise InconsistentResponse(
                 f"the request to resume a stream returned status {response.status}"
             )
-        if self.before_body is not None:
-            await self.before_body(response)
-        body = await response.body()
+        body = await self.read_body(response)
         if response.status < 300:
             self.mark_begun()
         self.send.ran = Ran.YES
--- a/src/hickorylever/direct/forward.py
+++ b/src/hickorylever/direct/forward.py
@@ -4,14 +4,16 @@
 
 import curio
 
+from .. import defaults
 from ..events import Event, log
-from ..exceptions import Kind, Ran, RequestError
+from ..exceptions import InconsistentResponse, Kind, Ran, RequestError
 from ..http import ClientResponse, end_to_end, header
 from .attempt import Attempt, Outcome, Result, UpstreamRequest
 from .availability import retry_after
 from .call import Call
 from .crash_checks import check_endpoint
 from .endpoints import Endpoint
+from .held_bytes import BODY_COPIES
 from .observations import Observations
 from .pace_attempts import AttemptWatch
 from .placement import Choice
@@ -30,9 +32,7 @@
 MAX_ENDPOINTS_TRIED = 6  # Per request, including endpoints that rejected it.
 MAX_REJECTIONS = 3  # Rejections by endpoints after which a request is still retried.
 DEADLINE_MARGIN_SECONDS = 0.02  # The endpoint's deadline is this much earlier than the caller's.
-UNKNOWN_BODY_BYTES = 64 * 1024  # Reserved for a response without a Content-Length.
 ROOM_POLL_SECONDS = 0.02  # While the memory for responses is used up.
-BODY_COPIES = 2  # In memory while a response is sent: its body and the encoded response.
 MIN_RETRY_SECONDS = 0.05  # No retry starts with less time left.
 
 
@@ -96,7 +96,7 @@
             self.response_timeouts(call, endpoint, began),
             lambda info: self.observations.record_head(endpoint, info, began),
             lambda: self.node.quarantine.record_answer(call, time.monotonic()),
-            lambda response: self.reserve_room(call, response),
+            lambda response: self.read_body(call, response),
         )
         if call.stream is not None:
             call.stream.pending_prefill = pending_prefill
@@ -245,21 +245,35 @@
             await call.exchange.end()
             return
         headers = end_to_end(outcome.headers)
-        held = self.node.held
-        held.add(call.holder, BODY_COPIES * len(outcome.body) - call.holder.size)
+        self.node.held.complete(call.holder, len(outcome.body))
         call.holder.sending = True
         await call.exchange.respond(outcome.status, headers, outcome.body)
 
-    async def reserve_room(self, call: Call, response: ClientResponse) -> None:
-        """Wait until there is memory for a response that is read completely.
+    async def read_body(self, call: Call, response: ClientResponse) -> bytes:
+        """Read a response completely, at the pace at which there is memory for it.
 
-        The size of one without a Content-Length is counted once it is known.
+        :raises InconsistentResponse: if it announces more than ever fits.
+        :raises ConnectionLost: if it exceeds what fits, or the connection fails before its end.
         """
         held = self.node.held
         held.release(call.holder)
-        length = header(response.headers, b"content-length")
-        count = BODY_COPIES * int(length) if length.isdigit() else UNKNOWN_BODY_BYTES
-        while not held.reserve(call.holder, count, time.monotonic()):
+        limit = min(defaults.MAX_RESPONSE_BYTES, held.max_body_bytes)
+        announced = response.announced_bytes(call.exchange.method)
+        if announced is not None and announced > limit:
+            raise InconsistentResponse(f"the response announces more than {limit} bytes")
+        held.begin(call.holder, limit if announced is None else announced)
+        try:
+            body = await response.body(limit, lambda count: self.make_room(call, count))
+        except BaseException:
+            held.release(call.holder)
+            raise
+        held.complete(call.holder, len(body))
+        return body
+
+    async def make_room(self, call: Call, count: int) -> None:
+        """Wait until there is memory for so many more bytes of a response."""
+        held = self.node.held
+        while not held.reserve(call.holder, BODY_COPIES * count, time.monotonic()):
             await curio.sleep(ROOM_POLL_SECONDS)
 
     async def fail(self, call: Call, last: Outcome | None) -> None:
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -4,7 +4,7 @@
 import re
 import socket as stdsocket
 import time
-from collections.abc import AsyncIterator, Callable, Collection
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 
 import curio
 import h11
@@ -21,6 +21,7 @@
 BYTES_PER_CHUNK = 256
 MAX_SHARED_RESPONSE_BYTES = 32 * 1024 * 1024  # Of response bodies that a client is reading.
 FAIR_RESPONSE_BYTES = 256 * 1024  # A body up to this size is read whatever the others take.
+BODILESS_STATUSES = (204, 304)
 KEEP_ALIVE_TIMEOUT = re.compile(rb"(?i)\btimeout=([0-9]{1,6})\b")
 
 
@@ -106,23 +107,39 @@
         while (block := await self.read_bytes()) is not None:
             yield block
 
-    async def body(self, limit: int = defaults.MAX_RESPONSE_BYTES) -> bytes:
+    def announced_bytes(self, method: str = "GET") -> int | None:
+        """Return the size of the body that the head announces, or None if it doesn't.
+
+        :param method: of the request.
+        """
+        length = header(self.headers, b"content-length")
+        if method == "HEAD" or self.status in BODILESS_STATUSES:
+            return 0
+        return int(length) if length.isdigit() else None
+
+    async def body(
+        self,
+        limit: int = defaults.MAX_RESPONSE_BYTES,
+        make_room: Callable[[int], Awaitable[None]] | None = None,
+    ) -> bytes:
         """Return the complete body.
 
         :param limit: bytes.
+        :param make_room: awaited with the size of each block before the next one is read.
         :raises ConnectionLost: if the body exceeds `limit` or the connection fails before its end.
         """
         blocks = []
-
-        def keep(block: bytes, size: int) -> None:
-            blocks.append(block)
-            self.buffers.add(len(block), size)
-
+        size = 0
         try:
-            await self.read_to_end(limit, keep)
+            async for block in self.iter_limited(limit):
+                size += len(block)
+                blocks.append(block)
+                self.buffers.add(len(block), size)
+                if make_room is not None:
+                    await make_room(len(block))
             return b"".join(blocks)
         finally:
-            self.buffers.size -= sum(map(len, blocks))
+            self.buffers.size -= size
 
     async def skip(self, limit: int) -> None:
         """Read the body to its end without keeping it.
@@ -130,21 +147,21 @@
         :param limit: bytes.
         :raises ConnectionLost: if the body exceeds `limit` or the connection fails before its end.
         """
-        await self.read_to_end(limit, lambda block, size: None)
+        async for _ in self.iter_limited(limit):
+            pass
 
-    async def read_to_end(self, limit: int, on_block: Callable[[bytes, int], None]) -> None:
-        """Read the body to its end.
+    async def iter_limited(self, limit: int) -> AsyncIterator[bytes]:
+        """Yield the body in blocks of bytes.
 
         :param limit: bytes.
-        :param on_block: called with each block and the bytes of the body up to its end.
         :raises ConnectionLost: if the body exceeds `limit` or the connection fails before its end.
         """
         size = 0
-        while (block := await self.read_bytes()) is not None:
+        async for block in self.iter_bytes():
             size += len(block)
             if size > limit:
                 raise ConnectionLost(f"response body exceeds {limit} bytes")
-            on_block(block, size)
+            yield block
 
     def end_is_verifiable(self) -> bool:
         """Return whether a truncated body can be told from a complete one.
@@ -153,7 +170,7 @@
         body ends where the connection does.
         """
         names = [key for key, _ in self.headers]
-        bodiless = self.status in (204, 304)
+        bodiless = self.status in BODILESS_STATUSES
         return bodiless or b"content-length" in names or b"transfer-encoding" in names
 
 
