Bound the incomplete events of all streams together

What callers would see: a server that stops in the middle of a large event makes the router keep up to 1 MiB for each stream.

Cause: an event had a bound, their sum had none.

Beyond it a stream with over 16 KiB of one is broken off, and goes on elsewhere where its route allows it.

--- a/src/hickorylever/direct/attempt.py
+++ b/src/hickorylever/direct/attempt.py
@@ -307,7 +307,22 @@
         :raises InconsistentResponse: if the stream ends within an event or an event is missing.
         """
         await self.stream.start(response)
-        parser = EventParser(self.stream.last_event_id)
+        parser = EventParser(self.stream.last_event_id, self.stream.change_partial)
+        try:
+            await self.relay_events(response, parser)
+            check_end(response, parser)
+        finally:
+            parser.close()
+        self.mark_begun()
+        self.send.ran = Ran.YES
+        return Outcome(Result.ANSWERED, "", response.status, response.headers, info=info)
+
+    async def relay_events(self, response: ClientResponse, parser: EventParser) -> None:
+        """Relay events until the stream ends.
+
+        :raises ConnectionLost: if the connection ends within the stream.
+        :raises InconsistentResponse: if an event is malformed or missing.
+        """
         idle_since = time.monotonic()
         while (chunk := await self.next_chunk(response, idle_since)) is not None:
             seen = parser.numbered_count
@@ -322,10 +337,6 @@
                 idle_since = self.endpoint.last_byte_at = time.monotonic()
             if parser.numbered_count >= BEGUN_EVENTS:
                 self.mark_begun()
-        check_end(response, parser)
-        self.mark_begun()
-        self.send.ran = Ran.YES
-        return Outcome(Result.ANSWERED, "", response.status, response.headers, info=info)
 
     async def next_chunk(self, response: ClientResponse, idle_since: float) -> bytes | None:
         """Return the next chunk of a stream, or None at its end.
--- a/src/hickorylever/direct/held_bytes.py
+++ b/src/hickorylever/direct/held_bytes.py
@@ -15,10 +15,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from ..exceptions import InconsistentResponse
+
 READ_AHEAD_RATIO = 0.5  # Of the limit; the rest is left for complete responses.
 SHARE_RATIO = 0.25  # Of the limit, for streams of one service, or of one client account.
 RESPONSE_RATIO = 1 / 32  # Of the limit, for one stream that is read ahead.
 COMPLETE_RATIO = 0.8  # Of the limit, for one complete response; the rest is left for others.
+PARTIAL_RATIO = 1 / 8  # Of the limit, besides it, for events that have not arrived completely.
+FAIR_EVENT_BYTES = 16 * 1024  # Such an event may have this size whatever the others take.
 BODY_COPIES = 2  # In memory while a response is sent: its body and the encoded response.
 STALLED_SECONDS = 2.0  # Callers that took something since then are not dropped.
 
@@ -56,6 +60,7 @@
     :ivar holders: responses of which something is held, in the order of their first bytes.
     :ivar size: bytes held.
     :ivar sizes: bytes held by key.
+    :ivar partial: bytes of events that have not arrived completely.
     :ivar room: see :meth:`room_before`; None if it has to be computed anew.
     """
 
@@ -65,6 +70,7 @@
         self.holders: dict[Holder, None] = {}
         self.size = 0
         self.sizes: Counter[tuple[str, str]] = Counter()
+        self.partial = 0
         self.room: tuple[list[int], list[int]] | None = None
 
     @property
@@ -119,6 +125,15 @@
             and all(self.sizes[key] <= SHARE_RATIO * self.limit for key in holder.keys)
         )
 
+    def change_partial(self, before: int, after: int) -> None:
+        """Change the size of an event that has not arrived completely.
+
+        :raises InconsistentResponse: if all of these take too much memory and this one is large.
+        """
+        self.partial += after - before
+        if after > FAIR_EVENT_BYTES and self.partial > PARTIAL_RATIO * self.limit:
+            raise InconsistentResponse("incomplete events take too much memory")
+
     def reserve(self, holder: Holder, count: int, now: float) -> bool:
         """Return whether there is room for a part of a complete response, and count it if so.
 
--- a/src/hickorylever/direct/sse.py
+++ b/src/hickorylever/direct/sse.py
@@ -1,6 +1,7 @@
 """Parser for server-sent events."""
 
 import re
+from collections.abc import Callable
 
 from ..exceptions import InconsistentResponse
 
@@ -21,12 +22,21 @@
     The work is proportional to the number of bytes, whatever pieces they arrive in.
 
     :param last_id: id of the last event that was relayed; events up to it are dropped.
+    :param on_partial: called with the former and the present size of the event that is not
+        complete yet; may raise :exc:`InconsistentResponse`.
     :ivar buffer: bytes of the event that is not complete yet.
+    :ivar partial_size: its size when it was last reported.
     :ivar unnumbered_bytes: bytes of the events without an id since the latest one with an id.
     :ivar numbered_count: number of events with an id, including dropped ones.
     """
 
-    def __init__(self, last_id: str | None = None):
+    def __init__(
+        self,
+        last_id: str | None = None,
+        on_partial: Callable[[int, int], None] = lambda before, after: None,
+    ):
+        self.on_partial = on_partial
+        self.partial_size = 0
         self.buffer = bytearray()
         self.last_id = last_id
         self.unnumbered_bytes = 0
@@ -49,8 +59,23 @@
                 events.append(event)
         del self.buffer[:start]
         self.check_incomplete()
+        self.report_partial(len(self.buffer))
         return events
 
+    def close(self) -> None:
+        """Forget the event that is not complete."""
+        self.buffer.clear()
+        self.report_partial(0)
+
+    def report_partial(self, size: int) -> None:
+        """Report the size of the event that is not complete.
+
+        :raises InconsistentResponse: if there is no memory for it.
+        """
+        before, self.partial_size = self.partial_size, size
+        if size != before:
+            self.on_partial(before, size)
+
     def check_incomplete(self) -> None:
         """Check that the bytes since the last event can still become one.
 
--- a/src/hickorylever/direct/stream.py
+++ b/src/hickorylever/direct/stream.py
@@ -39,6 +39,14 @@
         self.latest_event_at = 0.0
         self.max_gap = 0.0
 
+    def change_partial(self, before: int, after: int) -> None:
+        """Count the bytes of an event that has not arrived completely.
+
+        :raises InconsistentResponse: if there is no memory for it.
+        """
+        if self.read_ahead is not None:
+            self.read_ahead.held.change_partial(before, after)
+
     async def start(self, response: ClientResponse) -> None:
         """Send the head unless an earlier attempt did."""
         if self.started:
--- a/tests/flood.py
+++ b/tests/flood.py
@@ -5,19 +5,21 @@
 import sys
 from pathlib import Path
 
+SILENT_SECONDS = 60.0
 START_LINE = "listening on "
 
 
 @contextlib.contextmanager
-def flooding_process(head, block):
+def flooding_process(head, block, count=None):
     """Run such a process beside the tests, and return its port.
 
     It must be a process of its own: one that shares the event loop of a router would stop when the
     router does.
 
     :param head: bytes with ``ID`` in place of the request's id.
+    :param count: number of blocks after which it sends nothing more; None for no end.
     """
-    command = [sys.executable, str(Path(__file__)), head.hex(), block.hex()]
+    command = [sys.executable, str(Path(__file__)), head.hex(), block.hex(), str(count or "")]
     process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
     try:
         line = process.stdout.readline()
@@ -27,10 +29,12 @@
         process.communicate()
 
 
-def main(head, block):
+def main(head, block, count):
+    import itertools
     import re
     import socket
     import threading
+    import time
 
     def flood(connection):
         with contextlib.suppress(OSError), connection:
@@ -39,8 +43,9 @@
                 request += connection.recv(65536)
             request_id = re.search(rb"(?i)attempt-id: *(\w+)", request)[1]
             connection.sendall(head.replace(b"ID", request_id))
-            while True:
+            for _ in range(count) if count else itertools.repeat(None):
                 connection.sendall(block)
+            time.sleep(SILENT_SECONDS)
 
     listener = socket.create_server(("127.0.0.1", 0))
     print(f"{START_LINE}{listener.getsockname()[1]}", flush=True)
@@ -50,4 +55,4 @@
 
 
 if __name__ == "__main__":
-    main(bytes.fromhex(sys.argv[1]), bytes.fromhex(sys.argv[2]))
+    main(*map(bytes.fromhex, sys.argv[1:3]), int(sys.argv[3] or 0))
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -1,5 +1,6 @@
 """Bytes that are no answer and do not end until the caller closes the connection."""
 
+import contextlib
 import resource
 import time
 import zlib
@@ -12,6 +13,7 @@
 
 from hickorylever import defaults, http
 from hickorylever.direct import compression
+from hickorylever.direct.held_bytes import FAIR_EVENT_BYTES, PARTIAL_RATIO, HeldBytes
 from hickorylever.direct.peer_sync import PeerSync
 from hickorylever.direct.sse import MAX_UNNUMBERED_BYTES, EventParser
 from hickorylever.exceptions import ConnectionLost, ContentError, InconsistentResponse
@@ -149,6 +151,29 @@
             parser.feed(b": still here\n\n")
 
 
+def test_incomplete_events_of_all_streams_are_bounded():
+    """Each stream could keep 1 MiB of an event that never ends, and a router has many."""
+    held = HeldBytes(16 * 1024 * 1024)
+    bound = PARTIAL_RATIO * held.limit
+    parsers = [EventParser(on_partial=held.change_partial) for _ in range(60)]
+    kept = []
+    for parser in parsers:
+        with contextlib.suppress(InconsistentResponse):
+            for _ in range(100):
+                parser.feed(b"data: " + b"x" * 8192)
+            kept.append(parser)
+            continue
+        parser.close()
+    assert 0 < len(kept) < len(parsers)
+    assert held.partial <= bound
+    fair = EventParser(on_partial=held.change_partial)
+    fair.feed(b"data: " + b"x" * (FAIR_EVENT_BYTES - 6))
+    assert fair.feed(b"\n\n")
+    for parser in kept:
+        parser.close()
+    assert held.partial == 0
+
+
 def test_comments_between_events_are_passed_on():
     parser = EventParser()
     for number in range(1, 2 * MAX_UNNUMBERED_BYTES // 100):
