--- a/src/hickorylever/http/channel.py
+++ b/src/hickorylever/http/channel.py
@@ -5,6 +5,7 @@
 import math
 import socket as stdsocket
 import time
+from collections.abc import Iterable, Iterator
 
 import curio
 import h11
@@ -13,6 +14,7 @@
 from ..exceptions import ConnectionLost
 from ..turns import Turns
 
+LARGE_PART_BYTES = 64 * 1024  # Parts of messages below this are copied into one write.
 RESET_ON_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger with l_onoff=1, l_linger=0
 
 
@@ -35,6 +37,21 @@
     raw.setsockopt(stdsocket.IPPROTO_TCP, stdsocket.TCP_USER_TIMEOUT, defaults.TCP_USER_TIMEOUT_MS)
 
 
+def join_small(parts: Iterable[bytes]) -> Iterator[bytes]:
+    """Yield parts of a message joined, but for large ones, which would be in memory twice."""
+    joined = b""
+    for part in parts:
+        if len(part) < LARGE_PART_BYTES:
+            joined += part
+            continue
+        if joined:
+            yield joined
+        yield part
+        joined = b""
+    if joined:
+        yield joined
+
+
 class Channel:
     """One HTTP/1.1 connection over a curio socket.
 
@@ -102,16 +119,15 @@
             await self.read()
 
     async def send(self, *events) -> None:
-        """Send h11 events in a single write.
+        """Send h11 events, in a single write unless a part of them is large.
 
         :raises ConnectionLost: if the connection fails or the write times out.
         """
-        data = self.encode(*events)
-        if not data:
-            return
-        sent = self.send_now(data)
-        if sent < len(data):
-            await self.send_remainder(memoryview(data)[sent:])
+        parts = [self.protocol.send(event) or b"" for event in events]
+        for data in join_small(parts):
+            sent = self.send_now(data)
+            if sent < len(data):
+                await self.send_remainder(memoryview(data)[sent:])
 
     def encode(self, *events) -> bytes:
         """Return the bytes of h11 events, which must be sent in this order."""
