Bound the responses of the store by 4 MiB each

Its pages and values have up to 1 MiB. What other routers send is bounded by 32 MiB uncompressed, half of what it was. test_a_control_response_is_bounded fails before, as there was no such bound.

--- a/src/hickorylever/direct/compression.py
+++ b/src/hickorylever/direct/compression.py
@@ -4,7 +4,7 @@
 
 from ..exceptions import ContentError
 
-MAX_CONTENT_BYTES = 64 * 1024 * 1024
+MAX_CONTENT_BYTES = 32 * 1024 * 1024
 
 
 def decompress(data: bytes) -> bytes:
--- a/src/hickorylever/direct/node.py
+++ b/src/hickorylever/direct/node.py
@@ -32,6 +32,7 @@
 from .store_watcher import StoreWatcher
 
 ENDPOINT_IDLE_TIMEOUT_SECONDS = 8.0  # Of endpoints; connections are reused for half of it.
+MAX_STORE_RESPONSE_BYTES = 4 * 1024 * 1024  # Pages and values of the store have up to 1 MiB.
 EXPIRY_INTERVAL_SECONDS = 0.2
 SETTINGS_POLL_SECONDS = 1.0
 HELD_RATIO = 0.25  # Share of the memory for responses that callers have not taken.
@@ -78,7 +79,12 @@
         self.metrics = DirectMetrics()
         self.client = Client(max_idle=ENDPOINT_IDLE_TIMEOUT_SECONDS)
         self.store = store_class(
-            settings.store, Client(max_idle=ENDPOINT_IDLE_TIMEOUT_SECONDS), self.count_store_call
+            settings.store,
+            Client(
+                max_idle=ENDPOINT_IDLE_TIMEOUT_SECONDS,
+                max_response_bytes=MAX_STORE_RESPONSE_BYTES,
+            ),
+            self.count_store_call,
         )
         self.membership = Membership(settings.address, bool(settings.seeds))
         self.directory = Directory(
--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -217,14 +217,17 @@
 
     :param max_age: age in seconds at which servers close a connection.
     :param max_idle: idle time in seconds after which servers close a connection.
+    :param max_response_bytes: size of the largest body that :meth:`fetch` returns.
     """
 
     def __init__(
         self,
         max_age: float = defaults.MAX_CONNECTION_AGE_SECONDS,
         max_idle: float = defaults.IDLE_TIMEOUT_SECONDS,
+        max_response_bytes: int = defaults.MAX_RESPONSE_BYTES,
     ):
         self.max_age = max_age
+        self.max_response_bytes = max_response_bytes
         self.max_idle = max_idle
         self.idle: dict[tuple[str, int], list[Channel]] = {}
         self.buffers = ReadBuffers()
@@ -367,7 +370,7 @@
         try:
             await self.send_request(channel, method, target, headers, body)
             response = await self.receive_response(channel)
-            content = await response.body()
+            content = await response.body(self.max_response_bytes)
         except BaseException:
             await channel.close()
             raise
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -117,6 +117,29 @@
     curio.run(main)
 
 
+@pytest.mark.parametrize(("size", "fits"), [(1000, True), (1001, False)])
+@pytest.mark.parametrize("framing", [b"Content-Length: %d", b"X-Size: %d"])
+def test_a_control_response_is_bounded(size, fits, framing):
+    """The store could take 16 MiB of each of its callers with every response."""
+
+    async def answer(client, address):
+        await client.recv(65536)
+        await client.sendall(b"HTTP/1.1 200 OK\r\n%s\r\n\r\n" % (framing % size))
+        await client.sendall(b"x" * size)
+
+    async def main():
+        port, server = await serve_raw(answer)
+        client = http.Client(max_response_bytes=1000)
+        if fits:
+            assert len((await client.fetch("127.0.0.1", port, "GET", "/"))[2]) == size
+        else:
+            with pytest.raises(ConnectionLost):
+                await client.fetch("127.0.0.1", port, "GET", "/")
+        await server.cancel()
+
+    curio.run(main)
+
+
 def test_bytes_after_a_response_are_not_taken_for_the_next_one():
     """A second copy of a response in the same packet must not answer the next call."""
     response = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n%s"
