--- a/src/hickorylever/direct/held_bytes.py
+++ b/src/hickorylever/direct/held_bytes.py
@@ -23,7 +23,7 @@
 COMPLETE_RATIO = 0.8  # Of the limit, for one complete response; the rest is left for others.
 PARTIAL_RATIO = 1 / 8  # Of the limit, besides it, for events that have not arrived completely.
 FAIR_EVENT_BYTES = 16 * 1024  # Such an event may have this size whatever the others take.
-BODY_COPIES = 2  # In memory while a response is sent: its body and the encoded response.
+BODY_COPIES = 2  # In memory while the parts of a body are joined.
 STALLED_SECONDS = 2.0  # Callers that took something since then are not dropped.
 
 
