Read bodies with a limit without nested asynchronous generators

Cause: read a body through two asynchronous generators. Callers saw nothing.

Change: a plain loop. test_a_body_beyond_its_limit_leaves_nothing_to_be_finalized fails before, both cases, and passes with it.

--- a/src/hickorylever/http/client.py
+++ b/src/hickorylever/http/client.py
@@ -131,7 +131,7 @@
         blocks = []
         size = 0
         try:
-            async for block in self.iter_limited(limit):
+            while (block := await self.read_within(limit, size)) is not None:
                 size += len(block)
                 blocks.append(block)
                 self.buffers.add(len(block), size)
@@ -147,21 +147,21 @@
         :param limit: bytes.
         :raises ConnectionLost: if the body exceeds `limit` or the connection fails before its end.
         """
-        async for _ in self.iter_limited(limit):
-            pass
+        size = 0
+        while (block := await self.read_within(limit, size)) is not None:
+            size += len(block)
 
-    async def iter_limited(self, limit: int) -> AsyncIterator[bytes]:
-        """Yield the body in blocks of bytes.
+    async def read_within(self, limit: int, size: int) -> bytes | None:
+        """Return the next bytes of a body, or None at its end.
 
-        :param limit: bytes.
+        :param limit: of the whole body, in bytes.
+        :param size: bytes read so far.
         :raises ConnectionLost: if the body exceeds `limit` or the connection fails before its end.
         """
-        size = 0
-        async for block in self.iter_bytes():
-            size += len(block)
-            if size > limit:
-                raise ConnectionLost(f"response body exceeds {limit} bytes")
-            yield block
+        block = await self.read_bytes()
+        if block is not None and size + len(block) > limit:
+            raise ConnectionLost(f"response body exceeds {limit} bytes")
+        return block
 
     def end_is_verifiable(self) -> bool:
         """Return whether a truncated body can be told from a complete one.
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -1,6 +1,7 @@
 """Bytes that are no answer and do not end until the caller closes the connection."""
 
 import contextlib
+import gc
 import resource
 import time
 import zlib
@@ -140,6 +141,30 @@
     curio.run(main)
 
 
+@pytest.mark.filterwarnings("error::pytest.PytestUnraisableExceptionWarning")
+@pytest.mark.parametrize("skips", [True, False])
+def test_a_body_beyond_its_limit_leaves_nothing_to_be_finalized(skips):
+    """An asynchronous generator that is not read to its end raises an error when it is freed."""
+
+    async def answer(client, address):
+        await client.recv(65536)
+        await client.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 1001)
+
+    async def main():
+        port, server = await serve_raw(answer)
+        client = http.Client()
+        channel = await client.acquire("127.0.0.1", port)
+        await client.send_request(channel, "GET", "/")
+        response = await client.receive_response(channel)
+        with pytest.raises(ConnectionLost):
+            await (response.skip(1000) if skips else response.body(1000))
+        await channel.close()
+        await server.cancel()
+
+    curio.run(main)
+    gc.collect()
+
+
 def test_bytes_after_a_response_are_not_taken_for_the_next_one():
     """A second copy of a response in the same packet must not answer the next call."""
     response = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n%s"
