--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -504,15 +504,17 @@
 """
 
 
-def free_port(ip: str) -> int:
-    """Return a port that is free for TCP and UDP at an address."""
+def free_port(ips: list[str]) -> int:
+    """Return a port that is free for TCP and UDP at each of some addresses."""
     while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((ip, 0))
-            port = tcp.getsockname()[1]
-            with contextlib.suppress(OSError):
-                udp.bind((ip, port))
-                return port
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            port = 0
+            for ip in ips:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    sock = stack.enter_context(socket.socket(type=kind))
+                    sock.bind((ip, port))
+                    port = sock.getsockname()[1]
+            return port
 
 
 class Router:
@@ -583,7 +585,7 @@
         folder = Path(self.directory.name)
         prefix = f"127.{random.randint(1, 254)}.{random.randint(1, 254)}"
         ips = [f"{prefix}.{number}" for number in range(1, self.router_count + 1)]
-        ports = {name: free_port("0.0.0.0") for name in PORT_NAMES}
+        ports = {name: free_port(ips) for name in PORT_NAMES}
         ports["store_port"] = self.store.port
         for number, ip in enumerate(ips, 1):
             self.routers.append(Router(number, ip, ips[:3], ports, folder))
